--- a/src/actors/common/log/appender.ts
+++ b/src/actors/common/log/appender.ts
@@ -29,8 +29,12 @@
 
 interface Pending {
   readonly record: ControlRecord
+  /** True while an append with it is under way. */
+  inFlight: boolean
   /** True once an append with it may have taken effect. */
   uncertain: boolean
+  /** Whether it is kept until the log takes it. */
+  readonly lasting: boolean
   settled: boolean
   readonly settle: (result: Result<Verdict>) => void
   timer?: Disposable
@@ -81,10 +85,11 @@
   }
 
   /**
-   * Appends a record and waits for its verdict. After the timeout the result is `logUnavailable`
+   * Appends a record and waits for its verdict; fails at once while the log is known to be down. After the timeout the result is `logUnavailable`
    * if the record was surely not appended, else `commandUnknown`: it may still take effect.
    */
   async decide (record: ControlRecord, timeoutMs: number): Promise<Result<Verdict>> {
+    if (!this.services.fold.logAnswers) return failure('logUnavailable', 'the log does not answer', { retryAfterMs: 1000 })
     return await this.add(record, timeoutMs)
   }
 
@@ -99,7 +104,7 @@
       return failure('logUnavailable', 'too many records wait for the log', { retryAfterMs: 1000 })
     }
     return await new Promise((resolve) => {
-      const pending: Pending = { record, uncertain: false, settled: false, settle: resolve }
+      const pending: Pending = { record, inFlight: false, uncertain: false, lasting: timeoutMs === undefined, settled: false, settle: resolve }
       this.waiting.set(record.id, pending)
       this.tell({ type: 'add', pending, timeoutMs })
     })
@@ -133,7 +138,7 @@
     const batch = this.takeBatch()
     if (batch.length === 0) return
     this.appending = true
-    for (const pending of batch) pending.uncertain = true
+    for (const pending of batch) pending.inFlight = true
     const data = encodeEnvelope(batch.map(({ record }) => record))
     this.services.metrics.count('log.appends')
     this.services.log.append('control', data).then((result) => { this.tell({ type: 'appended', batch, result }) })
@@ -154,6 +159,12 @@
 
   private appended (batch: readonly Pending[], result: Result<number>): void {
     this.appending = false
+    const refused = !result.ok && result.code === 'logUnavailable'
+    for (const pending of batch) {
+      pending.inFlight = false
+      pending.uncertain ||= !refused
+    }
+    if (refused && result.retryAfterMs === undefined) this.refuseWaiting(result.message)
     const open = batch.filter((pending) => !pending.settled)
     if (result.ok) {
       this.services.clock.after(REPEAT_MS, () => { this.repeat(open) })
@@ -164,6 +175,15 @@
     if (this.queue.length > 0) this.flushSoon(result.ok ? 0 : RETRY_MS)
   }
 
+  /** A log that refuses is down: whoever waits for a verdict hears so now and not at its deadline. */
+  private refuseWaiting (message: string): void {
+    for (const pending of [...this.waiting.values()]) {
+      if (!pending.lasting && !pending.uncertain && !pending.inFlight) {
+        this.settle(pending.record.id, failure('logUnavailable', message, { retryAfterMs: 1000 }))
+      }
+    }
+  }
+
   /** An appended record whose verdict does not come back may have been lost by the log. */
   private repeat (batch: readonly Pending[]): void {
     const open = batch.filter((pending) => !pending.settled)
@@ -175,7 +195,7 @@
 
   private late (pending: Pending): void {
     if (pending.settled) return
-    this.settle(pending.record.id, lateFailure(pending.uncertain))
+    this.settle(pending.record.id, lateFailure(pending.uncertain || pending.inFlight))
   }
 
   private settle (id: string, result: Result<Verdict>): void {
@@ -188,7 +208,6 @@
   }
 }
 
-/** An append that was answered with a refusal is still counted uncertain: an earlier copy may land. */
 function lateFailure (uncertain: boolean): Failure {
   return uncertain
     ? failure('commandUnknown', 'the log did not confirm the record in time', { retryAfterMs: 1000 })
--- a/src/actors/common/log/controlLog.ts
+++ b/src/actors/common/log/controlLog.ts
@@ -36,6 +36,8 @@
   readonly fresh: boolean
   /** Whether a state has been found since the start. */
   readonly started: boolean
+  /** Whether the log answered the last question; false in an outage. */
+  readonly logAnswers: boolean
 }
 
 export interface ControlLogSettings {
@@ -81,7 +83,7 @@
 export class ControlLog extends Task<Message> implements FoldView {
   private current = emptyState()
   private found = false
-  private logAnswers = true
+  private answering = true
   private readonly freshness: Freshness
   private readonly recent: LogEntry[] = []
   private readonly verdicts = new Emitter<Verdict>()
@@ -108,6 +110,10 @@
     return this.found
   }
 
+  get logAnswers (): boolean {
+    return this.answering
+  }
+
   get fresh (): boolean {
     return this.found && this.freshness.isFresh(this.services.clock.monotonic())
   }
@@ -190,7 +196,7 @@
   private async read (): Promise<void> {
     const asked = this.current.offset
     const at = this.services.clock.monotonic()
-    const waitMs = this.logAnswers ? this.settings.longPollMs : 0
+    const waitMs = this.answering ? this.settings.longPollMs : 0
     const result = await this.services.log.read('control', asked, { maximumEntries: PAGE_ENTRIES, waitMs })
     this.tell({ type: 'page', result, asked, at })
   }
@@ -296,8 +302,8 @@
   }
 
   private noteLog (answers: boolean): void {
-    if (answers === this.logAnswers) return
-    this.logAnswers = answers
+    if (answers === this.answering) return
+    this.answering = answers
     this.services.metrics.count(answers ? 'log.back' : 'log.lost')
     if (answers) this.services.stateLog.changed('the log answers again', { offset: this.current.offset })
     else this.services.stateLog.alarm('the log does not answer', { offset: this.current.offset })
--- a/src/adapters/node/httpLog.ts
+++ b/src/adapters/node/httpLog.ts
@@ -10,6 +10,9 @@
 import type { Connections } from './connections.ts'
 import { neverSent, wentSilent } from './connections.ts'
 
+/** Pause after the log refused an append because of its limit a second, in milliseconds. */
+const LIMIT_PAUSE_MS = 200
+
 const appended = z.object({ offset: z.number().int().nonnegative() })
 const page = z.object({
   first: z.number().int().nonnegative(),
@@ -23,7 +26,8 @@
   async append (stream: StreamName, data: string): Promise<Result<number>> {
     const answer = await this.request('POST', `/streams/${stream}`, this.timeoutMs, data)
     if (!answer.ok) return answer
-    if (answer.value.status === 503 || answer.value.status === 429) return failure('logUnavailable', 'the log takes no entries now')
+    if (answer.value.status === 429) return failure('logUnavailable', 'the log is at its limit of appends', { retryAfterMs: LIMIT_PAUSE_MS })
+    if (answer.value.status === 503) return failure('logUnavailable', 'the log takes no entries now')
     const body = answer.value.status === 201 ? appended.safeParse(parse(answer.value.text)) : undefined
     return body?.success === true ? success(body.data.offset) : failure('commandUnknown', `the log answered ${answer.value.status}`)
   }
--- a/src/ports/common/log.ts
+++ b/src/ports/common/log.ts
@@ -32,7 +32,7 @@
 export interface Log {
   /**
    * Appends one entry and gives its offset. `logUnavailable`: the log refused it, it will not take
-   * effect. `commandUnknown`: no answer, it may take effect, even later.
+   * effect; with `retryAfterMs` it is only at its limit and will take it soon. `commandUnknown`: no answer, it may take effect, even later.
    */
   append (stream: StreamName, data: string): Promise<Result<number>>
   /** Reads entries from an offset on; entries below `first` are gone. */
