--- a/src/actors/common/log/controlLog.ts
+++ b/src/actors/common/log/controlLog.ts
@@ -83,6 +83,7 @@
 export class ControlLog extends Task<Message> implements FoldView {
   private current = emptyState()
   private found = false
+  private searching = false
   private answering = true
   private readonly freshness: Freshness
   private readonly recent: LogEntry[] = []
@@ -178,6 +179,9 @@
 
   private adopt (state: FoldState | undefined, origin: string): void {
     if (state === undefined) {
+      this.services.metrics.count('state.not_found')
+      if (!this.searching) this.services.stateLog.alarm('no state can be found', { origin })
+      this.searching = true
       this.later({ type: 'find-state' })
       return
     }
@@ -187,6 +191,7 @@
     }
     this.current = state
     this.found = true
+    this.searching = false
     this.recent.length = 0
     this.services.stateLog.changed('state found', { origin, offset: state.offset })
     this.changes.fire()
