--- a/src/actors/common/samples/trainerDesk.ts
+++ b/src/actors/common/samples/trainerDesk.ts
@@ -104,7 +104,7 @@
   private async decideWhenDue (subscription: string, request: PullRequest, until: number): Promise<Result<Batch>> {
     const urgent = (): boolean => {
       const state = this.state(subscription)
-      return state !== undefined && (request.cursor !== state.acknowledged || state.handover !== undefined)
+      return request.cursor !== (state?.acknowledged ?? 0) || state?.handover !== undefined
     }
     const enough = (): boolean => this.readySamples(subscription) >= request.minimum
     if (!urgent() && !enough()) await this.waitFor(() => urgent() || enough(), until)
--- a/src/core/common/language/parser.ts
+++ b/src/core/common/language/parser.ts
@@ -17,6 +17,7 @@
 import { failure, success } from '../../../base/common/resultCode.ts'
 import type { Command, ObjectKind, PropertyValue } from '../fold/command.ts'
 import { commandSchema, objectKinds, objectSchemas } from '../fold/command.ts'
+import { messages } from './messages.ts'
 import type { Comparison, Condition, ShowStatement, Statement, ViewName } from './statement.ts'
 import { viewNames } from './statement.ts'
 
@@ -58,7 +59,7 @@
 
 class StatementParser extends EmbeddedActionsParser {
   constructor () {
-    super(tokens)
+    super(tokens, { errorMessageProvider: messages })
     this.performSelfAnalysis()
   }
 
--- a/test/promises/atMostOnce.test.ts
+++ b/test/promises/atMostOnce.test.ts
@@ -153,6 +153,7 @@
    * Cause: the author gives up, and must never dispatch when the claim is read back later.
    */
   it('when the claim lands after its author gave up', async () => {
+    await waitUntil(async () => (await once(cluster.host(0), newId())).status === 200, 8000, 'the log takes claims')
     const id = newId()
     platform.log.log.faults.appendDelayMs = 1200
     const answer = await once(cluster.host(0), id, { deadlineMs: 6000 })
--- /dev/null
+++ b/test/settings/settings.test.ts
@@ -0,0 +1,60 @@
+/** Settings: every mistake at once, with its line and key; the examples are in order. */
+
+import { readdirSync } from 'node:fs'
+import { expect } from 'chai'
+import { parseSettings, readSettings } from '../../src/settings/node/readSettings.ts'
+
+const good = `
+[host]
+name = "abdali-1"
+place = "Abdali"
+listen = "127.0.0.1:7001"
+address = "http://127.0.0.1:7001"
+[log]
+address = "http://127.0.0.1:7000"
+[peers]
+key = "a-long-peer-key"
+`
+
+describe('settings', () => {
+  it('fill in every default', () => {
+    const parsed = parseSettings(good)
+    expect(parsed.ok && parsed.value).toMatchSnapshot()
+  })
+
+  it('list every mistake with its line', () => {
+    const bad = `${good.replace('7001"\naddress', '7001"\ncolour = "red"\naddress').replace('listen = "127.0.0.1:7001"', 'listen = "localhost:7001"')}
+[limits]
+connections = -4
+heartbeat = "fast"
+[[callers]]
+name = "booking"
+key = "a-long-peer-key"
+[[callers]]
+name = "records"
+role = "king"
+key = "short"
+[unheard]
+x = 1
+`
+    const parsed = parseSettings(bad)
+    expect(parsed.ok ? [] : parsed.message.split('\n')).toMatchSnapshot()
+  })
+
+  it('name the line of what is not TOML', () => {
+    const parsed = parseSettings('[host]\nname = \n')
+    expect(parsed.ok ? '' : parsed.message).to.match(/^line 2: /)
+  })
+
+  it('tell of a file that is not there', () => {
+    const parsed = readSettings('nowhere.toml')
+    expect(parsed.ok ? '' : parsed.code).to.equal('invalidSettings')
+  })
+
+  for (const file of readdirSync('examples').filter((name) => name.endsWith('.toml'))) {
+    it(`of examples/${file} are in order`, () => {
+      const parsed = readSettings(`examples/${file}`)
+      expect(parsed.ok ? '' : parsed.message).to.equal('')
+    })
+  }
+})
