--- a/test/support/hostProcess.ts
+++ b/test/support/hostProcess.ts
@@ -11,7 +11,8 @@
 import { stringify } from 'smol-toml'
 import { request } from 'undici'
 
-export const PROGRAM = 'dist/bulrushvalve.cjs'
+/** The program as one script; the binary is the same and starts more slowly. */
+export const PROGRAM: readonly string[] = [process.execPath, 'dist/bulrushvalve.cjs']
 export const keys = { peers: 'peer-key-0001', operator: 'operator-key-0001', other: 'operator-key-0002', caller: 'caller-key-0001', stranger: 'caller-key-0002', trainer: 'trainer-key-0001', second: 'trainer-key-0002' }
 
 /** Settings by table; what is given is laid over quick defaults. */
@@ -47,10 +48,11 @@
   output = ''
   exitCode: number | null = null
 
-  constructor (readonly name: string, readonly place: string, readonly address: string, private readonly settingsPath: string) {}
+  constructor (readonly name: string, readonly place: string, readonly address: string, private readonly settingsPath: string, private readonly program: readonly string[]) {}
 
   start (): void {
-    const child = spawn(process.execPath, [PROGRAM, 'serve', '--settings', this.settingsPath], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const [command = process.execPath, ...words] = this.program
+    const child = spawn(command, [...words, 'serve', '--settings', this.settingsPath], { stdio: ['ignore', 'pipe', 'pipe'] })
     this.child = child
     this.exitCode = null
     const take = (data: Buffer): void => { this.output += data.toString() }
@@ -105,6 +107,8 @@
   readonly hostListAddress?: string
   readonly scorerAddress?: string
   readonly settings?: SettingsTables
+  /** Command and first words that run the program. */
+  readonly program?: readonly string[]
   /** Addresses that hosts announce in place of their own, by name. */
   readonly announced?: Readonly<Record<string, string>>
 }
@@ -129,7 +133,7 @@
     const hosts = options.hosts.map(({ name, place }, index) => {
       const path = join(folder, `${name}.toml`)
       writeFileSync(path, stringify(settingsFor(options, name, place, ports[index] ?? 0, addresses)))
-      return new HostProcess(name, place, addresses[index] ?? '', path)
+      return new HostProcess(name, place, addresses[index] ?? '', path, options.program ?? PROGRAM)
     })
     return new Cluster(hosts, folder)
   }
--- /dev/null
+++ b/tools/demo/standInProcesses.ts
@@ -0,0 +1,25 @@
+/** Stand-ins as separate processes: started, asked for their records, ended by id. */
+
+import type { ChildProcess } from 'node:child_process'
+import { spawn } from 'node:child_process'
+import { once } from 'node:events'
+import { request } from 'undici'
+
+export interface StandInProcess {
+  readonly address: string
+  /** Reads the stand-in's own record. */
+  records<T> (): Promise<T>
+  stop (): void
+}
+
+/** Starts one stand-in; resolves with its address. */
+export async function startStandInProcess (kind: string, options: object = {}): Promise<StandInProcess> {
+  const child: ChildProcess = spawn(process.execPath, ['dist/standins.cjs', kind, '0', JSON.stringify(options)], { stdio: ['ignore', 'pipe', 'inherit'] })
+  const [data] = await once(child.stdout as NonNullable<typeof child.stdout>, 'data') as [Buffer]
+  const address = data.toString().trim()
+  return {
+    address,
+    records: async <T>() => await (await request(`${address}/records`)).body.json() as T,
+    stop: () => { child.kill('SIGKILL') }
+  }
+}
