A refused connection makes a host suspect at once

Cause: after the home of a shard was killed its requests asked it again until probes had run out their time limits (probe, second connection, indirect probes). A refused connection proves that nobody listens; it was treated as a silence. Change: peers' calls tell a refused connection apart; a home that does not answer is probed at once; a refused probe needs no second opinion. Ruled out: shorter probe time limits, which would suspect slow hosts.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -35,6 +35,8 @@
   available (): Member[]
   /** Fires when a member's status changed. */
   readonly onChange: Event<void>
+  /** Says that a host did not answer something else; it is probed at once. */
+  doubt (host: HostId): void
   /** Last heard pressure of a shard, with the monotonic time of hearing it. */
   pressureOf (shard: ShardKey): number | undefined
   /** Last heard load of a host, 0 to 1. */
@@ -62,6 +64,7 @@
   | { readonly type: 'probe' }
   | { readonly type: 'probed', readonly member: Member | undefined, readonly answer: Result<ProbeMessage> }
   | { readonly type: 'unanswered', readonly member: Member }
+  | { readonly type: 'doubt', readonly host: HostId }
   | { readonly type: 'seeds', readonly addresses: readonly string[] }
 
 /** Probes to seeds and to the dead, as one in so many. */
@@ -72,6 +75,7 @@
   private readonly changes = new Emitter<void>()
   private readonly pressures = new Map<ShardKey, number>()
   private readonly loads = new Map<HostId, number>()
+  private readonly doubted = new Set<HostId>()
   private round: Member[] = []
   private probes = 0
   private lastFull = Number.NEGATIVE_INFINITY
@@ -126,6 +130,10 @@
     return [...places].some((place) => !reached.has(place))
   }
 
+  doubt (host: HostId): void {
+    this.tell({ type: 'doubt', host })
+  }
+
   /** What probes tell of this host. */
   tellWithProbes (payload: ProbePayload): void {
     this.payload = payload
@@ -148,6 +156,7 @@
       case 'probe': this.probeNext(); break
       case 'probed': this.takeAnswer(message.member, message.answer); break
       case 'unanswered': this.suspect(message.member); break
+      case 'doubt': this.probeDoubted(message.host); break
       case 'seeds': this.listed = message.addresses; break
       default: unreachable(message)
     }
@@ -190,12 +199,20 @@
     this.tell({ type: 'probed', member: undefined, answer: await this.send(address, true) })
   }
 
+  private probeDoubted (host: HostId): void {
+    const member = this.table.get(host)
+    if (member === undefined || this.doubted.has(host) || member.status === 'dead') return
+    this.doubted.add(host)
+    this.probe(member).finally(() => { this.doubted.delete(host) }).catch(() => undefined)
+  }
+
   private async probe (member: Member): Promise<void> {
     const now = this.services.clock.monotonic()
     const full = now - this.lastFull >= this.options.fullExchangeMs
     if (full) this.lastFull = now
     const answer = await this.send(member.address, full)
-    if (answer.ok || await this.reachedOtherwise(member)) {
+    const ended = !answer.ok && answer.code === 'targetUnreachable'
+    if (answer.ok || (!ended && await this.reachedOtherwise(member))) {
       if (answer.ok) this.tell({ type: 'probed', member, answer })
       return
     }
--- a/src/actors/common/routing/grantClient.ts
+++ b/src/actors/common/routing/grantClient.ts
@@ -155,7 +155,7 @@
   private async ask (shard: ShardKey, home: HostId, address: string, request: AcquireRequest, signal: AbortSignal | undefined): Promise<AcquireAnswer | 'home-moved'> {
     const answered = home === this.host
       ? this.services.local.acquire(shard, request)
-      : this.askPeer(shard, address, request)
+      : this.askPeer(shard, home, address, request)
     const moved = new DisposableStore()
     const left = new Promise<'home-moved'>((resolve) => {
       const check = (): void => { if (this.services.homes.ofShard(shard)?.host !== home) resolve('home-moved') }
@@ -172,10 +172,11 @@
     return answer
   }
 
-  private async askPeer (shard: ShardKey, address: string, request: AcquireRequest): Promise<AcquireAnswer | 'home-moved'> {
+  private async askPeer (shard: ShardKey, home: HostId, address: string, request: AcquireRequest): Promise<AcquireAnswer | 'home-moved'> {
     const answer = await this.services.peers.call(address, 'admission.acquire', { shard, request }, request.maximumWaitMs + RPC_MARGIN_MS)
     if (answer.ok) return answer.value
     this.services.metrics.count('admission.home_silent')
+    this.services.membership.doubt(home)
     return 'home-moved'
   }
 
--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -52,6 +52,11 @@
 
 /** Codes of errors that come before the first byte has left. */
 const beforeFirstByte: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
+/** Whether an error says that the host is there and nobody listens: its process has ended. */
+export function refusedConnection (error: unknown): boolean {
+  return errorCode(error) === 'ECONNREFUSED'
+}
+
 const silences: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT', 'UND_ERR_ABORTED', 'TimeoutError', 'AbortError'])
 
 /** Whether an error proves that nothing was sent. */
--- a/src/adapters/node/jsonRpcPeers.ts
+++ b/src/adapters/node/jsonRpcPeers.ts
@@ -9,7 +9,7 @@
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { PeerHandlers, PeerMethod, PeerMethods, Peers } from '../../ports/common/peers.ts'
 import type { Connections } from './connections.ts'
-import { neverSent, wentSilent } from './connections.ts'
+import { refusedConnection, wentSilent } from './connections.ts'
 
 /** Where peers' calls arrive. */
 export const PEER_PATH = '/peer'
@@ -30,7 +30,7 @@
     try {
       return success(await this.client.request(method, parameters, { address, timeoutMs }) as PeerMethods[Method]['result'])
     } catch (error) {
-      return neverSent(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
+      return refusedConnection(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
     }
   }
 
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -46,6 +46,7 @@
   | { readonly type: 'refused', readonly reason: Failure, readonly pressure: number }
 
 export interface Peers {
+  /** Fails with `targetUnreachable` where nobody listens, else with `unknownOutcome`. */
   call<Method extends PeerMethod> (address: string, method: Method, parameters: PeerMethods[Method]['parameters'], timeoutMs: number): Promise<Result<PeerMethods[Method]['result']>>
 }
 
--- a/test/promises/silence.test.ts
+++ b/test/promises/silence.test.ts
@@ -120,4 +120,27 @@
     expect(answers.map(({ status }) => status)).to.deep.equal([200, 200, 200, 200, 200, 200])
     expect(Date.now() - began).to.be.below(4000)
   })
+
+  /*
+   * Symptom: for two seconds after a host was killed, requests for its shards hang.
+   * Sequence: the home of a shard is killed; requests ask it, are refused the connection, and ask
+   * again until the probes' time limits have declared it suspect.
+   * Cause: a refused connection says at once that nobody listens, and was treated as a silence.
+   */
+  it('are not what a killed host leaves: its shards have another home within 300 ms', async () => {
+    await platform.close()
+    platform = await startPlatform({ engines: 2, places: ['Abdali'] })
+    await start([...two, { name: 'tabarbour-1', place: 'Tabarbour' }], { membership: { probe_period: 500, probe_timeout: 400 } })
+    await platform.configure(cluster)
+    await complete(2)
+    const waits: number[] = []
+    await cluster.host(0).kill()
+    cutters.get('abdali-1')?.refuse()
+    await Promise.all(Array.from({ length: 8 }, async (_, index) => {
+      const began = Date.now()
+      expect((await complete(1 + index % 2)).status).to.equal(200)
+      waits.push(Date.now() - began)
+    }))
+    expect(Math.max(...waits)).to.be.below(300)
+  })
 })
--- a/test/support/cutter.ts
+++ b/test/support/cutter.ts
@@ -11,6 +11,8 @@
   /** Passes nothing on, on old and new connections, until `heal`. */
   silenceAll (): void
   heal (): void
+  /** Listens no more, as a host whose process has ended. */
+  refuse (): void
   /** Connections made so far. */
   readonly made: number
   close (): Promise<void>
@@ -48,9 +50,14 @@
     silenceOpen: () => { pairs.clear() },
     silenceAll: () => { silent = true; pairs.clear() },
     heal: () => { silent = false },
+    refuse: () => {
+      server.close()
+      for (const socket of all) socket.destroy()
+    },
     get made () { return made },
     close: async () => {
       for (const socket of all) socket.destroy()
+      if (!server.listening) return
       server.close()
       await once(server, 'close')
     }
