Slots asked back early or in vain are asked back again

Cause: the wish of a home to have a rollout's slot back can reach the holder before the answer that granted it, and was dropped; the home counted the slot as coming and asked for no other. Change: the holder keeps an early wish; the home asks again after 150 ms.

--- a/src/actors/common/routing/grantClient.ts
+++ b/src/actors/common/routing/grantClient.ts
@@ -78,6 +78,9 @@
 
 export class GrantClient implements Disposable {
   private readonly active = new Map<string, Active>()
+  private readonly asking = new Set<string>()
+  /** Slots asked back before the answer that grants them was read. */
+  private readonly revokedEarly = new Set<string>()
   private readonly heard = new Map<ShardKey, number>()
   private readonly disposables = new DisposableStore()
   private readonly host: HostId
@@ -125,9 +128,17 @@
     return refused
   }
 
-  /** Gives a grant of this host back because its home wants it for something more urgent. */
+  /**
+   * Gives a grant of this host back because its home wants it for something more urgent. The home's
+   * wish can overtake its own answer on another connection, so one that is not known yet is kept.
+   */
   revoke (grant: string): void {
-    this.active.get(grant)?.abort.abort()
+    const active = this.active.get(grant)
+    if (active !== undefined) {
+      active.abort.abort()
+    } else if (this.asking.has(grant)) {
+      this.revokedEarly.add(grant)
+    }
   }
 
   dispose (): void {
@@ -145,13 +156,16 @@
       const home = this.services.homes.ofShard(shard)
       if (home === undefined) return failure('noTarget', 'no host is home of the shard', { retryAfterMs: 1000 })
       const request = this.requestFor(wish, onlyFree ? 0 : remaining)
+      this.asking.add(request.grant)
       const answer = await this.ask(shard, home.host, home.address, request, wish.signal)
+      this.asking.delete(request.grant)
+      const revoked = this.revokedEarly.delete(request.grant)
       if (answer === 'home-moved') {
         if (onlyFree) return failure('noTarget', 'the home of the shard does not answer', { retryAfterMs: 500 })
         await this.pause(HOME_MOVED_PAUSE_MS)
         continue
       }
-      return this.take(shard, request, answer)
+      return this.take(shard, request, answer, revoked)
     }
   }
 
@@ -200,10 +214,11 @@
     return 'home-moved'
   }
 
-  private take (shard: ShardKey, request: AcquireRequest, answer: AcquireAnswer): Result<HeldGrant> {
+  private take (shard: ShardKey, request: AcquireRequest, answer: AcquireAnswer, revoked: boolean): Result<HeldGrant> {
     this.heard.set(shard, answer.pressure)
     if (answer.type === 'refused') return answer.reason
     const abort = new AbortController()
+    if (revoked) abort.abort()
     this.active.set(request.grant, { shard, grant: answer.grant, abort })
     let released = false
     return success({
--- a/src/core/common/routing/shardAdmission.ts
+++ b/src/core/common/routing/shardAdmission.ts
@@ -75,7 +75,8 @@
 interface Held extends Grant {
   since: number
   renewed: number
-  revoked: boolean
+  /** When the slot was asked back; absent where it was not. */
+  revokedAt?: number
 }
 
 interface Usage {
@@ -88,6 +89,8 @@
 const PREFIXES_REMEMBERED = 4096
 const HOLD_TIME_WEIGHT = 0.1
 const INITIAL_HOLD_MS = 200
+/** A slot asked back and not given back by then is asked back again, in milliseconds. */
+const REVOKE_AGAIN_MS = 150
 /** A grant that its holder has not renewed for so long is taken back, in milliseconds. */
 export const GRANT_EXPIRY_MS = 15_000
 
@@ -162,7 +165,7 @@
         held.renewed = now
         continue
       }
-      this.hold({ ...grant, since: now, renewed: now, revoked: false })
+      this.hold({ ...grant, since: now, renewed: now })
     }
   }
 
@@ -229,7 +232,7 @@
       this.waiting.splice(this.waiting.indexOf(waiting), 1)
       decisions.push(this.grant(waiting.request, usage, now))
     }
-    return [...decisions, ...this.preempt()]
+    return [...decisions, ...this.preempt(now)]
   }
 
   private nextServable (): { waiting: Waiting, usage: Usage } | undefined {
@@ -282,7 +285,7 @@
       flow: request.flow,
       caller: request.caller
     }
-    this.hold({ ...grant, since: now, renewed: now, revoked: false })
+    this.hold({ ...grant, since: now, renewed: now })
     if (request.workClass === 'rollout') this.advance(request)
     if (request.prefix !== undefined) this.remember(request.prefix, usage.target.name)
     return { type: 'granted', grant, address: usage.target.address }
@@ -308,16 +311,20 @@
     if (oldest.done !== true) this.prefixes.delete(oldest.value)
   }
 
-  /** Asks for one rollout's slot per interactive request that found none, youngest rollout first. */
-  private preempt (): AdmissionDecision[] {
+  /**
+   * Asks for one rollout's slot per interactive request that found none, youngest rollout first. A
+   * request to give a slot back can be lost; if nothing came of it, it is made again.
+   */
+  private preempt (now: number): AdmissionDecision[] {
     const wanted = this.waiting.filter(({ request }) => request.workClass === 'interactive').length
-    const underway = [...this.held.values()].filter((held) => held.revoked).length
+    const asked = (held: Held): boolean => held.revokedAt !== undefined && now - held.revokedAt < REVOKE_AGAIN_MS
+    const underway = [...this.held.values()].filter(asked).length
     const candidates = [...this.held.values()]
-      .filter((held) => held.workClass === 'rollout' && !held.revoked && this.usages.get(held.target)?.target.available === true)
+      .filter((held) => held.workClass === 'rollout' && !asked(held) && this.usages.get(held.target)?.target.available === true)
       .sort((a, b) => b.since - a.since)
       .slice(0, Math.max(0, wanted - underway))
     return candidates.map((held) => {
-      held.revoked = true
+      held.revokedAt = now
       return { type: 'revoke', grant: plainGrant(held) }
     })
   }
--- /dev/null
+++ b/test/actors/routing/grantClient.test.ts
@@ -0,0 +1,80 @@
+/** The holder side of admission, over fakes. */
+
+import { expect } from 'chai'
+import { asHostId, asPlace, asPoolName, asTargetName, shardKey } from '../../../src/base/common/ids.ts'
+import { success } from '../../../src/base/common/resultCode.ts'
+import type { GrantClientServices } from '../../../src/actors/common/routing/grantClient.ts'
+import { GrantClient } from '../../../src/actors/common/routing/grantClient.ts'
+import type { AcquireAnswer } from '../../../src/ports/common/peers.ts'
+import type { AcquireRequest } from '../../../src/core/common/routing/shardAdmission.ts'
+import { NodeChance, NodeClock } from '../../../src/adapters/node/nodeClock.ts'
+
+const shard = shardKey(asPoolName('drafter'), asPlace('Abdali'))
+const home = { host: asHostId('home'), address: 'http://home', place: asPlace('Abdali'), status: 'alive' as const, incarnation: 1, since: 0 }
+
+/** A client whose home answers by a script. */
+function clientWith (answer: (request: AcquireRequest, client: () => GrantClient) => Promise<AcquireAnswer>): { client: GrantClient, released: string[] } {
+  const released: string[] = []
+  const services = {
+    membership: { self: { ...home, host: asHostId('here') }, onChange: () => ({ dispose: () => undefined }), pressureOf: () => undefined, doubt: () => undefined },
+    directory: { shardsOf: () => [shard] },
+    homes: { ofShard: () => home },
+    local: {},
+    peers: {
+      call: async (_address: string, method: string, parameters: { request: AcquireRequest, grant: string }) => {
+        if (method === 'admission.acquire') return success(await answer(parameters.request, () => client))
+        if (method === 'admission.release') released.push(parameters.grant)
+        return success(null)
+      }
+    },
+    handlers: { handle: () => undefined },
+    clock: new NodeClock(),
+    chance: new NodeChance(1),
+    metrics: { count: () => undefined, gauge: () => undefined, timing: () => undefined }
+  }
+  const client: GrantClient = new GrantClient(services as unknown as GrantClientServices, 1000)
+  return { client, released }
+}
+
+function granted (request: AcquireRequest): AcquireAnswer {
+  const grant = { grant: request.grant, holder: request.holder, target: asTargetName('t'), workClass: request.workClass, flow: request.flow, caller: request.caller }
+  return { type: 'granted', grant, address: 'http://t', pressure: 0 }
+}
+
+const wish = { pool: asPoolName('drafter'), workClass: 'rollout' as const, priority: 10, flow: 'drafts', share: 1, caller: 'drafts', callerLimit: 10, until: Number.MAX_SAFE_INTEGER, exclude: [] }
+
+describe('the holder of grants', () => {
+  /*
+   * Symptom: interactive requests wait seconds behind rollouts that should have made room.
+   * Sequence: a rollout is granted a slot; an interactive request comes at once; the home's wish
+   * to have the slot back reaches the holder before the answer that granted it.
+   * Cause: the holder does not know the grant yet and drops the wish; the rollout runs to its end.
+   */
+  it('gives a slot back that was asked back before the grant was read', async () => {
+    const { client } = clientWith(async (request, self) => {
+      self().revoke(request.grant)
+      return granted(request)
+    })
+    const grant = await client.acquire(wish)
+    expect(grant.ok && grant.value.revoked.aborted).to.equal(true)
+    client.dispose()
+  })
+
+  it('gives back a slot that is granted after the asker has gone', async () => {
+    const gone = new AbortController()
+    let answer: ((value: AcquireAnswer) => void) | undefined
+    let asked: AcquireRequest | undefined
+    const { client, released } = clientWith(async (request) => await new Promise((resolve) => {
+      asked = request
+      answer = resolve
+    }))
+    const waiting = client.acquire({ ...wish, signal: gone.signal })
+    await new Promise((resolve) => setTimeout(resolve, 5))
+    gone.abort()
+    expect((await waiting).ok).to.equal(false)
+    if (asked !== undefined) answer?.(granted(asked))
+    await new Promise((resolve) => setTimeout(resolve, 5))
+    expect(released).to.include(asked?.grant)
+    client.dispose()
+  })
+})
--- a/test/core/routing/shardAdmission.test.ts
+++ b/test/core/routing/shardAdmission.test.ts
@@ -62,6 +62,19 @@
     expect(summary(shard.acquire(request(), 4))).to.deep.equal([])
   })
 
+  /*
+   * Symptom: interactive requests wait seconds behind rollouts that should have made room.
+   * Sequence: the home asks for a rollout's slot back; the message is lost or comes too early.
+   * Cause: the home takes a slot that was asked back for one that will come.
+   */
+  it('asks again for a slot that was not given back', () => {
+    const shard = admission(target('a'))
+    shard.acquire(request({ flow: 'rollout', workClass: 'rollout' }), 0)
+    expect(summary(shard.acquire(request(), 1))).to.deep.equal(['revoke rollout'])
+    expect(summary(shard.expire(100))).to.deep.equal([])
+    expect(summary(shard.expire(200))).to.deep.equal(['revoke rollout'])
+  })
+
   it('shares slots between subscriptions by weight', () => {
     const shard = admission(target('a'))
     const served: Record<string, number> = { heavy: 0, light: 0 }
