Calls that wait for slots have connections of their own; rollouts in queues are bounded

Cause: each rollout waiting in the queue of a home elsewhere held one of 64 connections to it; with all held, releases and probes waited for a connection, and they are what the waiting rollouts waited for. Found from interactive requests of 1.5 to 3 s that spent all but 0.17 s before their grant while no queue at a home held a request for 400 ms. Ruled out: lost revocations (mended before, no change), a slow engine (streams took 170 to 600 ms), queues at the homes (none older than 400 ms). Two proofs that passed with their mechanism off are made stricter: a leaving target's refusals count as work sent to it, and a stream that ends in good order before its last part is not whole.

--- a/src/actors/common/samples/rolloutRunner.ts
+++ b/src/actors/common/samples/rolloutRunner.ts
@@ -3,6 +3,7 @@
  * more urgent and goes on later from the token where it stood, then has the sample scored.
  */
 
+import { Semaphore } from '../../../base/common/semaphore.ts'
 import type { PoolName, SubscriptionName, TargetName } from '../../../base/common/ids.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
@@ -48,6 +49,8 @@
 const ROLLOUT_PRIORITY = 10
 const RETRY_MS = 200
 const PREFIX_CHARACTERS = 256
+/** Rollouts that wait for a slot at once; one waiting for each slot that may come free is enough. */
+const WAITING_FOR_SLOTS = 32
 
 /** Hash of a prompt's beginning: prompts that share it share an engine's cached prefix. */
 export function prefixOf (hash: Hash, prompt: string): string {
@@ -55,6 +58,8 @@
 }
 
 export class RolloutRunner {
+  private readonly waiting = new Semaphore(WAITING_FOR_SLOTS)
+
   constructor (private readonly services: RolloutRunnerServices, private readonly waitMs: number) {}
 
   /** Runs to the end and gives the score; fails only when aborted. */
@@ -73,7 +78,8 @@
   }
 
   private async attempt (task: RolloutTask, prompt: string, exclude: TargetName[]): Promise<boolean> {
-    const grant = await this.services.grants.acquire({
+    if (task.signal.aborted) return false
+    const grant = await this.waiting.run(async () => await this.services.grants.acquire({
       pool: task.pool,
       workClass: 'rollout',
       priority: ROLLOUT_PRIORITY,
@@ -86,7 +92,7 @@
       minimumVersion: task.minimumVersion(),
       exclude,
       signal: task.signal
-    })
+    }))
     if (!grant.ok) {
       if (grant.code === 'noTarget') {
         exclude.length = 0
--- a/src/adapters/node/jsonRpcPeers.ts
+++ b/src/adapters/node/jsonRpcPeers.ts
@@ -17,25 +17,31 @@
 interface CallContext {
   readonly address: string
   readonly timeoutMs: number
+  readonly connections: Connections
 }
 
 export class JsonRpcPeers implements Peers {
   private readonly client: JSONRPCClient<CallContext>
 
-  constructor (private readonly connections: Connections, private readonly key: string) {
+  /**
+   * @param held connections for calls whose answer waits for something. They are kept apart: were
+   * they to use up the connections to a host, probes and releases would wait behind them, and the
+   * waiting calls would wait for those releases.
+   */
+  constructor (private readonly connections: Connections, private readonly held: Connections, private readonly key: string) {
     this.client = new JSONRPCClient<CallContext>(async (payload, context) => { await this.send(payload as JSONRPCRequest, context) })
   }
 
   async call<Method extends PeerMethod> (address: string, method: Method, parameters: PeerMethods[Method]['parameters'], timeoutMs: number): Promise<Result<PeerMethods[Method]['result']>> {
     try {
-      return success(await this.client.request(method, parameters, { address, timeoutMs }) as PeerMethods[Method]['result'])
+      return success(await this.client.request(method, parameters, { address, timeoutMs, connections: method === 'admission.acquire' ? this.held : this.connections }) as PeerMethods[Method]['result'])
     } catch (error) {
       return refusedConnection(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
     }
   }
 
-  private async send (payload: JSONRPCRequest, { address, timeoutMs }: CallContext): Promise<void> {
-    const pool = this.connections.to(address)
+  private async send (payload: JSONRPCRequest, { address, timeoutMs, connections }: CallContext): Promise<void> {
+    const pool = connections.to(address)
     try {
       const answer = await pool.request({
         method: 'POST',
@@ -50,7 +56,7 @@
       }
       this.client.receive(await answer.body.json() as JSONRPCResponse)
     } catch (error) {
-      if (wentSilent(error)) this.connections.suspect(address, pool)
+      if (wentSilent(error)) connections.suspect(address, pool)
       throw error
     }
   }
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -55,7 +55,7 @@
   stop (): Promise<void>
 }
 
-const PEER_CONNECTIONS = 64
+const PEER_CONNECTIONS = 32
 const ALTERNATIVES = 3
 const MEGABYTE = 1024 * 1024
 /** A completion is silent while it waits in the engine's own queue; orders and reports are not. */
@@ -78,9 +78,10 @@
   const platform = disposables.add(new Connections({ ...connectionSettings, connections: 32, silenceMs: settings.log.timeout + settings.log.long_poll }))
   const targets = disposables.add(new Connections({ ...connectionSettings, connections: limits.target_connections, silenceMs: limits.target_silence }))
   const between = disposables.add(new Connections({ ...connectionSettings, connections: PEER_CONNECTIONS, silenceMs: LONGEST_HOLD_MS }))
+  const held = disposables.add(new Connections({ ...connectionSettings, connections: limits.requests, silenceMs: LONGEST_HOLD_MS }))
   const log = new HttpLog(settings.log.address, platform, settings.log.timeout)
   const engine = new HttpEngine(targets, settings.orders.flight)
-  const peers = new JsonRpcPeers(between, settings.peers.key)
+  const peers = new JsonRpcPeers(between, held, settings.peers.key)
   const handlers = new JsonRpcHandlers()
 
   const membership = disposables.add(new Membership({ ...base, peers, handlers }, {
--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -35,6 +35,8 @@
 export interface EngineFaults {
   /** Cuts running streams after so many parts. */
   cutAfterParts?: number
+  /** Ends running streams in good order after so many parts, before their last. */
+  endAfterParts?: number
   /** Refuses completions before running. */
   refuse?: boolean
   /** Answers nothing more, on open streams too. */
@@ -67,6 +69,8 @@
   /** The engine's own record of what it ran. */
   readonly runs: Run[] = []
   readonly orders: { readonly version: number, readonly fence: number, readonly accepted: boolean, readonly at: number }[] = []
+  /** Times at which it refused work. */
+  readonly refusals: number[] = []
   version = 1
   private fence = 0
   private running = 0
@@ -129,7 +133,10 @@
 
   private async complete (body: Body, { response }: StandInRequest): Promise<void> {
     if (this.faults.silent === true) return
-    if (this.faults.refuse === true || this.faults.leaving === true) return sendJson(response, 503, { error: 'refused' }, { 'x-not-run': 'true' })
+    if (this.faults.refuse === true || this.faults.leaving === true) {
+      this.refusals.push(Date.now())
+      return sendJson(response, 503, { error: 'refused' }, { 'x-not-run': 'true' })
+    }
     const run: Run = { id: body.id, at: Date.now(), priority: body.priority, tokens: 0, state: 'running' }
     this.runs.push(run)
     let gone = false
@@ -176,6 +183,11 @@
         response.destroy()
         return
       }
+      if (this.faults.endAfterParts !== undefined && parts >= this.faults.endAfterParts) {
+        run.state = 'cut'
+        response.end()
+        return
+      }
       const tokens = Math.max(0, Math.min(this.options.tokensPerStep, total - from))
       const text = Array.from({ length: tokens }, (_, index) => `t${from + index}@${this.version} `).join('')
       from += tokens
--- a/test/promises/leavingAndStopping.test.ts
+++ b/test/promises/leavingAndStopping.test.ts
@@ -46,6 +46,7 @@
         await Promise.all(Array.from({ length: 8 }, async (_, index) => await call(cluster.host(index % 3).address, '/v1/lanes/desk/completions', { body })))
         await pulling
         expect(platform.engines[0]?.engine.runs.filter(({ at }) => at > after)).to.deep.equal([])
+        expect(platform.engines[0]?.engine.refusals.filter((at) => at > after)).to.deep.equal([])
         expect(platform.engines[1]?.engine.runs.some(({ at }) => at > after)).to.equal(true)
       })
     }
--- a/test/promises/wholeAnswers.test.ts
+++ b/test/promises/wholeAnswers.test.ts
@@ -53,12 +53,14 @@
     expect(platform.engines.flatMap(({ engine }) => engine.runs.map(({ state }) => state)).sort()).to.deep.equal(['cut', 'whole'])
   })
 
-  it('are never claimed when no engine can finish them', async () => {
-    for (const { engine } of platform.engines) engine.faults.cutAfterParts = 2
-    const outcome = await streamCompletion(cluster.host(0).address, { body })
-    expect(outcome.whole).to.equal(false)
-    expect(outcome.error).to.include({ effect: 'unknown-outcome' })
-  })
+  for (const fault of ['cutAfterParts', 'endAfterParts'] as const) {
+    it(`are never claimed when no engine can finish them: ${fault}`, async () => {
+      for (const { engine } of platform.engines) engine.faults[fault] = 2
+      const outcome = await streamCompletion(cluster.host(0).address, { body })
+      expect(outcome.whole).to.equal(false)
+      expect(outcome.error).to.include({ effect: 'unknown-outcome' })
+    })
+  }
 
   /*
    * Symptom: an agent's screen waits for ever though other engines work.
