--- a/src/actors/common/log/controlLog.ts
+++ b/src/actors/common/log/controlLog.ts
@@ -279,6 +279,7 @@
     for (const entry of entries) {
       if (entry.offset !== this.current.offset) continue
       const skipped = this.current.skipped
+      this.services.metrics.count('log.characters', entry.data.length)
       const verdicts = foldEntry(this.current, entry.offset, entry.data)
       this.recent.push(entry)
       folded++
--- a/src/adapters/node/jsonRpcPeers.ts
+++ b/src/adapters/node/jsonRpcPeers.ts
@@ -8,6 +8,7 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { PeerHandlers, PeerMethod, PeerMethods, Peers } from '../../ports/common/peers.ts'
+import type { Metrics } from '../../ports/common/observation.ts'
 import type { Connections } from './connections.ts'
 import { refusedConnection, wentSilent } from './connections.ts'
 
@@ -28,7 +29,7 @@
    * they to use up the connections to a host, probes and releases would wait behind them, and the
    * waiting calls would wait for those releases.
    */
-  constructor (private readonly connections: Connections, private readonly held: Connections, private readonly key: string) {
+  constructor (private readonly connections: Connections, private readonly held: Connections, private readonly key: string, private readonly metrics: Metrics) {
     this.client = new JSONRPCClient<CallContext>(async (payload, context) => { await this.send(payload as JSONRPCRequest, context) })
   }
 
@@ -42,19 +43,23 @@
 
   private async send (payload: JSONRPCRequest, { address, timeoutMs, connections }: CallContext): Promise<void> {
     const pool = connections.to(address)
+    const body = JSON.stringify(payload)
     try {
       const answer = await pool.request({
         method: 'POST',
         path: PEER_PATH,
         headers: { 'content-type': 'application/json', authorization: `Bearer ${this.key}` },
-        body: JSON.stringify(payload),
+        body,
         signal: AbortSignal.timeout(Math.ceil(timeoutMs))
       })
       if (answer.statusCode !== 200) {
         await answer.body.dump()
         throw new Error(`the peer answered ${answer.statusCode}`)
       }
-      this.client.receive(await answer.body.json() as JSONRPCResponse)
+      const text = await answer.body.text()
+      this.metrics.count('peers.calls')
+      this.metrics.count('peers.characters', body.length + text.length)
+      this.client.receive(JSON.parse(text) as JSONRPCResponse)
     } catch (error) {
       if (wentSilent(error)) connections.suspect(address, pool)
       throw error
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -81,7 +81,7 @@
   const held = disposables.add(new Connections({ ...connectionSettings, connections: limits.requests, silenceMs: LONGEST_HOLD_MS }))
   const log = new HttpLog(settings.log.address, platform, settings.log.timeout)
   const engine = new HttpEngine(targets, settings.orders.flight)
-  const peers = new JsonRpcPeers(between, held, settings.peers.key)
+  const peers = new JsonRpcPeers(between, held, settings.peers.key, metrics)
   const handlers = new JsonRpcHandlers()
 
   const membership = disposables.add(new Membership({ ...base, peers, handlers }, {
--- /dev/null
+++ b/tools/bench/main.ts
@@ -0,0 +1,25 @@
+/** Runs the experiments that are named, or all; each is bounded in time and writes under reports/. */
+
+import { measureAdmission } from './admission.ts'
+import { measureCapacity } from './capacity.ts'
+import { measurePath } from './path.ts'
+import type { Experiment } from './report.ts'
+import { writeExperiment } from './report.ts'
+
+const experiments: Readonly<Record<string, () => Promise<Experiment>>> = { capacity: measureCapacity, path: measurePath, admission: measureAdmission }
+
+async function main (names: readonly string[]): Promise<void> {
+  const unknown = names.filter((name) => experiments[name] === undefined)
+  if (unknown.length > 0) throw new Error(`no such experiment: ${unknown.join(', ')}; there are ${Object.keys(experiments).join(', ')}`)
+  for (const name of names.length > 0 ? names : Object.keys(experiments)) {
+    const experiment = await experiments[name]?.()
+    if (experiment === undefined) continue
+    await writeExperiment(experiment)
+    process.stdout.write(`${name}\n${JSON.stringify(experiment.figures, undefined, 1)}\n`)
+  }
+}
+
+main(process.argv.slice(2)).then(() => process.exit(0), (error: unknown) => {
+  process.stderr.write(`${String(error)}\n`)
+  process.exit(1)
+})
