--- /dev/null
+++ b/test/support/manualClock.ts
@@ -0,0 +1,71 @@
+/** A clock that tests move, and a chance that repeats itself. */
+
+import { xoroshiro128plus } from 'pure-rand/generator/XoroShiro'
+import type { Disposable } from '../../src/base/common/lifecycle.ts'
+import { toDisposable } from '../../src/base/common/lifecycle.ts'
+import type { Chance, Clock } from '../../src/ports/common/clock.ts'
+
+interface Timer {
+  due: number
+  readonly periodMs: number | undefined
+  readonly task: () => void
+}
+
+export class ManualClock implements Clock {
+  now = 1_000_000
+  private readonly timers = new Set<Timer>()
+
+  monotonic (): number {
+    return this.now
+  }
+
+  wall (): number {
+    return this.now
+  }
+
+  after (delayMs: number, task: () => void): Disposable {
+    return this.add({ due: this.now + delayMs, periodMs: undefined, task })
+  }
+
+  every (periodMs: number, task: () => void): Disposable {
+    return this.add({ due: this.now + periodMs, periodMs, task })
+  }
+
+  /** Moves time, running what falls due in order and letting promises and actors settle in between. */
+  async advance (milliseconds: number): Promise<void> {
+    const end = this.now + milliseconds
+    await settle()
+    for (;;) {
+      const next = [...this.timers].filter(({ due }) => due <= end).sort((a, b) => a.due - b.due)[0]
+      if (next === undefined) break
+      this.now = Math.max(this.now, next.due)
+      if (next.periodMs === undefined) this.timers.delete(next)
+      else next.due += next.periodMs
+      next.task()
+      await settle()
+    }
+    this.now = end
+    await settle()
+  }
+
+  /** Moves time without running anything in between, as a freeze of the process does. */
+  freeze (milliseconds: number): void {
+    this.now += milliseconds
+  }
+
+  private add (timer: Timer): Disposable {
+    this.timers.add(timer)
+    return toDisposable(() => { this.timers.delete(timer) })
+  }
+}
+
+/** Lets promises and actors run until nothing is left to do at once. */
+export async function settle (): Promise<void> {
+  for (let turn = 0; turn < 12; turn++) await new Promise<void>((resolve) => setImmediate(resolve))
+}
+
+export function seededChance (seed: number): Chance {
+  const generator = xoroshiro128plus(seed)
+  let next = 0
+  return { next: () => (generator.unsafeNext() >>> 0) / 2 ** 32, id: () => `id-${seed}-${next++}` }
+}
