Admission in constant time, tables exchanged only where they differ, the parser loaded when asked

Change: counts are kept, preemption looks only when somebody waits; probes carry a digest of the table and only hosts that differ exchange it; the parser is loaded with the first statement.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -12,6 +12,7 @@
 import type { Member, MemberUpdate } from '../../../core/common/membership/memberTable.ts'
 import { MemberTable } from '../../../core/common/membership/memberTable.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import type { Hash } from '../../../ports/common/hash.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { PeerHandlers, Peers, ProbeMessage } from '../../../ports/common/peers.ts'
 import type { TaskSystem } from '../task.ts'
@@ -49,6 +50,7 @@
   readonly handlers: PeerHandlers
   readonly clock: Clock
   readonly chance: Chance
+  readonly hash: Hash
   readonly metrics: Metrics
   readonly stateLog: StateLog
 }
@@ -79,6 +81,7 @@
   private round: Member[] = []
   private probes = 0
   private lastFull = Number.NEGATIVE_INFINITY
+  private tablesDiffer = true
   private listed: readonly string[] = []
   private payload: ProbePayload = { offset: () => 0, load: () => 0, pressures: () => ({}) }
   readonly onChange = this.changes.event
@@ -208,7 +211,7 @@
 
   private async probe (member: Member): Promise<void> {
     const now = this.services.clock.monotonic()
-    const full = now - this.lastFull >= this.options.fullExchangeMs
+    const full = this.tablesDiffer && now - this.lastFull >= this.options.fullExchangeMs
     if (full) this.lastFull = now
     const answer = await this.send(member.address, full)
     const ended = !answer.ok && answer.code === 'targetUnreachable'
@@ -256,6 +259,7 @@
       offset: this.payload.offset(),
       load: this.payload.load(),
       pressures: this.payload.pressures(),
+      digest: this.services.hash.digest(this.table.summary()),
       full: askFull
     }
   }
@@ -282,6 +286,7 @@
       changed = true
       this.services.stateLog.changed('host status', { member: update.host, status: update.status })
     }
+    this.tablesDiffer = message.digest !== this.services.hash.digest(this.table.summary())
     this.loads.set(message.from.host, message.load)
     for (const [shard, pressure] of Object.entries(message.pressures)) this.pressures.set(shard as ShardKey, pressure)
     if (changed) this.changes.fire()
--- a/src/actors/common/operators/operatorDesk.ts
+++ b/src/actors/common/operators/operatorDesk.ts
@@ -9,7 +9,6 @@
 import type { Command } from '../../../core/common/fold/command.ts'
 import type { Row } from '../../../core/common/language/rows.ts'
 import { filterRows } from '../../../core/common/language/rows.ts'
-import { parseStatement } from '../../../core/common/language/parser.ts'
 import type { ShowStatement } from '../../../core/common/language/statement.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { PeerHandlers, Peers } from '../../../ports/common/peers.ts'
@@ -75,7 +74,12 @@
     }))
   }
 
+  /**
+   * Runs a statement. The parser is loaded with the first one: it takes a third of the memory that
+   * a resting host may have, and most hosts are asked for nothing for hours.
+   */
   async run (request: OperatorRequest, identity: OperatorIdentity): Promise<Result<RowsAnswer | CommandAnswer>> {
+    const { parseStatement } = await import('../../../core/common/language/parser.ts')
     const statement = parseStatement(request.statement)
     if (!statement.ok) return statement
     return statement.value.type === 'show'
--- a/src/core/common/membership/memberTable.ts
+++ b/src/core/common/membership/memberTable.ts
@@ -124,6 +124,11 @@
     return updates
   }
 
+  /** Text that two hosts with the same view share; the dead are forgotten at different times. */
+  summary (): string {
+    return this.all().filter(({ status }) => status !== 'dead').map(({ host, status, incarnation }) => `${host} ${status} ${incarnation}`).sort().join('\n')
+  }
+
   /** The whole table, for a host that joins and for the occasional exchange in full. */
   fullTable (): MemberUpdate[] {
     return this.all().map(withoutSince)
--- a/src/core/common/routing/shardAdmission.ts
+++ b/src/core/common/routing/shardAdmission.ts
@@ -99,13 +99,16 @@
   private readonly waiting: Waiting[] = []
   private readonly held = new Map<string, Held>()
   private readonly prefixes = new Map<string, TargetName>()
+  /** Interactive requests held or waiting, by caller. */
+  private readonly callers = new Map<string, number>()
+  private interactiveHeld = 0
+  private slots = 0
   private readonly virtualTime = new Map<string, number>()
   private meanHoldMs: Record<WorkClass, number> = { interactive: INITIAL_HOLD_MS, rollout: INITIAL_HOLD_MS }
 
   /** Requests that hold or wait for a slot, over the slots there are. */
   get pressure (): number {
-    const slots = this.totalSlots()
-    return slots === 0 ? Number.POSITIVE_INFINITY : (this.held.size + this.waiting.length) / slots
+    return this.slots === 0 ? Number.POSITIVE_INFINITY : (this.held.size + this.waiting.length) / this.slots
   }
 
   get queued (): number {
@@ -123,7 +126,11 @@
   /** Replaces the list of targets; grants on targets that are gone stay until released. */
   setTargets (targets: readonly ShardTarget[], now: number): AdmissionDecision[] {
     const next = new Map<TargetName, Usage>()
-    for (const target of targets) next.set(target.name, { target, running: 0 })
+    this.slots = 0
+    for (const target of targets) {
+      next.set(target.name, { target, running: 0 })
+      if (target.available) this.slots += target.slots
+    }
     for (const grant of this.held.values()) {
       const usage = next.get(grant.target)
       if (usage !== undefined) usage.running++
@@ -138,6 +145,7 @@
     const refused = this.refusal(request)
     if (refused !== undefined) return [refuse(request, refused)]
     this.waiting.push({ request, since: now })
+    this.countCaller(request, 1)
     return this.serve(now)
   }
 
@@ -146,7 +154,7 @@
     const held = this.held.get(grant)
     if (held === undefined) {
       const index = this.waiting.findIndex((waiting) => waiting.request.grant === grant)
-      if (index >= 0) this.waiting.splice(index, 1)
+      if (index >= 0) this.dropWaiting((_waiting, position) => position === index)
       return []
     }
     this.forget(held)
@@ -190,10 +198,10 @@
 
   /** How long a request that came now would wait, in milliseconds. */
   expectedWaitMs (request: Pick<AcquireRequest, 'workClass' | 'priority'>): number {
-    const slots = this.totalSlots()
+    const { slots } = this
     if (slots === 0) return 1000
     const ahead = this.waiting.filter((waiting) => rank(waiting.request) <= rank(request)).length
-    const blocking = [...this.held.values()].filter((held) => request.workClass === 'rollout' || held.workClass === 'interactive').length
+    const blocking = request.workClass === 'rollout' ? this.held.size : this.interactiveHeld
     const excess = ahead + blocking + 1 - slots
     return excess <= 0 ? 0 : (excess / slots) * this.meanHoldMs[request.workClass]
   }
@@ -203,7 +211,7 @@
     if (!usable) return failure('noTarget', 'no target of this shard takes work', { retryAfterMs: 1000 })
     if (request.maximumWaitMs === 0 && !this.freeNow(request)) return failure('overloaded', 'no slot is free now', { retryAfterMs: this.expectedWaitMs(request) })
     if (request.workClass === 'rollout') return undefined
-    const mine = this.countCaller(request.caller)
+    const mine = this.callers.get(request.caller) ?? 0
     if (mine >= request.callerLimit) {
       return failure('callerLimit', `${request.caller} has ${mine} requests in flight`, { retryAfterMs: this.meanHoldMs.interactive })
     }
@@ -218,9 +226,11 @@
     return !before && this.chooseTarget(request) !== undefined
   }
 
-  private countCaller (caller: string): number {
-    const held = [...this.held.values()].filter((grant) => grant.workClass === 'interactive' && grant.caller === caller).length
-    return held + this.waiting.filter(({ request }) => request.workClass === 'interactive' && request.caller === caller).length
+  private countCaller ({ workClass, caller }: { workClass: WorkClass, caller: string }, change: number): void {
+    if (workClass !== 'interactive') return
+    const count = (this.callers.get(caller) ?? 0) + change
+    if (count > 0) this.callers.set(caller, count)
+    else this.callers.delete(caller)
   }
 
   private serve (now: number): AdmissionDecision[] {
@@ -229,7 +239,7 @@
       const next = this.nextServable()
       if (next === undefined) break
       const { waiting, usage } = next
-      this.waiting.splice(this.waiting.indexOf(waiting), 1)
+      this.dropWaiting((candidate) => candidate === waiting)
       decisions.push(this.grant(waiting.request, usage, now))
     }
     return [...decisions, ...this.preempt(now)]
@@ -244,7 +254,8 @@
   }
 
   /** Interactive by priority and age; then rollouts, least served flow first. */
-  private inOrder (): Waiting[] {
+  private inOrder (): readonly Waiting[] {
+    if (this.waiting.length < 2) return this.waiting
     return [...this.waiting].sort((a, b) => {
       const byRank = rank(a.request) - rank(b.request)
       if (byRank !== 0) return byRank
@@ -261,18 +272,20 @@
   }
 
   private chooseTarget (request: AcquireRequest): Usage | undefined {
-    const free = [...this.usages.values()].filter(({ target, running }) => running < target.slots && mayServe(target, request))
-    if (free.length === 0) return undefined
-    const cached = this.cachedTarget(request, free)
-    return cached ?? free.reduce((best, usage) => load(usage) < load(best) ? usage : best)
+    const cached = this.cachedTarget(request)
+    if (cached !== undefined) return cached
+    let best: Usage | undefined
+    for (const usage of this.usages.values()) {
+      if (isFree(usage, request) && (best === undefined || load(usage) < load(best))) best = usage
+    }
+    return best
   }
 
-  private cachedTarget (request: AcquireRequest, free: readonly Usage[]): Usage | undefined {
+  private cachedTarget (request: AcquireRequest): Usage | undefined {
     const name = request.prefix === undefined ? undefined : this.prefixes.get(request.prefix)
-    const usage = free.find((candidate) => candidate.target.name === name)
-    if (usage === undefined) return undefined
-    const total = [...this.usages.values()].reduce((sum, { running }) => sum + running, 1)
-    const mean = total / Math.max(1, this.totalSlots())
+    const usage = name === undefined ? undefined : this.usages.get(name)
+    if (usage === undefined || !isFree(usage, request)) return undefined
+    const mean = (this.held.size + 1) / Math.max(1, this.slots)
     return (usage.running + 1) / usage.target.slots <= Math.max(mean * AFFINITY_LOAD_BOUND, 1 / usage.target.slots) ? usage : undefined
   }
 
@@ -317,6 +330,7 @@
    */
   private preempt (now: number): AdmissionDecision[] {
     const wanted = this.waiting.filter(({ request }) => request.workClass === 'interactive').length
+    if (wanted === 0) return []
     const asked = (held: Held): boolean => held.revokedAt !== undefined && now - held.revokedAt < REVOKE_AGAIN_MS
     const underway = [...this.held.values()].filter(asked).length
     const candidates = [...this.held.values()]
@@ -331,28 +345,27 @@
 
   private hold (held: Held): void {
     this.held.set(held.grant, held)
+    this.countCaller(held, 1)
+    if (held.workClass === 'interactive') this.interactiveHeld++
     const usage = this.usages.get(held.target)
     if (usage !== undefined) usage.running++
   }
 
   private forget (held: Held): void {
     this.held.delete(held.grant)
+    this.countCaller(held, -1)
+    if (held.workClass === 'interactive') this.interactiveHeld--
     const usage = this.usages.get(held.target)
     if (usage !== undefined) usage.running--
   }
 
-  private dropWaiting (drop: (waiting: Waiting) => boolean): Waiting[] {
+  private dropWaiting (drop: (waiting: Waiting, position: number) => boolean): Waiting[] {
     const dropped = this.waiting.filter(drop)
-    for (const waiting of dropped) this.waiting.splice(this.waiting.indexOf(waiting), 1)
-    return dropped
-  }
-
-  private totalSlots (): number {
-    let slots = 0
-    for (const { target } of this.usages.values()) {
-      if (target.available) slots += target.slots
+    for (const waiting of dropped) {
+      this.waiting.splice(this.waiting.indexOf(waiting), 1)
+      this.countCaller(waiting.request, -1)
     }
-    return slots
+    return dropped
   }
 }
 
@@ -366,6 +379,10 @@
   return target.available && !tooOld && !request.exclude.includes(target.name)
 }
 
+function isFree ({ target, running }: Usage, request: AcquireRequest): boolean {
+  return running < target.slots && mayServe(target, request)
+}
+
 function load ({ target, running }: Usage): number {
   return running / target.slots
 }
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -19,6 +19,8 @@
   readonly pressures: Readonly<Record<string, number>>
   /** Requests in flight over the most that the sender takes, 0 to 1. */
   readonly load: number
+  /** Digest of the sender's table: two hosts whose digests differ exchange their tables. */
+  readonly digest: string
   /** Asks for the whole table. */
   readonly full: boolean
 }
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -41,7 +41,7 @@
   indirect: count(2, 'hosts asked to probe for this one'),
   suspicion: milliseconds(1500, 'how long a suspect may answer before it counts as dead'),
   forget: milliseconds(600_000, 'how long dead hosts are remembered'),
-  full_exchange: milliseconds(10_000, 'time between two exchanges of the whole table')
+  full_exchange: milliseconds(10_000, 'time between two exchanges of the whole table, where the hosts\' tables differ')
 })
 
 const limitsSchema = z.strictObject({
--- a/tools/bench/capacity.ts
+++ b/tools/bench/capacity.ts
@@ -18,6 +18,8 @@
 
 const RECORDS = 5000
 const RESTING_SECONDS = 8
+/** Time for the news of the start to have gone round. */
+const SETTLE_MS = 15_000
 const HOST_COUNTS = [4, 12, 24, 48] as const
 
 interface RecordCost { readonly kind: string, readonly microsecondsEach: number, readonly charactersEach: number, readonly heapBytesEach: number }
@@ -83,6 +85,7 @@
   const cluster = await platform.startCluster(names, { membership: { probe_period: 500, probe_timeout: 250, suspicion: 1500, full_exchange: 10_000 }, orders: { reconcile: 500, host_list: 2000 }, host: {} })
   try {
     await platform.configure(cluster)
+    await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
     const measured = cluster.hosts.slice(0, 4)
     const look = async (): Promise<{ processorMs: number, residentMegabytes: number, calls: number, characters: number }[]> => await Promise.all(measured.map(async (host) => {
       const metrics = (await call(host.address, '/v1/metrics', { key: keys.operator })).body as Record<string, number>
