Leave time for the answer: no slot for a request that could not be answered in time

Change: a request waits at most until its deadline less 1.25 times the mean answer, at most 80% of its time; it is refused at once where the queue is longer, and dropped before slots are given. Ruled out: a bound on the length of the queue, which would refuse short work with long.

--- a/src/core/common/routing/shardAdmission.ts
+++ b/src/core/common/routing/shardAdmission.ts
@@ -89,6 +89,10 @@
 const PREFIXES_REMEMBERED = 4096
 const HOLD_TIME_WEIGHT = 0.1
 const INITIAL_HOLD_MS = 200
+/** Time left for the answer, over the mean time that answers take. */
+const ANSWER_MARGIN = 1.25
+/** Share of a request's time that is kept for the answer at most: short deadlines may still queue. */
+const LARGEST_ANSWER_SHARE = 0.8
 /** A slot asked back and not given back by then is asked back again, in milliseconds. */
 const REVOKE_AGAIN_MS = 150
 /** A grant that its holder has not renewed for so long is taken back, in milliseconds. */
@@ -188,14 +192,28 @@
 
   /** Refuses what waited too long and takes back grants that were not renewed. */
   expire (now: number): AdmissionDecision[] {
-    const late = this.dropWaiting(({ request, since }) => now - since >= request.maximumWaitMs)
-    const decisions: AdmissionDecision[] = late.map(({ request }) => refuse(request, failure('overloaded', 'no slot came free in time', { retryAfterMs: this.expectedWaitMs(request) })))
+    const decisions = this.refuseLate(now)
     for (const held of [...this.held.values()]) {
       if (now - held.renewed >= GRANT_EXPIRY_MS) this.forget(held)
     }
     return [...decisions, ...this.serve(now)]
   }
 
+  /**
+   * A request that gets its slot just before its deadline takes the slot from one that could still
+   * be answered, and is answered too late itself. So time for the answer is left.
+   */
+  private longestUsefulWaitMs ({ workClass, maximumWaitMs }: AcquireRequest): number {
+    if (workClass === 'rollout') return maximumWaitMs
+    const answer = Math.min(this.meanHoldMs.interactive * ANSWER_MARGIN, maximumWaitMs * LARGEST_ANSWER_SHARE)
+    return maximumWaitMs - answer
+  }
+
+  private refuseLate (now: number): AdmissionDecision[] {
+    const late = this.dropWaiting(({ request, since }) => now - since > this.longestUsefulWaitMs(request))
+    return late.map(({ request }) => refuse(request, failure('overloaded', 'no slot came free in time', { retryAfterMs: this.expectedWaitMs(request) })))
+  }
+
   /** How long a request that came now would wait, in milliseconds. */
   expectedWaitMs (request: Pick<AcquireRequest, 'workClass' | 'priority'>): number {
     const { slots } = this
@@ -216,7 +234,7 @@
       return failure('callerLimit', `${request.caller} has ${mine} requests in flight`, { retryAfterMs: this.meanHoldMs.interactive })
     }
     const wait = this.expectedWaitMs(request)
-    if (wait <= request.maximumWaitMs) return undefined
+    if (wait === 0 || wait <= this.longestUsefulWaitMs(request)) return undefined
     return failure('overloaded', `the wait would be ${Math.round(wait)} ms`, { retryAfterMs: wait })
   }
 
@@ -234,7 +252,7 @@
   }
 
   private serve (now: number): AdmissionDecision[] {
-    const decisions: AdmissionDecision[] = []
+    const decisions = this.refuseLate(now)
     for (;;) {
       const next = this.nextServable()
       if (next === undefined) break
--- a/test/core/routing/shardAdmission.test.ts
+++ b/test/core/routing/shardAdmission.test.ts
@@ -104,6 +104,20 @@
    * Sequence: a host asks the nearest shard, which is full, and waits there.
    * Cause: a full shard takes a request into its queue though another has free slots.
    */
+  /*
+   * Symptom: under overload copies are busy and fewer and fewer answers come in time.
+   * Sequence: requests wait until just before their deadline, get a slot and are cut off by it.
+   * Cause: the bound of the wait was the deadline itself and left no time for the answer.
+   */
+  it('gives no slot to a request that could not be answered in time any more', () => {
+    const shard = admission(target('a'))
+    const first = request()
+    shard.acquire(first, 0)
+    shard.acquire(request({ flow: 'late', maximumWaitMs: 1000 }), 0)
+    shard.acquire(request({ flow: 'fresh', maximumWaitMs: 2000 }), 100)
+    expect(summary(shard.release(first.grant, 800))).to.deep.equal(['refused overloaded', 'granted fresh on a'])
+  })
+
   it('refuses at once a request that only wants what is free now, and lets none jump the queue', () => {
     const shard = admission(target('a'))
     const first = request({ workClass: 'rollout' })
--- a/tools/bench/capacity.ts
+++ b/tools/bench/capacity.ts
@@ -16,7 +16,9 @@
 import { usageOf } from './processUsage.ts'
 import type { Experiment } from './report.ts'
 
-const RECORDS = 5000
+const RECORDS = 20_000
+/** As many targets as letter 1's size has accelerators: each is checked against all of its pool. */
+const TARGETS = 2400
 const RESTING_SECONDS = 8
 /** Time for the news of the start to have gone round. */
 const SETTLE_MS = 15_000
@@ -28,11 +30,11 @@
   return command({ verb: 'create', kind: 'target', name: `target-${index}`, properties: { pool: 'drafter', address: `http://10.0.${Math.floor(index / 250)}.${index % 250}:8000`, place: `place-${index % 4}`, slots: 16 } })
 }
 
-function measureRecords (kind: string, make: (index: number) => ControlRecord, prepare: (state: FoldState) => void = () => undefined): RecordCost {
+function measureRecords (kind: string, make: (index: number) => ControlRecord, prepare: (state: FoldState) => void = () => undefined, count = RECORDS): RecordCost {
   const state = stateWithSubscription()
   prepare(state)
-  const entries = Array.from({ length: RECORDS }, (_, index) => encodeEnvelope([make(index)]))
-  const characters = entries.reduce((sum, entry) => sum + entry.length, 0) / RECORDS
+  const entries = Array.from({ length: count }, (_, index) => encodeEnvelope([make(index)]))
+  const characters = entries.reduce((sum, entry) => sum + entry.length, 0) / count
   globalThis.gc?.()
   const heap = process.memoryUsage().heapUsed
   const began = performance.now()
@@ -40,13 +42,13 @@
   const elapsed = performance.now() - began
   globalThis.gc?.()
   const grown = process.memoryUsage().heapUsed - heap
-  return { kind, microsecondsEach: Math.round(elapsed * 1000 / RECORDS), charactersEach: Math.round(characters), heapBytesEach: Math.round(grown / RECORDS) }
+  return { kind, microsecondsEach: Math.round(elapsed * 1000 / count), charactersEach: Math.round(characters), heapBytesEach: Math.round(grown / count) }
 }
 
 function recordCosts (): RecordCost[] {
   const pool = (state: FoldState): void => { foldEntry(state, state.offset, encodeEnvelope([command({ verb: 'set', kind: 'pool', name: 'drafter', properties: { copies: 100_000 } })])) }
   return [
-    measureRecords('target', target, pool),
+    measureRecords('target', target, pool, TARGETS),
     measureRecords('claim', (index) => claim(`request-${index}`, `attempt-${index}-0123456789abcdef`)),
     measureRecords('claim and outcome', (index) => index % 2 === 0 ? claim(`request-${index}`, `attempt-${index}`) : outcome(`request-${index - 1}`, `attempt-${index - 1}`)),
     measureRecords('submit of 8', (index) => submit(`group-${index}`, 8)),
