--- a/standins/engine.ts
+++ b/standins/engine.ts
@@ -76,7 +76,7 @@
   private running = 0
   private busyMs = 0
   private lastChange = Date.now()
-  private readonly started = Date.now()
+  readonly started = Date.now()
   private readonly queue: { readonly priority: number, readonly wake: () => void }[] = []
   private readonly cached = new Map<string, number>()
   private readonly history: { readonly at: number, readonly running: number, readonly queued: number }[] = []
--- /dev/null
+++ b/test/core/membership/memberTable.test.ts
@@ -0,0 +1,86 @@
+/** The table of members: who supersedes whom, and that all hosts come to agree. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { asHostId, asPlace } from '../../../src/base/common/ids.ts'
+import type { MemberStatus, MemberUpdate } from '../../../src/core/common/membership/memberTable.ts'
+import { MemberTable } from '../../../src/core/common/membership/memberTable.ts'
+
+const settings = { suspicionMs: 100, forgetMs: 1000 }
+
+function update (host: string, status: MemberStatus, incarnation: number): MemberUpdate {
+  return { host: asHostId(host), address: `http://${host}`, place: asPlace('Abdali'), status, incarnation }
+}
+
+function table (host = 'self'): MemberTable {
+  return new MemberTable({ host: asHostId(host), address: `http://${host}`, place: asPlace('Abdali') }, settings, 0)
+}
+
+const rules: readonly { name: string, first: readonly [MemberStatus, number], second: readonly [MemberStatus, number], wins: boolean }[] = [
+  { name: 'suspect beats alive of the same incarnation', first: ['alive', 1], second: ['suspect', 1], wins: true },
+  { name: 'alive of the same incarnation does not beat suspect', first: ['suspect', 1], second: ['alive', 1], wins: false },
+  { name: 'alive of a higher incarnation beats suspect', first: ['suspect', 1], second: ['alive', 2], wins: true },
+  { name: 'leaving beats alive', first: ['alive', 2], second: ['leaving', 2], wins: true },
+  { name: 'dead beats suspect', first: ['suspect', 3], second: ['dead', 3], wins: true },
+  { name: 'an old death does not beat a later life', first: ['alive', 4], second: ['dead', 3], wins: false },
+  { name: 'a later life beats death: the two sides of a healed cut find each other', first: ['dead', 3], second: ['alive', 4], wins: true }
+]
+
+describe('the table of members', () => {
+  for (const { name, first, second, wins } of rules) {
+    it(name, () => {
+      const members = table()
+      members.merge(update('a', ...first), 0)
+      expect(members.merge(update('a', ...second), 1)).to.equal(wins)
+      expect(members.get(asHostId('a'))?.status).to.equal(wins ? second[0] : first[0])
+    })
+  }
+
+  it('refutes what is said of this host', () => {
+    const members = table()
+    members.merge(update('self', 'dead', 5), 0)
+    expect(members.selfUpdate).to.include({ status: 'alive', incarnation: 6 })
+  })
+
+  it('stays leaving when it refutes', () => {
+    const members = table()
+    members.leave(0)
+    members.merge(update('self', 'suspect', 2), 1)
+    expect(members.selfUpdate).to.include({ status: 'leaving', incarnation: 3 })
+  })
+
+  it('declares a suspect dead after its time and forgets it later', () => {
+    const members = table()
+    members.merge(update('a', 'alive', 1), 0)
+    members.suspect(asHostId('a'), 10)
+    expect(members.expire(109)).to.deep.equal([])
+    expect(members.expire(110).map(({ host }) => host)).to.deep.equal(['a'])
+    members.expire(1110)
+    expect(members.get(asHostId('a'))).to.equal(undefined)
+  })
+
+  it('sends a bounded number of updates, each a bounded number of times', () => {
+    const members = table()
+    for (let index = 0; index < 100; index++) members.merge(update(`host-${index}`, 'alive', 1), 0)
+    let sent = 0
+    let messages = 0
+    for (let updates = members.takeUpdates(); updates.length > 0; updates = members.takeUpdates()) {
+      expect(updates.length).to.be.at.most(12)
+      sent += updates.length
+      messages++
+    }
+    expect(sent).to.equal(101 * 21)
+    expect(messages).to.be.below(200)
+  })
+
+  it('comes to the same whatever the order of the news', () => {
+    const news = fc.array(fc.record({ host: fc.constantFrom('a', 'b', 'c'), status: fc.constantFrom<MemberStatus>('alive', 'leaving', 'suspect', 'dead'), incarnation: fc.integer({ min: 1, max: 4 }) }), { maxLength: 20 })
+    fc.assert(fc.property(news, fc.integer(), (items, seed) => {
+      const [one, other] = [table('x'), table('x')]
+      const shuffled = items.map((item, index) => ({ item, key: (index * 7919 + seed) % 101 })).sort((a, b) => a.key - b.key).map(({ item }) => item)
+      for (const item of items) one.merge(update(item.host, item.status, item.incarnation), 0)
+      for (const item of shuffled) other.merge(update(item.host, item.status, item.incarnation), 0)
+      expect(other.summary()).to.equal(one.summary())
+    }), { seed: 4, numRuns: 300 })
+  })
+})
