--- a/test/core/language/parser.test.ts
+++ b/test/core/language/parser.test.ts
@@ -1,7 +1,9 @@
 /** The query and command language: what each statement means, and where each mistake stands. */
 
+import { readFileSync } from 'node:fs'
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { applyCommand, emptyConfiguration } from '../../../src/core/common/fold/configuration.ts'
 import { parseStatement } from '../../../src/core/common/language/parser.ts'
 import { filterRows } from '../../../src/core/common/language/rows.ts'
 
@@ -55,4 +57,17 @@
     }
     expect([names('weights < 41'), names('weights != 40'), names('weights >= 40 and name != a'), names('nothing = 1')]).to.deep.equal([['a'], ['b', 'c'], ['b'], []])
   })
+
+  for (const file of ['amman', 'tavolario']) {
+    it(`is that of examples/${file}.commands, and every order there is accepted`, () => {
+      const configuration = emptyConfiguration()
+      const lines = readFileSync(`examples/${file}.commands`, 'utf8').split('\n').filter((line) => line !== '' && !line.startsWith('#'))
+      lines.forEach((line, index) => {
+        const parsed = parseStatement(line)
+        if (!parsed.ok || parsed.value.type !== 'command') throw new Error(`${line}: ${parsed.ok ? 'not a command' : parsed.message}`)
+        expect(applyCommand(configuration, parsed.value.command, { by: 'test', revision: index + 1 }), line).to.deep.equal({ ok: true, value: index + 1 })
+      })
+      expect(lines.length).to.be.greaterThan(5)
+    })
+  }
 })
--- a/tools/bench/capacity.ts
+++ b/tools/bench/capacity.ts
@@ -34,7 +34,6 @@
   const state = stateWithSubscription()
   prepare(state)
   const entries = Array.from({ length: count }, (_, index) => encodeEnvelope([make(index)]))
-  const characters = entries.reduce((sum, entry) => sum + entry.length, 0) / count
   globalThis.gc?.()
   const heap = process.memoryUsage().heapUsed
   const began = performance.now()
@@ -42,6 +41,8 @@
   const elapsed = performance.now() - began
   globalThis.gc?.()
   const grown = process.memoryUsage().heapUsed - heap
+  const characters = entries.reduce((sum, entry) => sum + entry.length, 0) / count
+  if (state.offset < count) throw new Error('entries were not folded')
   return { kind, microsecondsEach: Math.round(elapsed * 1000 / count), charactersEach: Math.round(characters), heapBytesEach: Math.round(grown / count) }
 }
 
@@ -78,15 +79,22 @@
   })
 }
 
-interface RestingCost { readonly hosts: number, readonly coreShare: number, readonly residentMegabytes: number, readonly peerCallsPerSecond: number, readonly peerBytesPerSecond: number }
+/** What a resting deployment is like. */
+interface RestingShape { readonly hosts: number, readonly targets: number, readonly appendsPerSecond: number }
 
-/** What a host costs that serves nothing, by the number of hosts; default periods of the settings. */
-async function restingCost (hosts: number): Promise<RestingCost> {
+interface RestingCost extends RestingShape { readonly coreShare: number, readonly residentMegabytes: number, readonly peerCallsPerSecond: number, readonly peerBytesPerSecond: number }
+
+/** What a host costs that serves nothing; default periods of the settings. */
+async function restingCost (shape: RestingShape): Promise<RestingCost> {
+  const { hosts, targets, appendsPerSecond } = shape
   const platform = await startPlatform({ engines: 2 })
   const names = Array.from({ length: hosts }, (_, index) => ({ name: `host-${index}`, place: `place-${index % 4}` }))
   const cluster = await platform.startCluster(names, { membership: { probe_period: 500, probe_timeout: 250, suspicion: 1500, full_exchange: 10_000 }, orders: { reconcile: 500, host_list: 2000 }, host: {} })
   try {
     await platform.configure(cluster)
+    await cluster.order(`set pool drafter copies ${targets + 2}`)
+    for (let index = 2; index < targets; index++) await cluster.order(`create target more-${index} pool drafter address "${platform.engines[index % 2]?.address ?? ''}" place place-${index % 4}`)
+    const ticks = appendsPerSecond === 0 ? undefined : setInterval(() => { platform.log.log.append('control', encodeEnvelope([{ kind: 'tick', id: 'tick', at: Date.now() }])) }, 1000 / appendsPerSecond)
     await new Promise((resolve) => setTimeout(resolve, SETTLE_MS))
     const measured = cluster.hosts.slice(0, 4)
     const look = async (): Promise<{ processorMs: number, residentMegabytes: number, calls: number, characters: number }[]> => await Promise.all(measured.map(async (host) => {
@@ -96,10 +104,11 @@
     const before = await look()
     await new Promise((resolve) => setTimeout(resolve, RESTING_SECONDS * 1000))
     const after = await look()
+    clearInterval(ticks)
     const mean = (pick: (one: (typeof after)[number]) => number, base: typeof after): number => base.reduce((sum, one) => sum + pick(one), 0) / base.length
     const rate = (pick: (one: (typeof after)[number]) => number): number => (mean(pick, after) - mean(pick, before)) / RESTING_SECONDS
     return {
-      hosts,
+      ...shape,
       coreShare: Math.round(rate(({ processorMs }) => processorMs) / 10 * 100) / 10_000,
       residentMegabytes: Math.round(mean(({ residentMegabytes }) => residentMegabytes, after)),
       peerCallsPerSecond: Math.round(rate(({ calls }) => calls) * 10) / 10,
@@ -111,22 +120,30 @@
   }
 }
 
-export async function measureCapacity (): Promise<Experiment> {
+export async function measureFold (): Promise<Experiment> {
   const records = recordCosts()
-  const empty = emptyState()
-  for (let index = 0; index < 1; index++) foldEntry(empty, index, encodeEnvelope([]))
   const admission = admissionCosts()
+  return {
+    name: 'fold',
+    figures: { records, admission, emptySnapshotCharacters: snapshot(emptyState()).length },
+    plot: { title: 'One grant and its release', x: 'grants held meanwhile', y: 'microseconds', mark: 'line', points: admission.map(({ held, microseconds }) => ({ series: 'grant', x: held, y: microseconds })) }
+  }
+}
+
+export async function measureResting (): Promise<Experiment> {
   const resting: RestingCost[] = []
-  for (const hosts of HOST_COUNTS) resting.push(await restingCost(hosts))
+  for (const hosts of HOST_COUNTS) resting.push(await restingCost({ hosts, targets: 2, appendsPerSecond: 0 }))
+  for (const targets of [40, 80]) resting.push(await restingCost({ hosts: 4, targets, appendsPerSecond: 0 }))
+  for (const appendsPerSecond of [20, 100]) resting.push(await restingCost({ hosts: 4, targets: 2, appendsPerSecond }))
   return {
-    name: 'capacity',
-    figures: { records, admission, resting, emptySnapshotCharacters: snapshot(empty).length },
+    name: 'resting',
+    figures: { resting },
     plot: {
       title: 'A resting host, by number of hosts',
       x: 'hosts',
       y: 'share of a core in percent, kilobytes a second',
       mark: 'line',
-      points: resting.flatMap(({ hosts, coreShare, peerBytesPerSecond }) => [{ series: 'core, percent', x: hosts, y: coreShare * 100 }, { series: 'peers, KB/s', x: hosts, y: peerBytesPerSecond / 1000 }])
+      points: resting.slice(0, HOST_COUNTS.length).flatMap(({ hosts, coreShare, peerBytesPerSecond }) => [{ series: 'core, percent', x: hosts, y: coreShare * 100 }, { series: 'peers, KB/s', x: hosts, y: peerBytesPerSecond / 1000 }])
     }
   }
 }
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -1,13 +1,13 @@
 /** Runs the experiments that are named, or all; each is bounded in time and writes under reports/. */
 
 import { measureAdmission } from './admission.ts'
-import { measureCapacity } from './capacity.ts'
+import { measureFold, measureResting } from './capacity.ts'
 import { measurePath } from './path.ts'
 import { measureRollouts } from './rollouts.ts'
 import type { Experiment } from './report.ts'
 import { writeExperiment } from './report.ts'
 
-const experiments: Readonly<Record<string, () => Promise<Experiment>>> = { capacity: measureCapacity, path: measurePath, admission: measureAdmission, rollouts: measureRollouts }
+const experiments: Readonly<Record<string, () => Promise<Experiment>>> = { fold: measureFold, resting: measureResting, path: measurePath, admission: measureAdmission, rollouts: measureRollouts }
 
 async function main (names: readonly string[]): Promise<void> {
   const unknown = names.filter((name) => experiments[name] === undefined)
