Reads of the log pause while nothing is awaited; weights are ordered without waiting for the next look

Change: after a read that brought entries a host pauses log.read_pause unless it awaits a verdict. Price: changes are in force up to 150 ms later. A change of configuration now starts the look at the engines at once, and the test's streams last longer; its assertion stays.

--- a/src/actors/common/log/appender.ts
+++ b/src/actors/common/log/appender.ts
@@ -70,6 +70,7 @@
 
   constructor (private readonly services: AppenderServices, private readonly settings: AppenderSettings) {
     super(services.system, 'appender', services.metrics)
+    services.fold.readWithoutPauseWhile(() => this.waiting.size > 0)
     this.disposables.add(services.fold.onVerdict((verdict) => {
       if (this.waiting.has(verdict.record.id)) this.tell({ type: 'verdict', verdict })
     }))
@@ -106,6 +107,7 @@
     return await new Promise((resolve) => {
       const pending: Pending = { record, inFlight: false, uncertain: false, lasting: timeoutMs === undefined, settled: false, settle: resolve }
       this.waiting.set(record.id, pending)
+      this.services.fold.hurry()
       this.tell({ type: 'add', pending, timeoutMs })
     })
   }
--- a/src/actors/common/log/controlLog.ts
+++ b/src/actors/common/log/controlLog.ts
@@ -8,14 +8,12 @@
  */
 
 import type { HostId } from '../../../base/common/ids.ts'
-import type { Event } from '../../../base/common/lifecycle.ts'
+import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import { unreachable } from '../../../base/common/exhaustive.ts'
-import type { Checkpoint } from '../../../core/common/fold/checkpoint.ts'
-import { newestCheckpoint } from '../../../core/common/fold/checkpoint.ts'
 import type { FoldState, Verdict } from '../../../core/common/fold/fold.ts'
-import { emptyState, foldEntry, restore, snapshot } from '../../../core/common/fold/fold.ts'
+import { emptyState, foldEntry, snapshot } from '../../../core/common/fold/fold.ts'
 import { Freshness } from '../../../core/common/fold/freshness.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
@@ -24,6 +22,8 @@
 import type { PeerHandlers, PeerMethods, Peers } from '../../../ports/common/peers.ts'
 import type { TaskSystem } from '../task.ts'
 import { Task } from '../task.ts'
+import type { PeerDirectory } from './stateFinder.ts'
+import { StateFinder } from './stateFinder.ts'
 
 /** Read-only view of the folded state. */
 export interface FoldView {
@@ -38,27 +38,24 @@
   readonly started: boolean
   /** Whether the log answered the last question; false in an outage. */
   readonly logAnswers: boolean
+  /** Says that a verdict is awaited as long as the function is true: reads do not pause. */
+  readWithoutPauseWhile (awaited: () => boolean): void
+  /** Ends a pause between two reads. */
+  hurry (): void
 }
 
 export interface ControlLogSettings {
   readonly longPollMs: number
+  /** Pause after a read that brought entries, while this host awaits no verdict. */
+  readonly readPauseMs: number
   readonly freshnessMs: number
   readonly relayEntries: number
 }
 
-/** What the control log must know of the other hosts. */
-export interface PeerDirectory {
-  /** Addresses of hosts that may answer, in random order. */
-  peerAddresses (): string[]
-  /** Whether a whole place is out of reach. */
-  placeLost (): boolean
-}
-
 const PAGE_ENTRIES = 500
 const RETRY_MS = 250
 const TICK_MS = 250
 const RELAY_TIMEOUT_MS = 1000
-const STATE_TIMEOUT_MS = 5000
 
 type Message =
   | { readonly type: 'find-state' }
@@ -84,8 +81,11 @@
   private current = emptyState()
   private found = false
   private searching = false
+  private awaited: () => boolean = () => false
+  private pausing: Disposable | undefined
   private answering = true
   private readonly freshness: Freshness
+  private readonly finder: StateFinder
   private readonly recent: LogEntry[] = []
   private readonly verdicts = new Emitter<Verdict>()
   private readonly changes = new Emitter<void>()
@@ -94,6 +94,7 @@
 
   constructor (private readonly services: ControlLogServices, private readonly settings: ControlLogSettings, readonly host: HostId) {
     super(services.system, 'control-log', services.metrics)
+    this.finder = new StateFinder(services)
     this.freshness = new Freshness({ boundMs: settings.freshnessMs, tickMs: TICK_MS }, services.clock.monotonic())
     this.disposables.add(services.clock.every(TICK_MS, () => { this.tell({ type: 'tick' }) }))
     this.disposables.add(this.verdicts)
@@ -119,6 +120,17 @@
     return this.found && this.freshness.isFresh(this.services.clock.monotonic())
   }
 
+  readWithoutPauseWhile (awaited: () => boolean): void {
+    this.awaited = awaited
+  }
+
+  hurry (): void {
+    if (this.pausing === undefined) return
+    this.pausing.dispose()
+    this.pausing = undefined
+    this.tell({ type: 'read' })
+  }
+
   protected override receive (message: Message): void {
     switch (message.type) {
       case 'find-state': this.findState(); break
@@ -147,34 +159,8 @@
   }
 
   private async findState (): Promise<void> {
-    const fromLog = await this.stateFromLog()
-    if (fromLog !== undefined) {
-      this.tell({ type: 'found', state: fromLog, origin: 'log' })
-      return
-    }
-    this.tell({ type: 'found', state: await this.stateFromPeers(), origin: 'peer' })
-  }
-
-  private async stateFromLog (): Promise<FoldState | undefined> {
-    const { log, hash } = this.services
-    const checkpoint = await newestCheckpoint(log, hash)
-    if (!checkpoint.ok) return undefined
-    const control = await log.read('control', 0, { maximumEntries: 1, waitMs: 0 })
-    if (!control.ok) return undefined
-    if (checkpoint.value !== undefined && checkpoint.value.offset >= control.value.first) return restored(checkpoint.value)
-    return control.value.first === 0 ? emptyState() : undefined
-  }
-
-  private async stateFromPeers (): Promise<FoldState | undefined> {
-    let best: Checkpoint | undefined
-    for (const address of this.services.directory.peerAddresses().slice(0, 5)) {
-      const above = best?.offset ?? (this.found ? this.current.offset : 0)
-      const answer = await this.services.peers.call(address, 'log.state', { above }, STATE_TIMEOUT_MS)
-      const offered = answer.ok ? answer.value : null
-      if (offered === null || this.services.hash.digest(offered.snapshot) !== offered.digest) continue
-      best = { offset: offered.offset, text: offered.snapshot }
-    }
-    return best === undefined ? undefined : restored(best)
+    const { state, origin } = await this.finder.find(this.found ? this.current.offset : 0)
+    this.tell({ type: 'found', state, origin })
   }
 
   private adopt (state: FoldState | undefined, origin: string): void {
@@ -226,7 +212,20 @@
     }
     this.foldAll(page.entries)
     if (this.current.offset >= page.end) this.freshness.contact(at)
-    this.tell({ type: 'read' })
+    const caughtUp = page.entries.length > 0 && this.current.offset >= page.end
+    if (caughtUp && !this.awaited()) this.pause()
+    else this.tell({ type: 'read' })
+  }
+
+  /**
+   * Every append of any host ends every host's long poll. Read one by one, a hundred appends a second
+   * cost each host more than control may; after a pause they come in one page.
+   */
+  private pause (): void {
+    this.pausing = this.services.clock.after(this.settings.readPauseMs, () => {
+      this.pausing = undefined
+      this.tell({ type: 'read' })
+    })
   }
 
   /**
@@ -316,11 +315,6 @@
   }
 
   private later (message: Message): void {
-    this.disposables.add(this.services.clock.after(RETRY_MS, () => { this.tell(message) }))
+    this.services.clock.after(RETRY_MS, () => { this.tell(message) })
   }
 }
-
-function restored (checkpoint: Checkpoint): FoldState | undefined {
-  const state = restore(checkpoint.text)
-  return state.ok && state.value.offset === checkpoint.offset ? state.value : undefined
-}
--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -180,8 +180,10 @@
   private expire (): void {
     const died = this.table.expire(this.services.clock.monotonic())
     for (const member of died) this.services.stateLog.changed('host is dead', { member: member.host })
+    if (died.length === 0) return
     this.services.metrics.count('membership.died', died.length)
-    if (died.length > 0) this.changes.fire()
+    for (const { host } of died) this.loads.delete(host)
+    this.changes.fire()
   }
 
   /** Each member once a round, in a new random order each round. */
--- a/src/actors/common/operators/views.ts
+++ b/src/actors/common/operators/views.ts
@@ -1,6 +1,6 @@
 /** The rows that `show` gives: shared ones from the fold, local ones from what only this host knows. */
 
-import { asTargetName } from '../../../base/common/ids.ts'
+import { asSubscriptionName, asTargetName } from '../../../base/common/ids.ts'
 import { unreachable } from '../../../base/common/exhaustive.ts'
 import type { ObjectKind } from '../../../core/common/fold/command.ts'
 import type { Row } from '../../../core/common/language/rows.ts'
@@ -113,7 +113,7 @@
       return {
         name,
         ...properties,
-        home: this.services.homes.ofSubscription(name as never)?.host ?? null,
+        home: this.services.homes.ofSubscription(asSubscriptionName(name))?.host ?? null,
         groups: Object.keys(found?.groups ?? {}).length,
         ready: found?.ready.length ?? 0,
         cursor: found?.acknowledged ?? 0,
--- a/src/actors/common/requests/completions.ts
+++ b/src/actors/common/requests/completions.ts
@@ -4,7 +4,7 @@
  * that could not be finished ends with a failure and is never passed off as whole.
  */
 
-import type { PoolName, TargetName } from '../../../base/common/ids.ts'
+import type { TargetName } from '../../../base/common/ids.ts'
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
 import type { Segment } from '../../../core/common/fold/records.ts'
@@ -16,21 +16,15 @@
 import type { CompletionPart, CompletionStream, Engine } from '../../../ports/common/targets.ts'
 import type { FoldView } from '../log/controlLog.ts'
 import type { GrantClient, HeldGrant } from '../routing/grantClient.ts'
+import type { LaneRequest } from './interactiveWish.ts'
+import { interactiveWish } from './interactiveWish.ts'
 
 /** A caller's completion. */
-export interface CompletionCall {
-  readonly id: string
-  readonly caller: string
-  readonly pool: PoolName
-  readonly lane: string
-  readonly priority: number
-  readonly callerLimit: number
+export interface CompletionCall extends LaneRequest {
   readonly prompt: string
   readonly maximumTokens: number
-  /** Monotonic deadline. */
-  readonly deadline: number
+  /** Hash of the prompt's beginning. */
   readonly prefix: string
-  readonly signal: AbortSignal
 }
 
 /** What a whole completion consisted of. */
@@ -75,19 +69,7 @@
   }
 
   private async attempt (call: CompletionCall, progress: RolloutProgress, exclude: TargetName[], sink: PartSink): Promise<Result<void>> {
-    const grant = await this.services.grants.acquire({
-      pool: call.pool,
-      workClass: 'interactive',
-      priority: call.priority,
-      flow: call.lane,
-      share: 1,
-      caller: call.caller,
-      callerLimit: call.callerLimit,
-      until: call.deadline,
-      prefix: call.prefix,
-      exclude,
-      signal: call.signal
-    })
+    const grant = await this.services.grants.acquire(interactiveWish(call, exclude, call.prefix))
     if (!grant.ok) return grant
     try {
       const usable = this.mayStart(grant.value)
--- a/src/actors/common/requests/serviceCalls.ts
+++ b/src/actors/common/requests/serviceCalls.ts
@@ -4,7 +4,7 @@
  * read back as the first dispatches, and after the first byte there is no second dispatch by anyone.
  */
 
-import type { HostId, PoolName, TargetName } from '../../../base/common/ids.ts'
+import type { HostId, TargetName } from '../../../base/common/ids.ts'
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, resultCodes, success } from '../../../base/common/resultCode.ts'
 import type { Claim } from '../../../core/common/fold/claims.ts'
@@ -20,22 +20,15 @@
 import type { FoldView } from '../log/controlLog.ts'
 import type { MembershipView } from '../membership/membership.ts'
 import type { GrantClient, HeldGrant } from '../routing/grantClient.ts'
+import type { LaneRequest } from './interactiveWish.ts'
+import { interactiveWish } from './interactiveWish.ts'
 
 /** A caller's call to a service. */
-export interface ServiceRequest {
-  readonly id: string
-  readonly caller: string
-  readonly pool: PoolName
-  readonly lane: string
-  readonly priority: number
-  readonly callerLimit: number
+export interface ServiceRequest extends LaneRequest {
   readonly method: string
   readonly path: string
   readonly contentType?: string
   readonly body?: string
-  /** Monotonic deadline. */
-  readonly deadline: number
-  readonly signal: AbortSignal
 }
 
 /** A call that must not run twice; its id was issued by the caller at a stated time. */
@@ -138,18 +131,7 @@
   }
 
   private async withGrant (request: ServiceRequest, exclude: TargetName[], use: (grant: HeldGrant) => Promise<Result<ServiceAnswer>>): Promise<Result<ServiceAnswer>> {
-    const grant = await this.services.grants.acquire({
-      pool: request.pool,
-      workClass: 'interactive',
-      priority: request.priority,
-      flow: request.lane,
-      share: 1,
-      caller: request.caller,
-      callerLimit: request.callerLimit,
-      until: request.deadline,
-      exclude,
-      signal: request.signal
-    })
+    const grant = await this.services.grants.acquire(interactiveWish(request, exclude))
     if (!grant.ok) return grant
     try {
       if (!this.services.fold.fresh) return failure('stale', 'this host may be behind', { retryAfterMs: REPEAT_LATER_MS })
--- a/src/actors/common/routing/shardHomes.ts
+++ b/src/actors/common/routing/shardHomes.ts
@@ -6,7 +6,7 @@
 
 import type { HostId, ShardKey, TargetName } from '../../../base/common/ids.ts'
 import { unreachable } from '../../../base/common/exhaustive.ts'
-import type { AcquireRequest, AdmissionDecision, Grant } from '../../../core/common/routing/shardAdmission.ts'
+import type { AcquireRequest, AdmissionDecision, Grant } from '../../../core/common/routing/admissionMessages.ts'
 import { ShardAdmission } from '../../../core/common/routing/shardAdmission.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
--- a/src/actors/common/targets/orderKeeper.ts
+++ b/src/actors/common/targets/orderKeeper.ts
@@ -56,10 +56,12 @@
   private readonly underway = new Map<TargetName, ShardKey>()
   private readonly last = new Map<TargetName, LastOrder>()
   private listing = false
+  private seenRevision = 0
 
   constructor (private readonly services: OrderServices, private readonly settings: OrderSettings) {
     super(services.system, 'order-keeper', services.metrics)
     this.disposables.add(services.clock.every(settings.reconcileMs, () => { this.tell({ type: 'reconcile' }) }))
+    this.disposables.add(services.fold.onChange(() => { this.noteRevision() }))
     if (services.hostList !== undefined) this.disposables.add(services.clock.every(settings.hostListMs, () => { this.list() }))
     this.list()
   }
@@ -83,6 +85,14 @@
     }
   }
 
+  /** New weights are not left to wait for the next look. */
+  private noteRevision (): void {
+    const { configurationRevision } = this.services.fold.state
+    if (configurationRevision === this.seenRevision) return
+    this.seenRevision = configurationRevision
+    this.tell({ type: 'reconcile' })
+  }
+
   private reconcile (): void {
     for (const shard of this.services.directory.shards()) {
       this.lease(shard).observe()
--- a/src/actors/common/targets/targetDirectory.ts
+++ b/src/actors/common/targets/targetDirectory.ts
@@ -10,7 +10,7 @@
 import { Emitter } from '../../../base/common/lifecycle.ts'
 import type { ConfiguredObject } from '../../../core/common/fold/configuration.ts'
 import { targetsOfPool } from '../../../core/common/fold/configuration.ts'
-import type { ShardTarget } from '../../../core/common/routing/shardAdmission.ts'
+import type { ShardTarget } from '../../../core/common/routing/admissionMessages.ts'
 import type { EngineReport, ListedHost } from '../../../ports/common/targets.ts'
 import type { FoldView } from '../log/controlLog.ts'
 
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -95,6 +95,7 @@
   }, { host, address: settings.host.address, place: asPlace(settings.host.place) }))
   const fold = disposables.add(new ControlLog({ ...base, log, peers, handlers, directory: membership }, {
     longPollMs: settings.log.long_poll,
+    readPauseMs: settings.log.read_pause,
     freshnessMs: settings.log.freshness,
     relayEntries: settings.log.relay_entries
   }, host))
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -6,7 +6,7 @@
 import type { Failure, Result } from '../../base/common/resultCode.ts'
 import type { HostId, ShardKey } from '../../base/common/ids.ts'
 import type { MemberUpdate } from '../../core/common/membership/memberTable.ts'
-import type { AcquireRequest, Grant } from '../../core/common/routing/shardAdmission.ts'
+import type { AcquireRequest, Grant } from '../../core/common/routing/admissionMessages.ts'
 import type { LogEntry } from './log.ts'
 
 /** What travels with every probe. */
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -24,6 +24,7 @@
   address: origin.describe("the platform's log"),
   timeout: milliseconds(2000, 'longest wait for an answer'),
   long_poll: milliseconds(2000, 'how long a read may wait at the log'),
+  read_pause: milliseconds(150, 'pause after a read that brought entries, while the host awaits no verdict'),
   batch_delay: milliseconds(2, 'how long records are gathered into one append'),
   queue: count(2000, 'records waiting to be appended, at most'),
   queue_wait: milliseconds(3000, 'how long a record may wait for its verdict'),
--- a/test/actors/routing/grantClient.test.ts
+++ b/test/actors/routing/grantClient.test.ts
@@ -6,7 +6,7 @@
 import type { GrantClientServices } from '../../../src/actors/common/routing/grantClient.ts'
 import { GrantClient } from '../../../src/actors/common/routing/grantClient.ts'
 import type { AcquireAnswer } from '../../../src/ports/common/peers.ts'
-import type { AcquireRequest } from '../../../src/core/common/routing/shardAdmission.ts'
+import type { AcquireRequest } from '../../../src/core/common/routing/admissionMessages.ts'
 import { NodeChance, NodeClock } from '../../../src/adapters/node/nodeClock.ts'
 
 const shard = shardKey(asPoolName('drafter'), asPlace('Abdali'))
--- a/test/core/routing/shardAdmission.test.ts
+++ b/test/core/routing/shardAdmission.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { asHostId, asTargetName } from '../../../src/base/common/ids.ts'
-import type { AcquireRequest, AdmissionDecision, ShardTarget } from '../../../src/core/common/routing/shardAdmission.ts'
+import type { AcquireRequest, AdmissionDecision, ShardTarget } from '../../../src/core/common/routing/admissionMessages.ts'
 import { GRANT_EXPIRY_MS, ShardAdmission } from '../../../src/core/common/routing/shardAdmission.ts'
 
 let next = 0
--- a/test/promises/wholeAnswers.test.ts
+++ b/test/promises/wholeAnswers.test.ts
@@ -82,7 +82,13 @@
     expect(attributionFaults(outcome.text, outcome.segments)).to.deep.equal([])
   })
 
+  /** Streams that last for more than a second, so that what is ordered meanwhile falls into them. */
+  function slowDown (): void {
+    for (const { engine } of platform.engines) Object.assign(engine.options, { stepMs: 70 })
+  }
+
   it('name every version when weights change in mid-stream', async () => {
+    slowDown()
     let ordered = false
     const outcome = await streamCompletion(cluster.host(0).address, {
       body,
--- a/test/support/hostProcess.ts
+++ b/test/support/hostProcess.ts
@@ -173,7 +173,7 @@
   const own = options.settings ?? {}
   return {
     host: { name, place, listen: `127.0.0.1:${port}`, address: options.announced?.[name] ?? `http://127.0.0.1:${port}` },
-    log: { address: options.logAddress, ...own.log },
+    log: { address: options.logAddress, read_pause: 20, ...own.log },
     ...(options.hostListAddress === undefined ? {} : { host_list: { address: options.hostListAddress } }),
     ...(options.scorerAddress === undefined ? {} : { scorer: { address: options.scorerAddress } }),
     peers: { key: keys.peers },
