The table's summary is kept between changes; what nothing used is gone

Found by reading the whole change: each probe sorted and wrote all members anew for its digest, up to three times, though the table seldom changes; the control log had a property and a parameter that nobody read. Behaviour is the same.

--- a/src/actors/common/log/appender.ts
+++ b/src/actors/common/log/appender.ts
@@ -86,8 +86,9 @@
   }
 
   /**
-   * Appends a record and waits for its verdict; fails at once while the log is known to be down. After the timeout the result is `logUnavailable`
-   * if the record was surely not appended, else `commandUnknown`: it may still take effect.
+   * Appends a record and waits for its verdict; fails at once while the log is known to be down.
+   * After the timeout the result is `logUnavailable` if the record was surely not appended, else
+   * `commandUnknown`: it may still take effect.
    */
   async decide (record: ControlRecord, timeoutMs: number): Promise<Result<Verdict>> {
     if (!this.services.fold.logAnswers) return failure('logUnavailable', 'the log does not answer', { retryAfterMs: 1000 })
--- a/src/actors/common/log/controlLog.ts
+++ b/src/actors/common/log/controlLog.ts
@@ -7,7 +7,6 @@
  * in force here never reverts.
  */
 
-import type { HostId } from '../../../base/common/ids.ts'
 import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
@@ -34,8 +33,6 @@
   readonly onChange: Event<void>
   /** Whether the state may be acted on: read up to a recent end of the log. */
   readonly fresh: boolean
-  /** Whether a state has been found since the start. */
-  readonly started: boolean
   /** Whether the log answered the last question; false in an outage. */
   readonly logAnswers: boolean
   /** Says that a verdict is awaited as long as the function is true: reads do not pause. */
@@ -92,7 +89,7 @@
   readonly onVerdict = this.verdicts.event
   readonly onChange = this.changes.event
 
-  constructor (private readonly services: ControlLogServices, private readonly settings: ControlLogSettings, readonly host: HostId) {
+  constructor (private readonly services: ControlLogServices, private readonly settings: ControlLogSettings) {
     super(services.system, 'control-log', services.metrics)
     this.finder = new StateFinder(services)
     this.freshness = new Freshness({ boundMs: settings.freshnessMs, tickMs: TICK_MS }, services.clock.monotonic())
@@ -108,10 +105,6 @@
     return this.current
   }
 
-  get started (): boolean {
-    return this.found
-  }
-
   get logAnswers (): boolean {
     return this.answering
   }
--- a/src/core/common/membership/memberTable.ts
+++ b/src/core/common/membership/memberTable.ts
@@ -44,6 +44,8 @@
   private readonly members = new Map<HostId, Member>()
   private readonly pending = new Map<HostId, number>()
   private self: MemberUpdate
+  /** Kept between changes, as every probe carries its digest. */
+  private summaryText: string | undefined
 
   constructor (self: Omit<MemberUpdate, 'status' | 'incarnation'>, private readonly settings: MembershipSettings, now: number) {
     this.self = { ...self, status: 'alive', incarnation: 1 }
@@ -126,7 +128,8 @@
 
   /** Text that two hosts with the same view share; the dead are forgotten at different times. */
   summary (): string {
-    return this.all().filter(({ status }) => status !== 'dead').map(({ host, status, incarnation }) => `${host} ${status} ${incarnation}`).sort().join('\n')
+    this.summaryText ??= this.all().filter(({ status }) => status !== 'dead').map(({ host, status, incarnation }) => `${host} ${status} ${incarnation}`).sort().join('\n')
+    return this.summaryText
   }
 
   /** The whole table, for a host that joins and for the occasional exchange in full. */
@@ -144,6 +147,7 @@
 
   private record (update: MemberUpdate, now: number): void {
     this.members.set(update.host, { ...update, since: now })
+    this.summaryText = undefined
     this.pending.set(update.host, 0)
   }
 }
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -98,7 +98,7 @@
     readPauseMs: settings.log.read_pause,
     freshnessMs: settings.log.freshness,
     relayEntries: settings.log.relay_entries
-  }, host))
+  }))
   const appender = disposables.add(new Appender({ ...base, log, fold }, { batchDelayMs: settings.log.batch_delay, queue: settings.log.queue }))
   const homes = new Homes(membership, hash)
   disposables.add(new Checkpointer({ ...base, log, fold, homes }, { entries: settings.log.checkpoint_entries, intervalMs: settings.log.checkpoint_interval }))
--- a/test/support/fakeHost.ts
+++ b/test/support/fakeHost.ts
@@ -93,7 +93,7 @@
     }
     const serviceAdapter: Service = { call: async (_address, call) => await this.through(() => service.call(call)) }
     const base = { system, clock, chance, hash: plainHash, metrics: quietMetrics, stateLog: quietLog }
-    this.fold = new ControlLog({ ...base, log: port, peers: noPeers, handlers: noHandlers, directory: { peerAddresses: () => [], placeLost: () => false } }, { longPollMs: 100, readPauseMs: 30, freshnessMs: 1000, relayEntries: 100 }, this.id)
+    this.fold = new ControlLog({ ...base, log: port, peers: noPeers, handlers: noHandlers, directory: { peerAddresses: () => [], placeLost: () => false } }, { longPollMs: 100, readPauseMs: 30, freshnessMs: 1000, relayEntries: 100 })
     this.appender = new Appender({ ...base, log: port, fold: this.fold }, { batchDelayMs: 1, queue: 1000 })
     this.calls = new ServiceCalls({
       ...base,
