--- /dev/null
+++ b/src/actors/common/duties/dutyKeeper.ts
@@ -0,0 +1,190 @@
+/**
+ * Holds a duty that one host at a time may have, by records in the steps' topic: a claim makes a
+ * holder, renewals show that it lives, a release ends its term. The order of the topic decides who
+ * holds it; a holder's own clock decides whether it may still act alone.
+ *
+ * What goes wrong without the waiting: a holder that was frozen or cut off gives an order after
+ * another host has taken over, and a target follows both. So a holder acts alone only within a lease
+ * counted from the moment at which it sent its newest renewal that it has read back, on two clocks (one
+ * of them stands still while the machine is suspended); and a new holder of another machine rests
+ * until the lease of the former has surely ended and its last order has been carried out.
+ */
+
+import type { Event, Disposable } from '../../../base/common/lifecycle.ts'
+import { DisposableStore, Emitter } from '../../../base/common/lifecycle.ts'
+import type { FoldedDuty } from '../../../core/common/steps/stepFold.ts'
+import { claimRecord, dropRecord, releaseRecord, renewalRecord } from '../../../core/common/steps/stepRecords.ts'
+import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
+import type { StateLog } from '../../../ports/common/observation.ts'
+
+/** What a keeper reads of the steps' topic. */
+export interface DutySource {
+  duty (name: string): FoldedDuty | undefined
+  outdatedClaims (name: string): string[]
+  readonly onDuty: Event<FoldedDuty>
+  /** Reads to the end; false if that failed. */
+  catchUp (): Promise<boolean>
+  readonly isLost: boolean
+  readonly regainedAt: number
+  readonly loaded: boolean
+}
+
+export interface DutyServices {
+  readonly source: DutySource
+  readonly log: KeyedLog
+  readonly clock: Clock
+  readonly chance: Chance
+  readonly stateLog: StateLog
+}
+
+export interface DutySettings {
+  readonly duty: string
+  /** Machine of this host; a restart on it needs no rest. */
+  readonly machine: string
+  /** Name of this life of the host. */
+  readonly holder: string
+  readonly renewMs: number
+  readonly leaseMs: number
+  /** How long a new holder waits before it acts alone. */
+  readonly restMs: number
+  /** Added to the wait before a claim by hosts that should rather not have the duty. */
+  readonly claimDelayMs: number
+}
+
+/** Time between two looks, in milliseconds: a fraction of a renewal. */
+const LOOK_MS = 50
+/** Claims are spread over this time, in milliseconds, so that mostly one host makes one. */
+const CLAIM_SPREAD_MS = 300
+/** Times of renewals that may still be read back. */
+const KEPT_RENEWALS = 64
+
+export class DutyKeeper implements Disposable {
+  private readonly disposables = new DisposableStore()
+  private readonly changes = new Emitter<void>()
+  readonly onChange = this.changes.event
+  private readonly sentAt = new Map<number, { readonly monotonic: number, readonly wall: number }>()
+  private validUntil = { monotonic: Number.NEGATIVE_INFINITY, wall: Number.NEGATIVE_INFINITY }
+  private restUntil = Number.NEGATIVE_INFINITY
+  private signAt = Number.NEGATIVE_INFINITY
+  private renewals = 0
+  private renewedAt = Number.NEGATIVE_INFINITY
+  private claiming = false
+  private stopping = false
+  private held = false
+  private claimWaitMs: number
+
+  constructor (private readonly services: DutyServices, private readonly settings: DutySettings) {
+    this.claimWaitMs = this.drawWait()
+    this.disposables.add(services.source.onDuty((duty) => { this.read(duty) }))
+    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
+    this.disposables.add(this.changes)
+  }
+
+  /** Whether this host has the duty as far as it has read. */
+  get holds (): boolean {
+    const duty = this.services.source.duty(this.settings.duty)
+    return duty !== undefined && duty.holder === this.settings.holder && !duty.released
+  }
+
+  /** Whether no other host can have the duty now, so that what must not be done by two may be done. */
+  get alone (): boolean {
+    const { clock } = this.services
+    const now = clock.monotonic()
+    return this.holds && now >= this.restUntil && now < this.validUntil.monotonic && clock.wall() < this.validUntil.wall
+  }
+
+  get term (): number {
+    return this.services.source.duty(this.settings.duty)?.term ?? 0
+  }
+
+  /** Gives the duty up; another host claims it at once. */
+  async release (): Promise<void> {
+    this.stopping = true
+    if (!this.holds) return
+    const { duty, holder } = this.settings
+    await this.services.log.append([releaseRecord({ duty, holder, term: this.term })])
+    this.services.stateLog.changed('duty released', { duty, term: this.term })
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+
+  private drawWait (): number {
+    return this.settings.claimDelayMs + this.services.chance.next() * CLAIM_SPREAD_MS
+  }
+
+  private read (duty: FoldedDuty): void {
+    const { clock, stateLog } = this.services
+    const now = clock.monotonic()
+    if (duty.duty !== this.settings.duty) return
+    this.signAt = now
+    if (duty.holder === this.settings.holder) this.confirm(duty)
+    if (this.holds === this.held) return
+    this.held = this.holds
+    this.claimWaitMs = this.drawWait()
+    stateLog.changed(this.held ? 'duty held' : 'duty lost', { duty: duty.duty, term: duty.term, holder: duty.holder })
+    if (this.held) this.dropOutdated()
+    this.changes.fire()
+  }
+
+  /** An own claim or renewal was read back: the lease runs from when it was sent. */
+  private confirm ({ renewed }: FoldedDuty): void {
+    const sent = this.sentAt.get(renewed)
+    if (sent === undefined) return
+    const { leaseMs } = this.settings
+    this.validUntil = { monotonic: Math.max(this.validUntil.monotonic, sent.monotonic + leaseMs), wall: sent.wall + leaseMs }
+    for (const count of [...this.sentAt.keys()].slice(0, -KEPT_RENEWALS)) this.sentAt.delete(count)
+  }
+
+  private look (): void {
+    const { source, clock } = this.services
+    if (!source.loaded || this.stopping) return
+    const now = clock.monotonic()
+    if (this.holds) {
+      if (now - this.renewedAt >= this.settings.renewMs) this.renew(now)
+      return
+    }
+    if (this.claiming || source.isLost) return
+    const duty = source.duty(this.settings.duty)
+    const quietMs = now - Math.max(this.signAt, source.regainedAt)
+    const patienceMs = duty === undefined || duty.released ? 0 : this.settings.leaseMs
+    if (quietMs >= patienceMs + this.claimWaitMs) this.claim().catch((error: unknown) => { this.services.stateLog.alarm('claim failed', { error: String(error) }) })
+  }
+
+  private renew (now: number): void {
+    const { duty, holder } = this.settings
+    this.renewedAt = now
+    this.renewals++
+    this.sentAt.set(this.renewals, { monotonic: now, wall: this.services.clock.wall() })
+    // An unanswered renewal needs no care: only one that is read back counts.
+    this.services.log.append([renewalRecord({ duty, holder, term: this.term }, this.renewals)]).catch(() => undefined)
+  }
+
+  private async claim (): Promise<void> {
+    const { source, log, clock, chance, stateLog } = this.services
+    const { duty, holder, machine, restMs } = this.settings
+    this.claiming = true
+    try {
+      const signs = source.duty(duty)?.signs
+      // A host that woke or fell behind would claim though the holder lives: it reads to the end first.
+      if (!await source.catchUp() || source.duty(duty)?.signs !== signs) return
+      const former = source.duty(duty)
+      const claim = { duty, holder, term: (former?.term ?? 0) + 1 }
+      const formerMachine = former?.holder.split('/')[0]
+      this.restUntil = clock.monotonic() + (former === undefined || formerMachine === machine ? 0 : restMs)
+      stateLog.decided('duty claimed', { duty, term: claim.term, former: former?.holder ?? '', quietMs: Math.round(clock.monotonic() - this.signAt) })
+      await log.append([claimRecord(claim, chance.id().slice(0, 8))])
+    } finally {
+      this.claiming = false
+      this.signAt = clock.monotonic()
+    }
+  }
+
+  /** Claims of former terms would otherwise be kept for ever. */
+  private dropOutdated (): void {
+    const keys = this.services.source.outdatedClaims(this.settings.duty)
+    if (keys.length > 0) this.services.log.append(keys.map(dropRecord)).catch(() => undefined)
+  }
+}
--- /dev/null
+++ b/src/actors/common/routes/routeCalls.ts
@@ -0,0 +1,264 @@
+/**
+ * Carries a request to targets of its route until one has answered, and answers in time in every
+ * case. What may be repeated is sent to another target after a failure, and also while the first is
+ * late; what may not is sent on only where the first surely did not run it.
+ */
+
+import type { Result } from '../../../base/common/resultCode.ts'
+import { failure, success } from '../../../base/common/resultCode.ts'
+import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
+import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
+import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
+import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { OutgoingOptions, TargetProtocol } from '../../../ports/common/protocols.ts'
+import type { TargetAnswer, TargetClient } from '../../../ports/common/targetClient.ts'
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { KnownTarget, TargetTable } from './targetTable.ts'
+
+export interface RoutedRequest {
+  readonly route: Route
+  readonly requestId: string | undefined
+  readonly method: string
+  readonly path: string
+  readonly headers: (options: OutgoingOptions) => string[]
+  readonly body: Uint8Array | undefined
+  /** How long the caller waits from now on, in milliseconds. */
+  readonly waitMs: number
+  /** Background calls leave a slot of each target to callers that wait. */
+  readonly background: boolean
+  /** Aborted when the caller has gone. */
+  readonly gone: AbortSignal
+}
+
+export interface RoutedAnswer {
+  readonly answer: TargetAnswer
+  readonly target: string
+  /** Answers of targets that said that they failed, this one included. */
+  readonly failures: number
+}
+
+export interface RouteCallServices {
+  readonly targets: TargetTable
+  readonly client: TargetClient
+  readonly protocol: TargetProtocol
+  readonly clock: Clock
+  readonly chance: Chance
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+  readonly place: string
+}
+
+/** Share of the objective after which a request that may be repeated goes to a second target too: late enough that one in twenty does at most, early enough that the second can still answer within the objective. */
+const SECOND_TARGET_SHARE = 0.5
+/** Pause before targets that refused are asked again, in milliseconds: about the time of a short request. */
+const ROUND_MS = 40
+/** Share of the waiting time after which a request that no target takes is rejected: the rest is left to the caller for another try. */
+const REFUSED_SHARE = 0.5
+/** When to come back after a rejection, in milliseconds. */
+const RETRY_AFTER_MS = 300
+/** Times for an answer over this are not what a target needs but what it lost. */
+const SILENT_MS = 1500
+
+/** One try at one target. */
+interface Attempt {
+  readonly target: KnownTarget
+  readonly abort: AbortController
+  readonly beganAt: number
+}
+
+export class RouteCalls {
+  constructor (private readonly services: RouteCallServices) {}
+
+  async call (request: RoutedRequest): Promise<Result<RoutedAnswer>> {
+    return await new Promise((resolve) => { new RouteCall(this.services, request, resolve).start() })
+  }
+
+  /** Whether a background call would find a free slot at a target of the route. */
+  hasRoom (route: Route): boolean {
+    return route.destinations.some(({ service }) => this.services.targets.available(service).some(hasBackgroundSlot))
+  }
+}
+
+function hasBackgroundSlot ({ definition, inFlight }: KnownTarget): boolean {
+  return inFlight < Math.max(1, definition.slots - 1)
+}
+
+/** The state of one request on its way. */
+class RouteCall {
+  private readonly running = new Set<Attempt>()
+  /** Targets that may have run the request. */
+  private readonly sent = new Set<string>()
+  /** Targets that refused it in this round. */
+  private readonly refused = new Set<string>()
+  private readonly timers = new DisposableStore()
+  private readonly beganAt: number
+  private failures = 0
+  private rounds = 0
+  private lastFailure: RoutedAnswer | undefined
+  private settled = false
+
+  constructor (private readonly services: RouteCallServices, private readonly request: RoutedRequest, private readonly resolve: (result: Result<RoutedAnswer>) => void) {
+    this.beganAt = services.clock.monotonic()
+  }
+
+  start (): void {
+    const { request, services } = this
+    this.timers.add(services.clock.after(this.allowedMs, () => { this.timeOut() }))
+    const leave = (): void => { this.settle(failure('cancelled', 'the caller has gone')) }
+    if (request.gone.aborted) return leave()
+    request.gone.addEventListener('abort', leave, { once: true })
+    this.timers.add({ dispose: () => { request.gone.removeEventListener('abort', leave) } })
+    this.tryNext()
+  }
+
+  private get allowedMs (): number {
+    return Math.min(this.request.waitMs, this.request.route.timeoutMs)
+  }
+
+  private get elapsedMs (): number {
+    return this.services.clock.monotonic() - this.beganAt
+  }
+
+  private get repeatable (): boolean {
+    return this.request.route.kind === 'idempotent'
+  }
+
+  private get mayTryAnother (): boolean {
+    return this.sent.size === 0 || (this.repeatable && this.sent.size < this.request.route.attempts)
+  }
+
+  private tryNext (): void {
+    if (this.settled || !this.mayTryAnother) return
+    const { services, request } = this
+    const service = pickDestination(request.route.destinations, services.chance.next())
+    const known = service === undefined ? [] : services.targets.available(service)
+    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target)))
+    const target = chooseTarget(free, services.place, services.chance.next())
+    if (target !== undefined) return this.launch(target)
+    if (this.running.size > 0) return
+    if (known.length === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
+    this.nextRound()
+  }
+
+  /** All targets refused: asks them again shortly, as long as there is time to be served. */
+  private nextRound (): void {
+    if (this.elapsedMs + ROUND_MS > this.allowedMs * REFUSED_SHARE) {
+      return this.settle(this.lastOr(this.sent.size > 0
+        ? failure('unknownOutcome', 'no target gave a usable answer')
+        : failure('overloaded', 'all targets of the route are full', { retryAfterMs: RETRY_AFTER_MS })))
+    }
+    this.rounds++
+    this.refused.clear()
+    this.timers.add(this.services.clock.after(ROUND_MS, () => { this.tryNext() }))
+  }
+
+  private launch (target: KnownTarget): void {
+    const { services, request } = this
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic() }
+    this.running.add(attempt)
+    this.sent.add(target.definition.id)
+    target.inFlight++
+    services.client.exchange({
+      address: target.definition.address,
+      method: request.method,
+      path: request.path,
+      headers: request.headers({ expectedTarget: target.definition.id, remainingMs: this.allowedMs - this.elapsedMs }),
+      body: request.body,
+      ownConnection: !this.repeatable,
+      signal: attempt.abort.signal
+    }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) })
+    if (this.repeatable && !request.background) this.timers.add(this.services.clock.after(request.route.objectiveMs * SECOND_TARGET_SHARE, () => { this.late(attempt) }))
+  }
+
+  /** The target is late: another one may answer in time. */
+  private late (attempt: Attempt): void {
+    if (!this.running.has(attempt)) return
+    this.services.metrics.count('calls.second_target')
+    this.tryNext()
+  }
+
+  private ended (attempt: Attempt, result: Result<TargetAnswer>): void {
+    const { target } = attempt
+    const tookMs = this.services.clock.monotonic() - attempt.beganAt
+    target.inFlight--
+    this.running.delete(attempt)
+    if (this.settled) {
+      if (tookMs > SILENT_MS && !result.ok) target.failed()
+      return
+    }
+    if (!result.ok) {
+      target.failed()
+      if (result.code === 'targetUnreachable') this.sent.delete(target.definition.id)
+      this.refused.add(target.definition.id)
+      return this.goOn(result.message)
+    }
+    const head = this.services.protocol.answerHead(result.value.status, result.value.headers)
+    if (head.load !== undefined) target.reported(head.load)
+    const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
+    const verdict = judgeAnswer(head, this.request.requestId)
+    switch (verdict) {
+      case 'answer':
+        target.answered(tookMs)
+        return this.settle(success(answer))
+      case 'target-failed':
+        target.answered(tookMs)
+        this.failures++
+        this.lastFailure = { ...answer, failures: this.failures }
+        return this.goOn('the target failed')
+      case 'not-run':
+        this.sent.delete(target.definition.id)
+        this.refused.add(target.definition.id)
+        return this.goOn('the target refused')
+      case 'unusable':
+        target.failed()
+        this.services.metrics.count('calls.unusable_answer')
+        this.services.client.distrust(target.definition.address)
+        return this.goOn('the answer was not usable')
+    }
+  }
+
+  private goOn (why: string): void {
+    this.services.metrics.count('calls.attempt_failed')
+    if (this.mayTryAnother) this.tryNext()
+    else if (this.running.size === 0) this.settle(this.lastOr(failure('unknownOutcome', why)))
+  }
+
+  private timeOut (): void {
+    for (const { target } of this.running) target.failed()
+    this.settle(this.lastOr(this.sent.size === 0
+      ? failure('overloaded', 'no target took the request in time', { retryAfterMs: RETRY_AFTER_MS })
+      : failure('unknownOutcome', 'no target answered in time')))
+  }
+
+  /** A target's own failure goes before one of this host. */
+  private lastOr (failed: Result<RoutedAnswer>): Result<RoutedAnswer> {
+    return this.lastFailure === undefined ? failed : success(this.lastFailure)
+  }
+
+  private settle (result: Result<RoutedAnswer>): void {
+    if (this.settled) return
+    this.settled = true
+    this.timers.dispose()
+    for (const { abort } of this.running) abort.abort()
+    this.tell(result)
+    this.resolve(result)
+  }
+
+  private tell (result: Result<RoutedAnswer>): void {
+    const { request, services } = this
+    services.metrics.timing('calls.answer', this.elapsedMs)
+    if (request.background && result.ok && this.sent.size === 1) return
+    services.stateLog.decided('call ended', {
+      request: request.requestId ?? '',
+      route: request.route.name,
+      outcome: result.ok ? String(result.value.answer.status) : result.code,
+      target: result.ok ? result.value.target : [...this.sent].join(' '),
+      targets: this.sent.size,
+      rounds: this.rounds,
+      tookMs: Math.round(this.elapsedMs),
+      allowedMs: Math.round(this.allowedMs)
+    })
+  }
+}
--- /dev/null
+++ b/src/actors/common/routes/streamCalls.ts
@@ -0,0 +1,172 @@
+/**
+ * Streams of a route: passed on event by event as they come. A stream that breaks goes on at another
+ * target after the last whole event, where the route allows it, within the one answer that the
+ * caller has; else it is cut off, so that it cannot be taken for whole.
+ */
+
+import type { Failure } from '../../../base/common/resultCode.ts'
+import { failure } from '../../../base/common/resultCode.ts'
+import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
+import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
+import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
+import type { ReadEvent } from '../../../core/common/streams/eventReader.ts'
+import { EventReader } from '../../../core/common/streams/eventReader.ts'
+import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
+import type { RouteCallServices, RoutedRequest } from './routeCalls.ts'
+import type { KnownTarget } from './targetTable.ts'
+
+export interface StreamRequest extends RoutedRequest {
+  /** Number of the last event that the caller has already. */
+  readonly resumeAfter: number | undefined
+}
+
+/** Where a stream goes. */
+export interface StreamSink {
+  head (status: number, headers: ReceivedHeaders): void
+  write (piece: string): void
+  end (): void
+  /** Ends the answer so that it is seen to be incomplete. */
+  cut (): void
+}
+
+/** How one run at one target ended. */
+type RunEnd = 'whole' | 'not-run' | 'broken' | 'gone'
+
+/** Longest silence of a stream, in relation to the route's objective; callers give up after four times it. */
+const SILENCE_SHARE = 3
+/** Shortest bound of silence, in milliseconds: callers wait two seconds in any case. */
+const LEAST_SILENCE_MS = 1500
+const RETRY_AFTER_MS = 300
+
+export class StreamCalls {
+  constructor (private readonly services: RouteCallServices) {}
+
+  /** Serves a stream; the result is a failure that nothing has been sent for yet. */
+  async call (request: StreamRequest, sink: StreamSink): Promise<Failure | undefined> {
+    return await new StreamCall(this.services, request, sink).run()
+  }
+}
+
+class StreamCall {
+  private readonly tried = new Set<string>()
+  private readonly began: number
+  private headSent = false
+  private mayHaveRun = false
+  private last: number | undefined
+
+  constructor (private readonly services: RouteCallServices, private readonly request: StreamRequest, private readonly sink: StreamSink) {
+    this.began = services.clock.monotonic()
+    this.last = request.resumeAfter
+  }
+
+  async run (): Promise<Failure | undefined> {
+    const { route } = this.request
+    let runs = 0
+    let end: RunEnd | undefined
+    while (runs < route.attempts) {
+      const target = this.choose()
+      if (target === undefined || this.remainingMs <= 0) break
+      this.tried.add(target.definition.id)
+      target.inFlight++
+      end = await this.runAt(target)
+      target.inFlight--
+      if (end !== 'not-run') runs++
+      if (end === 'whole' || end === 'gone' || (end === 'broken' && !route.resumable)) break
+    }
+    return this.close(end)
+  }
+
+  private get remainingMs (): number {
+    return Math.min(this.request.waitMs, this.request.route.timeoutMs) - (this.services.clock.monotonic() - this.began)
+  }
+
+  private choose (): KnownTarget | undefined {
+    const { targets, chance, place } = this.services
+    const service = pickDestination(this.request.route.destinations, chance.next())
+    const known = service === undefined ? [] : targets.available(service)
+    return chooseTarget(known.filter(({ definition }) => !this.tried.has(definition.id)), place, chance.next())
+  }
+
+  private close (end: RunEnd | undefined): Failure | undefined {
+    const { route, requestId } = this.request
+    this.services.stateLog.decided('stream ended', { request: requestId ?? '', route: route.name, outcome: end ?? 'no target', targets: [...this.tried].join(' '), lastEvent: this.last ?? -1 })
+    if (end === 'whole') {
+      this.sink.end()
+      return undefined
+    }
+    if (this.headSent || end === 'gone') {
+      this.sink.cut()
+      return undefined
+    }
+    return this.mayHaveRun
+      ? failure('unknownOutcome', 'the stream broke before its first event')
+      : failure('overloaded', `no target of route ${route.name} took the stream`, { retryAfterMs: RETRY_AFTER_MS })
+  }
+
+  private async runAt (target: KnownTarget): Promise<RunEnd> {
+    const { client, clock, protocol } = this.services
+    const { request } = this
+    const silence = new AbortController()
+    const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
+    let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
+    try {
+      const opened = await client.open({
+        address: target.definition.address,
+        method: request.method,
+        path: request.path,
+        headers: request.headers({ expectedTarget: target.definition.id, remainingMs: this.remainingMs, ...(this.last === undefined ? {} : { resumeAfter: this.last }) }),
+        body: request.body,
+        ownConnection: !request.route.resumable,
+        signal: AbortSignal.any([request.gone, silence.signal])
+      })
+      if (!opened.ok) return this.failedRun(target, opened.code === 'targetUnreachable')
+      const { status, headers, pieces, cancel } = opened.value
+      const head = protocol.answerHead(status, headers)
+      if (head.load !== undefined) target.reported(head.load)
+      const verdict = judgeAnswer(head, request.requestId)
+      if (verdict === 'not-run' || verdict === 'unusable' || (this.headSent && verdict !== 'answer')) {
+        cancel()
+        return this.failedRun(target, verdict === 'not-run')
+      }
+      if (!this.headSent) this.sink.head(status, headers)
+      this.headSent = true
+      const reader = new EventReader()
+      const decoder = new TextDecoder()
+      for await (const piece of pieces) {
+        timer.dispose()
+        timer = clock.after(silenceMs, () => { silence.abort() })
+        for (const event of reader.take(decoder.decode(piece, { stream: true }))) this.pass(event)
+      }
+      target.answered(clock.monotonic() - this.began)
+      if (reader.rest === '') return 'whole'
+      // What is not a stream of events is passed on as it stands.
+      if (this.last === request.resumeAfter) {
+        this.sink.write(reader.rest)
+        return 'whole'
+      }
+      return 'broken'
+    } catch {
+      return this.failedRun(target, false)
+    } finally {
+      timer.dispose()
+    }
+  }
+
+  private pass ({ raw, fields }: ReadEvent): void {
+    const id = this.services.protocol.event(fields)?.id
+    if (id !== undefined) {
+      if (this.last !== undefined && id !== this.last + 1) throw new Error('an event is missing or doubled')
+      this.last = id
+    }
+    this.sink.write(raw)
+  }
+
+  private failedRun (target: KnownTarget, notRun: boolean): RunEnd {
+    if (this.request.gone.aborted) return 'gone'
+    if (!notRun) {
+      target.failed()
+      this.mayHaveRun = true
+    }
+    return notRun ? 'not-run' : 'broken'
+  }
+}
--- /dev/null
+++ b/src/actors/common/steps/itemRun.ts
@@ -0,0 +1,171 @@
+/**
+ * Runs one item at one engine: opens the stream, takes its events in order, and says how it ended.
+ * What has come is kept with the item, so that another run goes on after the last whole event.
+ */
+
+import { EventReader } from '../../../core/common/streams/eventReader.ts'
+import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { StreamEvent, TargetProtocol } from '../../../ports/common/protocols.ts'
+import type { TargetClient, TargetStream } from '../../../ports/common/targetClient.ts'
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import type { Engine } from './engineBoard.ts'
+
+/** What is held of an item's text. */
+export class ItemText {
+  readonly events: string[] = []
+  readonly versions = new Set<number>()
+  /** Number of the newest event held. */
+  last: number | undefined
+  /** Version under which the next event is made, unless it says otherwise. */
+  private version: number | undefined
+
+  beginRun (version: number | undefined): void {
+    this.version = version
+  }
+
+  /** Adds an event; false if it does not follow the last one. */
+  add (event: StreamEvent): boolean {
+    const due = (this.last ?? event.id - 1) + 1
+    if (event.id !== due) return false
+    if (event.version !== undefined) this.version = event.version
+    if (this.version !== undefined) this.versions.add(this.version)
+    this.events.push(event.data)
+    this.last = event.id
+    return true
+  }
+
+  clear (): void {
+    this.events.length = 0
+    this.versions.clear()
+    this.last = undefined
+  }
+
+  get text (): string {
+    return this.events.join('\n')
+  }
+}
+
+export type RunEnd =
+  | { readonly type: 'complete' }
+  /** The stream broke, went silent or was not usable; it may go on elsewhere. */
+  | { readonly type: 'broken', readonly why: string }
+  /** The engine says that it did not run the item. */
+  | { readonly type: 'refused' }
+  /** The engine's own failure of the item. */
+  | { readonly type: 'failed' }
+  /** The item can never be done. */
+  | { readonly type: 'impossible' }
+  /** The engine's weights are too old for the item. */
+  | { readonly type: 'too-old' }
+
+export interface ItemRunServices {
+  readonly client: TargetClient
+  readonly protocol: TargetProtocol
+  readonly clock: Clock
+}
+
+export interface ItemRunOptions {
+  readonly host: string
+  readonly model: string
+  readonly minimumVersion: number
+  readonly body: Uint8Array
+  /** Longest wait for the head of the answer and for the first event, in milliseconds. */
+  readonly firstEventMs: number
+  /** Longest wait for another event, in milliseconds. */
+  readonly silenceMs: number
+  readonly cancelled: AbortSignal
+}
+
+/** The engine's own failure, and its word that the item can never be done. */
+const FAILED = 500
+const IMPOSSIBLE = 422
+const OK = 200
+
+/** Runs an item and adds what comes to its text. */
+export async function runItem (services: ItemRunServices, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions): Promise<RunEnd> {
+  const silence = new SilenceGuard(services.clock, options)
+  const signal = AbortSignal.any([options.cancelled, silence.signal])
+  try {
+    const { address, id } = engine.target.definition
+    const answer = await services.client.open({
+      address,
+      method: 'POST',
+      path: item.path,
+      headers: services.protocol.itemHeaders(options.host, item, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }),
+      body: options.body,
+      ownConnection: false,
+      signal
+    })
+    if (!answer.ok) return { type: 'broken', why: silence.signal.aborted ? 'no answer in time' : answer.message }
+    return await readAnswer(services, answer.value, engine, item, text, options, silence)
+  } catch (error) {
+    return { type: 'broken', why: silence.signal.aborted ? 'silent' : String(error) }
+  } finally {
+    silence.dispose()
+  }
+}
+
+async function readAnswer (services: ItemRunServices, stream: TargetStream, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions, silence: SilenceGuard): Promise<RunEnd> {
+  const head = services.protocol.answerHead(stream.status, stream.headers)
+  const end = (ended: RunEnd): RunEnd => {
+    stream.cancel()
+    return ended
+  }
+  if (head.requestId !== undefined && head.requestId !== item.id) return end({ type: 'broken', why: 'the answer belongs to another request' })
+  if (head.notRun) return end({ type: 'refused' })
+  if (head.status === IMPOSSIBLE) return end({ type: 'impossible' })
+  if (head.status === FAILED) return end({ type: 'failed' })
+  if (head.status !== OK || head.seal === undefined) return end({ type: 'broken', why: `status ${head.status}` })
+  if (head.version !== undefined) {
+    engine.learnVersion({ model: options.model, version: head.version })
+    if (head.version < options.minimumVersion) return end({ type: 'too-old' })
+  }
+  text.beginRun(head.version)
+  return await readEvents(services, stream, engine, item, text, options, silence)
+}
+
+async function readEvents (services: ItemRunServices, stream: TargetStream, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions, silence: SilenceGuard): Promise<RunEnd> {
+  const reader = new EventReader()
+  const decoder = new TextDecoder()
+  let lastAt: number | undefined
+  for await (const piece of stream.pieces) {
+    for (const { fields } of reader.take(decoder.decode(piece, { stream: true }))) {
+      const event = services.protocol.event(fields)
+      if (event === undefined || !text.add(event)) {
+        stream.cancel()
+        return { type: 'broken', why: 'an event is missing, doubled or not readable' }
+      }
+      if (event.version !== undefined) engine.learnVersion({ model: options.model, version: event.version })
+      const now = services.clock.monotonic()
+      if (lastAt === undefined) engine.notePrompt(item.group)
+      else engine.notePace(now - lastAt)
+      lastAt = now
+      silence.heard()
+    }
+  }
+  return reader.rest.trim() !== '' ? { type: 'broken', why: 'the stream ended within an event' } : { type: 'complete' }
+}
+
+/** Aborts a run whose engine says nothing for too long: its connection may be silent for good, or the engine. */
+class SilenceGuard implements Disposable {
+  private readonly abort = new AbortController()
+  private timer: Disposable
+
+  constructor (private readonly clock: Clock, private readonly options: ItemRunOptions) {
+    this.timer = clock.after(options.firstEventMs, () => { this.abort.abort() })
+  }
+
+  get signal (): AbortSignal {
+    return this.abort.signal
+  }
+
+  heard (): void {
+    this.timer.dispose()
+    this.timer = this.clock.after(this.options.silenceMs, () => { this.abort.abort() })
+  }
+
+  dispose (): void {
+    this.timer.dispose()
+  }
+}
--- /dev/null
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -0,0 +1,105 @@
+/**
+ * Has finished samples scored by calls through the routes. Load pattern: all samples of a step end
+ * within a second and want many times the slots of a service that also serves callers who wait. So
+ * the calls queue here, first come first served, and leave a slot of each target free.
+ */
+
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
+import type { ScorerCall } from '../../../core/common/steps/step.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { StateLog } from '../../../ports/common/observation.ts'
+import type { TargetProtocol } from '../../../ports/common/protocols.ts'
+import type { RouteCalls } from '../routes/routeCalls.ts'
+
+export type ScoreOutcome =
+  | { readonly type: 'scored', readonly score: string }
+  /** The scorer failed as often as the route allows. */
+  | { readonly type: 'gave-up' }
+
+export interface SampleScorerServices {
+  readonly calls: RouteCalls
+  readonly protocol: TargetProtocol
+  readonly clock: Clock
+  readonly stateLog: StateLog
+  readonly routes: () => RouteTable | undefined
+}
+
+interface WaitingCall {
+  readonly call: ScorerCall
+  readonly cancelled: AbortSignal
+  failures: number
+  readonly settle: (outcome: ScoreOutcome) => void
+}
+
+/** Time between two looks for free slots, in milliseconds. */
+const LOOK_MS = 20
+/** Pause before a call that got no answer is repeated, in milliseconds. */
+const PAUSE_MS = 100
+const FIRST_SUCCESS = 200
+const AFTER_SUCCESS = 300
+
+export class SampleScorer implements Disposable {
+  private readonly disposables = new DisposableStore()
+  private readonly queue: WaitingCall[] = []
+
+  constructor (private readonly services: SampleScorerServices) {
+    this.disposables.add(services.clock.every(LOOK_MS, () => { this.startCalls() }))
+  }
+
+  /** Scores a sample; waits as long as it takes, unless cancelled. */
+  async score (call: ScorerCall, cancelled: AbortSignal): Promise<ScoreOutcome> {
+    return await new Promise((resolve) => {
+      this.queue.push({ call, cancelled, failures: 0, settle: resolve })
+      this.startCalls()
+    })
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+
+  private startCalls (): void {
+    while (this.queue.length > 0) {
+      const next = this.queue[0]
+      if (next === undefined) return
+      if (next.cancelled.aborted) {
+        this.queue.shift()
+        continue
+      }
+      const route = this.services.routes()?.find(next.call.host, next.call.path)
+      if (route === undefined || !this.services.calls.hasRoom(route)) return
+      this.queue.shift()
+      this.ask(next, route).catch((error: unknown) => { this.services.stateLog.alarm('call to a scorer failed', { request: next.call.requestId, error: String(error) }) })
+    }
+  }
+
+  private async ask (waiting: WaitingCall, route: Route): Promise<void> {
+    const { call, cancelled } = waiting
+    const { calls, protocol, clock } = this.services
+    const answer = await calls.call({
+      route,
+      requestId: call.requestId,
+      method: 'POST',
+      path: call.path,
+      headers: (options) => protocol.scorerHeaders(call.host, call.requestId, options),
+      body: Uint8Array.from(atob(call.body), (character) => character.charCodeAt(0)),
+      waitMs: route.timeoutMs,
+      background: true,
+      gone: cancelled
+    })
+    if (cancelled.aborted) return
+    if (answer.ok) {
+      const { status, headers } = answer.value.answer
+      const { seal } = protocol.answerHead(status, headers)
+      if (status >= FIRST_SUCCESS && status < AFTER_SUCCESS && seal !== undefined) return waiting.settle({ type: 'scored', score: seal })
+      waiting.failures += Math.max(1, answer.value.failures)
+      if (waiting.failures >= route.attempts) return waiting.settle({ type: 'gave-up' })
+    }
+    clock.after(PAUSE_MS, () => {
+      this.queue.push(waiting)
+      this.startCalls()
+    })
+  }
+}
--- /dev/null
+++ b/src/actors/common/steps/stepHome.ts
@@ -0,0 +1,338 @@
+/**
+ * Runs the steps while this host holds the duty: starts items on engines with free slots, has
+ * finished texts scored, and lists results. Everything that must last is in the steps' topic; a
+ * host that takes the duty over starts from there, and what two hosts finish twice the topic decides.
+ */
+
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
+import { chooseEngine } from '../../../core/common/steps/engineChoice.ts'
+import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
+import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
+import { planOrder } from '../../../core/common/steps/stepPlan.ts'
+import type { SampleResult, StepItem } from '../../../core/common/steps/step.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { DutyKeeper } from '../duties/dutyKeeper.ts'
+import type { NamedVersion } from '../routes/operatorTopic.ts'
+import type { GroupAppender } from '../store/groupAppender.ts'
+import type { StepTopic } from '../store/stepTopic.ts'
+import type { ModelWork } from '../weights/engineOrders.ts'
+import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
+import type { ItemRunServices, RunEnd } from './itemRun.ts'
+import { ItemText, runItem } from './itemRun.ts'
+import type { SampleScorer } from './sampleScorer.ts'
+
+export interface StepHomeServices extends ItemRunServices {
+  readonly topic: StepTopic
+  readonly duty: DutyKeeper
+  readonly board: EngineBoard
+  readonly appender: GroupAppender
+  readonly scorer: SampleScorer
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+  readonly routes: () => RouteTable | undefined
+  readonly version: (model: string) => NamedVersion | undefined
+  /** Model that an engine follows; it is preferred for items of that model. */
+  readonly follows: (engine: string) => string | undefined
+}
+
+export interface StepHomeSettings {
+  readonly firstEventMs: number
+  readonly silenceMs: number
+}
+
+type ItemState = 'waiting' | 'running' | 'scoring' | 'listing'
+
+interface ItemWork {
+  readonly item: StepItem
+  readonly text: ItemText
+  readonly cancel: AbortController
+  state: ItemState
+  /** Answers of engines that said that they failed. */
+  failures: number
+  runs: number
+}
+
+interface StepWork {
+  readonly step: FoldedStep
+  readonly items: Map<string, ItemWork>
+  /** Items that wait, in the order in which they are started. */
+  readonly waiting: ItemWork[]
+}
+
+/** Time between two looks for what no event has started, in milliseconds. */
+const LOOK_MS = 50
+/** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
+const LIST_MS = 60_000
+/** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
+const LEAST_WORK = 1
+
+export class StepHome implements Disposable {
+  private readonly disposables = new DisposableStore()
+  private readonly works = new Map<string, StepWork>()
+  /** Work that the newest step of each model brought. */
+  private readonly workOfModels = new Map<string, number>()
+  private stopping = false
+
+  constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
+    this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
+    this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
+    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
+  }
+
+  /** Items under way. */
+  get underway (): number {
+    let count = 0
+    for (const { items } of this.works.values()) for (const { state } of items.values()) if (state !== 'waiting') count++
+    return count
+  }
+
+  /** Starts no more items. */
+  stopStarting (): void {
+    this.stopping = true
+  }
+
+  /** What models need of the engines. */
+  demands (): ModelWork[] {
+    const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
+    return [...models].flatMap((model) => this.demand(model) ?? [])
+  }
+
+  /** Starts whatever can be started. */
+  schedule (): void {
+    if (!this.services.duty.holds || this.stopping) return
+    const works = [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
+    for (const work of works) this.startItems(work)
+  }
+
+  dispose (): void {
+    this.dropAll()
+    this.disposables.dispose()
+  }
+
+  private demand (model: string): ModelWork | undefined {
+    const named = this.services.version(model)
+    if (named === undefined) return undefined
+    const works = [...this.works.values()].filter(({ step }) => step.submission.model === model)
+    const minimum = works.reduce((most, { step }) => Math.max(most, step.submission.minimumVersion), 0)
+    const single = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
+    return {
+      model,
+      named: named.version,
+      namedAgeMs: this.services.clock.monotonic() - named.learnedAt,
+      minimumVersion: Math.min(minimum, named.version),
+      waiting: works.reduce((sum, { waiting }) => sum + waiting.length, 0),
+      work: this.workOfModels.get(model) ?? LEAST_WORK,
+      mode: single ? 'finish-first' : 'keep-running'
+    }
+  }
+
+  private take (change: StepChange): void {
+    switch (change.type) {
+      case 'accepted':
+        this.workOfModels.set(change.step.submission.model, change.step.submission.items.reduce((sum, { expectedTokens }) => sum + expectedTokens, 0))
+        if (this.services.duty.holds) this.adopt(change.step)
+        return this.schedule()
+      case 'listed': return this.dropItem(change.step.submission.id, change.result.item)
+      case 'ended': return this.dropStep(change.step.submission.id, 'ended')
+      case 'forgotten': return this.dropStep(change.step, 'forgotten')
+      case 'duty': return undefined
+    }
+  }
+
+  private dutyChanged (): void {
+    if (!this.services.duty.holds) return this.dropAll()
+    for (const step of this.services.topic.steps()) this.adopt(step)
+    this.schedule()
+  }
+
+  private adopt (step: FoldedStep): void {
+    const { submission } = step
+    if (step.ended || this.works.has(submission.id)) return
+    const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
+    const open = order.filter(({ id }) => !step.positions.has(id))
+    const waiting = open.map((item): ItemWork => ({ item, text: new ItemText(), cancel: new AbortController(), state: 'waiting', failures: 0, runs: 0 }))
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), waiting }
+    this.works.set(submission.id, work)
+    this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
+    for (const itemWork of [...waiting]) this.useEarlier(work, itemWork)
+  }
+
+  private isCarried (group: string, step: string): boolean {
+    for (const other of this.services.topic.steps()) {
+      if (other.submission.id !== step && other.submission.items.some((item) => item.group === group)) return true
+    }
+    return false
+  }
+
+  /** A text of an earlier step serves if its versions fit; its score too, if the scorer is asked the same. */
+  private useEarlier (work: StepWork, itemWork: ItemWork): void {
+    const { submission } = work.step
+    const earlier = this.services.topic.earlierResult(itemWork.item.id, submission.id, submission.minimumVersion)
+    if (earlier === undefined) return
+    if (this.routeOf(work.step)?.singleVersion === true && earlier.result.versions.length > 1) return
+    removeFrom(work.waiting, itemWork)
+    this.services.metrics.count('steps.reused')
+    if (earlier.item.scorer?.requestId === itemWork.item.scorer?.requestId) this.list(work, itemWork, earlier.result)
+    else this.score(work, itemWork, { ...earlier.result, score: undefined })
+  }
+
+  private routeOf (step: FoldedStep): Route | undefined {
+    return this.services.routes()?.find(step.submission.host, step.submission.path)
+  }
+
+  private startItems (work: StepWork): void {
+    const route = this.routeOf(work.step)
+    if (route === undefined) return
+    for (const itemWork of [...work.waiting]) {
+      const engine = this.chooseFor(work, route, itemWork.item)
+      if (engine === undefined) return
+      removeFrom(work.waiting, itemWork)
+      this.start(work, route, itemWork, engine)
+    }
+  }
+
+  /** Engines that follow the item's model go first: the others are about to be too old for it. */
+  private chooseFor (work: StepWork, route: Route, item: StepItem): EngineCandidate | undefined {
+    const { submission } = work.step
+    const services = route.destinations.filter(({ weight }) => weight > 0).map(({ service }) => service)
+    const candidates = this.services.board.candidates(services, submission.model, item.group)
+    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? submission.model) === submission.model)
+    return chooseEngine(following, submission.minimumVersion) ?? chooseEngine(candidates, submission.minimumVersion)
+  }
+
+  private start (work: StepWork, route: Route, itemWork: ItemWork, candidate: EngineCandidate): void {
+    const { engine } = candidate
+    const { submission } = work.step
+    itemWork.state = 'running'
+    itemWork.runs++
+    engine.running++
+    const began = this.services.clock.monotonic()
+    runItem(this.services, engine, itemWork.item, itemWork.text, {
+      host: submission.host,
+      model: submission.model,
+      minimumVersion: submission.minimumVersion,
+      body: decodeBase64(itemWork.item.body),
+      firstEventMs: this.settings.firstEventMs,
+      silenceMs: this.settings.silenceMs,
+      cancelled: itemWork.cancel.signal
+    }).then((end) => {
+      engine.running--
+      if (!itemWork.cancel.signal.aborted) this.runEnded(work, route, itemWork, candidate, end, this.services.clock.monotonic() - began)
+      this.schedule()
+    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: itemWork.item.id, error: String(error) }) })
+  }
+
+  private runEnded (work: StepWork, route: Route, itemWork: ItemWork, { engine }: EngineCandidate, end: RunEnd, tookMs: number): void {
+    const { submission } = work.step
+    const { item, text } = itemWork
+    this.services.stateLog.decided('run ended', { item: item.id, step: submission.id, engine: engine.id, end: end.type, why: end.type === 'broken' ? end.why : '', events: text.events.length, versions: [...text.versions].join(' '), run: itemWork.runs, tookMs: Math.round(tookMs) })
+    switch (end.type) {
+      case 'complete':
+        engine.target.answered(tookMs)
+        if (route.singleVersion && text.versions.size > 1) return this.again(work, itemWork, true)
+        return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: [...text.versions].sort((a, b) => a - b), score: undefined })
+      case 'refused':
+        engine.refused()
+        return this.again(work, itemWork, false)
+      case 'too-old': return this.again(work, itemWork, false)
+      case 'broken':
+        engine.target.failed()
+        this.services.client.distrust(engine.target.definition.address)
+        return this.again(work, itemWork, route.singleVersion)
+      case 'failed':
+        itemWork.failures++
+        if (itemWork.failures >= route.attempts) return this.list(work, itemWork, lost(item))
+        return this.again(work, itemWork, true)
+      case 'impossible': return this.list(work, itemWork, lost(item))
+    }
+  }
+
+  /** The item waits again, in front of the others: it is later than they are. */
+  private again (work: StepWork, itemWork: ItemWork, fromStart: boolean): void {
+    if (fromStart) itemWork.text.clear()
+    itemWork.state = 'waiting'
+    work.waiting.unshift(itemWork)
+  }
+
+  private score (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
+    const { scorer } = itemWork.item
+    if (scorer === undefined) return this.list(work, itemWork, result)
+    itemWork.state = 'scoring'
+    this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
+      if (itemWork.cancel.signal.aborted) return
+      this.list(work, itemWork, outcome.type === 'scored' ? { ...result, score: outcome.score } : lost(itemWork.item))
+    }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
+  }
+
+  private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
+    const step = work.step.submission.id
+    itemWork.state = 'listing'
+    this.services.appender.append((nonce) => [resultRecord(step, result, nonce)], LIST_MS).then((appended) => {
+      if (appended.ok || itemWork.cancel.signal.aborted) return
+      this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: appended.message })
+      this.list(work, itemWork, result)
+    }).catch((error: unknown) => { this.services.stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
+  }
+
+  private dropItem (step: string, item: string): void {
+    const work = this.works.get(step)
+    const itemWork = work?.items.get(item)
+    if (work === undefined || itemWork === undefined) return
+    itemWork.cancel.abort()
+    work.items.delete(item)
+    removeFrom(work.waiting, itemWork)
+    if (work.items.size > 0) return
+    this.works.delete(step)
+    this.services.stateLog.decided('step whole', { step, number: work.step.submission.number })
+  }
+
+  private dropStep (step: string, why: string): void {
+    const work = this.works.get(step)
+    if (work === undefined) return
+    this.services.stateLog.decided('step dropped', { step, why, open: work.items.size, waiting: work.waiting.length })
+    for (const { cancel } of work.items.values()) cancel.abort()
+    this.works.delete(step)
+    this.schedule()
+  }
+
+  private dropAll (): void {
+    for (const step of [...this.works.keys()]) this.dropStep(step, 'duty lost')
+  }
+
+  /** Gives up what is too old, and starts what became possible without an event. */
+  private look (): void {
+    if (!this.services.duty.holds || this.works.size === 0) return
+    const now = this.services.clock.wall()
+    for (const work of [...this.works.values()]) {
+      const route = this.routeOf(work.step)
+      if (route !== undefined && now - work.step.submittedAt > route.retentionMs) this.giveUp(work)
+    }
+    this.schedule()
+  }
+
+  private giveUp (work: StepWork): void {
+    for (const itemWork of work.items.values()) {
+      if (itemWork.state === 'listing') continue
+      itemWork.cancel.abort()
+      removeFrom(work.waiting, itemWork)
+      this.list(work, itemWork, lost(itemWork.item))
+    }
+  }
+}
+
+function lost (item: StepItem): SampleResult {
+  return { item: item.id, state: 'lost', text: '', versions: [], score: undefined }
+}
+
+function removeFrom<T> (list: T[], value: T): void {
+  const index = list.indexOf(value)
+  if (index >= 0) list.splice(index, 1)
+}
+
+function decodeBase64 (text: string): Uint8Array {
+  return Uint8Array.from(atob(text), (character) => character.charCodeAt(0))
+}
--- /dev/null
+++ b/src/actors/common/store/keyedTail.ts
@@ -0,0 +1,155 @@
+/**
+ * Follows a keyed topic: loads the newest record of every key, then reads on from there with long
+ * polls, and starts over where the topic has forgotten what comes next (after a freeze, or when its
+ * history was dropped). The listener gets every record once, in the topic's order.
+ */
+
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { KeyedEntry, KeyedLog } from '../../../ports/common/keyedLog.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+
+export interface TailListener {
+  /** All newest records, in order; whatever was known before is replaced. */
+  reset (entries: readonly KeyedEntry[]): void
+  /** Records that follow. */
+  apply (entries: readonly KeyedEntry[]): void
+}
+
+export interface TailServices {
+  readonly log: KeyedLog
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+}
+
+export interface TailSettings {
+  readonly name: string
+  /** How long a read may wait for records, in milliseconds: a silent connection is noticed that late. */
+  readonly longPollMs: number
+}
+
+/** Pause after a failed call, in milliseconds: short, since an outage ends at any moment and each try is cheap. */
+const RETRY_MS = 100
+
+export class KeyedTail implements Disposable {
+  private offset: number | undefined
+  private contact = Number.NEGATIVE_INFINITY
+  private lost = false
+  private regained = Number.NEGATIVE_INFINITY
+  private stopped = false
+
+  constructor (private readonly services: TailServices, private readonly settings: TailSettings, private readonly listener: TailListener) {}
+
+  /** Whether all records have been read once. */
+  get loaded (): boolean {
+    return this.offset !== undefined
+  }
+
+  /** Offset of the next record to read. */
+  get position (): number {
+    return this.offset ?? 0
+  }
+
+  /** Monotonic time at which the newest successful call began: all older records are known. */
+  get knownUntil (): number {
+    return this.contact
+  }
+
+  /** Monotonic time at which calls succeeded again after a failed one. */
+  get regainedAt (): number {
+    return this.regained
+  }
+
+  /** Whether the last call failed. */
+  get isLost (): boolean {
+    return this.lost
+  }
+
+  /** Follows the topic until disposed. */
+  start (): void {
+    this.follow().catch((error: unknown) => { this.services.stateLog.alarm('a topic is no longer followed', { topic: this.settings.name, error: String(error) }) })
+  }
+
+  /** Loads what is missing at once; true if all records older than this call are known afterwards. */
+  async catchUp (): Promise<boolean> {
+    const began = this.services.clock.monotonic()
+    if (this.offset === undefined) return false
+    const asked = this.offset
+    const page = await this.services.log.read(asked, 0)
+    if (!page.ok || page.value.type === 'forgotten') return false
+    this.take(page.value.entries, asked)
+    if (this.position < page.value.end) return false
+    this.contact = Math.max(this.contact, began)
+    return true
+  }
+
+  dispose (): void {
+    this.stopped = true
+  }
+
+  private async follow (): Promise<void> {
+    while (!this.stopped) {
+      const began = this.services.clock.monotonic()
+      const answered = this.offset === undefined ? await this.load() : await this.readOn(this.offset)
+      if (this.stopped) return
+      this.note(answered, began)
+      if (!answered) await this.pause()
+    }
+  }
+
+  private async load (): Promise<boolean> {
+    const found: KeyedEntry[] = []
+    let after: string | undefined
+    let end: number | undefined
+    do {
+      const page = await this.services.log.newest(after)
+      if (!page.ok) return false
+      end ??= page.value.end
+      found.push(...page.value.entries)
+      after = page.value.next
+    } while (after !== undefined)
+    const known = end
+    // Pages are not a snapshot: what was written meanwhile is read again from the first page's end.
+    this.listener.reset(found.filter(({ offset }) => offset < known).sort((a, b) => a.offset - b.offset))
+    this.offset = known
+    this.services.stateLog.changed('topic loaded', { topic: this.settings.name, records: found.length, offset: known })
+    return true
+  }
+
+  private async readOn (from: number): Promise<boolean> {
+    const page = await this.services.log.read(from, this.settings.longPollMs)
+    if (!page.ok) return false
+    if (page.value.type === 'forgotten') {
+      this.services.stateLog.changed('topic has forgotten its history', { topic: this.settings.name, offset: from })
+      this.services.metrics.count('store.reloads')
+      this.offset = undefined
+      return true
+    }
+    this.take(page.value.entries, from)
+    return true
+  }
+
+  /** Takes records once, though a read of the loop and one of `catchUp` may bring the same ones. */
+  private take (entries: readonly KeyedEntry[], from: number): void {
+    const current = this.offset
+    if (current === undefined || from + entries.length <= current) return
+    const fresh = entries.slice(current - from)
+    this.offset = from + entries.length
+    this.listener.apply(fresh)
+  }
+
+  private note (answered: boolean, began: number): void {
+    if (answered) this.contact = Math.max(this.contact, began)
+    if (answered !== this.lost) return
+    this.lost = !answered
+    if (answered) this.regained = this.services.clock.monotonic()
+    const details = { topic: this.settings.name, offset: this.position, silentMs: Math.round(this.services.clock.monotonic() - this.contact) }
+    if (answered) this.services.stateLog.changed('store regained', details)
+    else this.services.stateLog.alarm('store lost', details)
+  }
+
+  private async pause (): Promise<void> {
+    await new Promise<void>((resolve) => { this.services.clock.after(RETRY_MS, resolve) })
+  }
+}
--- /dev/null
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -0,0 +1,93 @@
+/**
+ * A keyed topic that a host reaches through another host while the store does not answer it. Stores
+ * turn single hosts away (too busy, too many calls, a cut link) and serve the others; without a way
+ * around, such a host would go on with old knowledge, or its work would be lost to the others.
+ */
+
+import { failure } from '../../../base/common/resultCode.ts'
+import type { Result } from '../../../base/common/resultCode.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { KeyedLog, KeyedPage, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
+import type { Metrics } from '../../../ports/common/observation.ts'
+import type { PeerHandlers, Peers } from '../../../ports/common/peers.ts'
+
+export interface RelayServices {
+  readonly peers: Peers
+  /** Addresses of hosts that may help, the best first. */
+  readonly helpers: () => readonly string[]
+  readonly clock: Clock
+  readonly metrics: Metrics
+}
+
+/** How long the way around is used before the store is tried directly again, in milliseconds. */
+const DETOUR_MS = 700
+/** Hosts that are asked for one call, at most: if two cannot reach the store either, it is away for all. */
+const MOST_HELPERS = 2
+/** Longest wait for a helper's answer, in milliseconds. */
+const HELPER_MS = 900
+/** Longest wait of a relayed read for records, in milliseconds. */
+const RELAYED_POLL_MS = 400
+
+export class RelayedKeyedLog implements KeyedLog {
+  private detourUntil = Number.NEGATIVE_INFINITY
+
+  constructor (private readonly services: RelayServices, private readonly direct: KeyedLog, private readonly topic: string) {}
+
+  async append (records: readonly KeyedRecord[]): Promise<Result<number>> {
+    const straight = await this.straight(async () => await this.direct.append(records))
+    // An append without an answer may be done yet: whoever asked repeats it under other keys.
+    if (straight !== undefined && (straight.ok || straight.code !== 'logUnavailable')) return straight
+    const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.append', { topic: this.topic, records }, HELPER_MS))
+    return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
+  }
+
+  async read (from: number, waitMs: number): Promise<Result<KeyedPage>> {
+    const straight = await this.straight(async () => await this.direct.read(from, waitMs))
+    if (straight?.ok === true) return straight
+    const poll = Math.min(waitMs, RELAYED_POLL_MS)
+    const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.read', { topic: this.topic, from, waitMs: poll }, HELPER_MS + poll))
+    return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
+  }
+
+  async newest (after: string | undefined): Promise<Result<NewestPage>> {
+    const straight = await this.straight(async () => await this.direct.newest(after))
+    if (straight?.ok === true) return straight
+    const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.newest', { topic: this.topic, ...(after === undefined ? {} : { after }) }, HELPER_MS))
+    return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
+  }
+
+  /** Calls the store itself, unless it failed a moment ago. */
+  private async straight<T> (call: () => Promise<Result<T>>): Promise<Result<T> | undefined> {
+    if (this.services.clock.monotonic() < this.detourUntil) return undefined
+    const result = await call()
+    if (!result.ok) this.detourUntil = this.services.clock.monotonic() + DETOUR_MS
+    return result
+  }
+
+  private async ask<T> (call: (address: string) => Promise<Result<Result<T>>>): Promise<Result<T> | undefined> {
+    let last: Result<T> | undefined
+    for (const address of this.services.helpers().slice(0, MOST_HELPERS)) {
+      const answer = await call(address)
+      if (!answer.ok) {
+        // Without a word from the helper, an append may have been done.
+        if (answer.code !== 'targetUnreachable') last = failure('commandUnknown', answer.message)
+        continue
+      }
+      if (answer.value.ok) {
+        this.services.metrics.count('store.relayed')
+        return answer.value
+      }
+      last = answer.value
+      if (last.code !== 'logUnavailable') return last
+    }
+    return last
+  }
+}
+
+/** Answers the calls of other hosts for these topics by the store itself, never through yet another host. */
+export function serveRelays (handlers: PeerHandlers, logs: ReadonlyMap<string, KeyedLog>): void {
+  const unknown = failure('notFound', 'this topic is not relayed')
+  handlers.handle('store.append', async ({ topic, records }) => await logs.get(topic)?.append(records) ?? unknown)
+  handlers.handle('store.read', async ({ topic, from, waitMs }) => await logs.get(topic)?.read(from, waitMs) ?? unknown)
+  handlers.handle('store.newest', async ({ topic, after }) => await logs.get(topic)?.newest(after) ?? unknown)
+}
--- /dev/null
+++ b/src/actors/common/store/stepTopic.ts
@@ -0,0 +1,82 @@
+/** The steps' topic as this host has read it: the fold, its events, and how sure this host is of them. */
+
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { Emitter } from '../../../base/common/lifecycle.ts'
+import type { FoldedDuty, FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
+import { StepFold } from '../../../core/common/steps/stepFold.ts'
+import type { DutySource } from '../duties/dutyKeeper.ts'
+import type { TailServices, TailSettings } from './keyedTail.ts'
+import { KeyedTail } from './keyedTail.ts'
+
+export class StepTopic implements DutySource, Disposable {
+  private readonly fold = new StepFold()
+  private readonly tail: KeyedTail
+  private readonly changes = new Emitter<StepChange>()
+  private readonly dutyChanges = new Emitter<FoldedDuty>()
+  readonly onChange = this.changes.event
+  readonly onDuty = this.dutyChanges.event
+
+  constructor (services: TailServices, settings: TailSettings) {
+    this.tail = new KeyedTail(services, settings, {
+      reset: (entries) => { this.tell(this.fold.reset(entries)) },
+      apply: (entries) => { this.tell(this.fold.apply(entries)) }
+    })
+  }
+
+  get loaded (): boolean {
+    return this.tail.loaded
+  }
+
+  get isLost (): boolean {
+    return this.tail.isLost
+  }
+
+  get regainedAt (): number {
+    return this.tail.regainedAt
+  }
+
+  get position (): number {
+    return this.tail.position
+  }
+
+  start (): void {
+    this.tail.start()
+  }
+
+  async catchUp (): Promise<boolean> {
+    return await this.tail.catchUp()
+  }
+
+  step (id: string): FoldedStep | undefined {
+    return this.fold.step(id)
+  }
+
+  steps (): Iterable<FoldedStep> {
+    return this.fold.steps()
+  }
+
+  duty (name: string): FoldedDuty | undefined {
+    return this.fold.duty(name)
+  }
+
+  outdatedClaims (name: string): string[] {
+    return this.fold.outdatedClaims(name)
+  }
+
+  earlierResult (...parameters: Parameters<StepFold['earlierResult']>): ReturnType<StepFold['earlierResult']> {
+    return this.fold.earlierResult(...parameters)
+  }
+
+  dispose (): void {
+    this.tail.dispose()
+    this.changes.dispose()
+    this.dutyChanges.dispose()
+  }
+
+  private tell (changes: readonly StepChange[]): void {
+    for (const change of changes) {
+      if (change.type === 'duty') this.dutyChanges.fire(change.duty)
+      else this.changes.fire(change)
+    }
+  }
+}
--- /dev/null
+++ b/src/actors/common/weights/engineOrders.ts
@@ -0,0 +1,204 @@
+/**
+ * Moves engines to the versions that trainers name. Only the holder of the duty orders, and only
+ * while it surely is alone; each order names the number of orders that the engine must have accepted
+ * before, so that one that is carried out late, after a newer one, is refused by the engine itself.
+ */
+
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { Result } from '../../../base/common/resultCode.ts'
+import type { Assignment } from '../../../core/common/weights/engineAssignment.ts'
+import { assignEngines } from '../../../core/common/weights/engineAssignment.ts'
+import type { ModelDemand, PlannedLoad } from '../../../core/common/weights/loadPlan.ts'
+import { parallelLoads, planLoads } from '../../../core/common/weights/loadPlan.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { EngineState, OrderVerdict, SwapMode, TargetProtocol } from '../../../ports/common/protocols.ts'
+import type { TargetClient } from '../../../ports/common/targetClient.ts'
+import type { DutyKeeper } from '../duties/dutyKeeper.ts'
+import type { Engine, EngineBoard } from '../steps/engineBoard.ts'
+
+/** A model's demand with the work it brings and how its runs are treated by a load. */
+export interface ModelWork extends ModelDemand {
+  readonly work: number
+  readonly mode: SwapMode
+}
+
+export interface EngineOrderServices {
+  readonly board: EngineBoard
+  readonly duty: DutyKeeper
+  readonly client: TargetClient
+  readonly protocol: TargetProtocol
+  readonly clock: Clock
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+  readonly machine: string
+  /** Models with a named version, and what they need. */
+  readonly demands: () => readonly ModelWork[]
+  /** Called when an engine can take more than before. */
+  readonly onReady: () => void
+}
+
+/** Time between two looks, in milliseconds. */
+const LOOK_MS = 50
+/** Longest wait for an engine's answer to an order or a question, in milliseconds. */
+const ANSWER_MS = 600
+/** Usual time of a load, in milliseconds: no look is worth its price before. */
+const LOAD_MS = 850
+/** Time between looks at an engine that loads, in milliseconds: its reports are some hundred milliseconds old anyway. */
+const REPORT_MS = 120
+/** Longest load that is waited for, in milliseconds: several times the usual one, as loads slow each other. */
+const LONGEST_LOAD_MS = 5000
+/** Pause after an order that an engine refused or left unanswered, in milliseconds. */
+const PAUSE_MS = 300
+
+export class EngineOrders implements Disposable {
+  private readonly disposables = new DisposableStore()
+  private assignment: Assignment = new Map()
+
+  constructor (private readonly services: EngineOrderServices) {
+    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
+  }
+
+  /** Model that an engine follows. */
+  follows (engine: string): string | undefined {
+    return this.assignment.get(engine)
+  }
+
+  dispose (): void {
+    this.disposables.dispose()
+  }
+
+  private look (): void {
+    const { board, duty, demands } = this.services
+    if (!duty.alone) return
+    const wanted = demands()
+    if (wanted.length === 0) return
+    const engines = board.all()
+    this.assign(engines, wanted)
+    const loads = planLoads(engines.map((engine) => {
+      const follows = this.assignment.get(engine.id)
+      return {
+        id: engine.id,
+        follows,
+        version: follows === undefined ? 0 : engine.version(follows),
+        running: engine.running,
+        slots: engine.target.definition.slots,
+        ordering: engine.order !== undefined,
+        suspect: engine.suspect
+      }
+    }), wanted, parallelLoads(engines.length))
+    for (const load of loads) this.begin(load, engines, wanted)
+  }
+
+  private assign (engines: readonly Engine[], wanted: readonly ModelWork[]): void {
+    const next = assignEngines(engines.map(({ id, target }) => ({
+      id,
+      place: target.definition.place,
+      models: target.definition.models.map(({ model }) => model)
+    })), wanted, this.assignment)
+    for (const [engine, model] of next) {
+      if (this.assignment.get(engine) !== model) this.services.stateLog.decided('engine assigned', { engine, model, former: this.assignment.get(engine) ?? '', engines: engines.length })
+    }
+    this.assignment = next
+  }
+
+  private begin (load: PlannedLoad, engines: readonly Engine[], wanted: readonly ModelWork[]): void {
+    const engine = engines.find(({ id }) => id === load.engine)
+    const demand = wanted.find(({ model }) => model === load.model)
+    if (engine === undefined || demand === undefined) return
+    engine.order = { model: load.model, version: load.version, sinceMs: this.services.clock.monotonic() }
+    this.services.stateLog.decided('load begins', { engine: load.engine, model: load.model, version: load.version, former: engine.version(load.model), running: engine.running, waiting: demand.waiting, namedAgeMs: Math.round(demand.namedAgeMs), minimumVersion: demand.minimumVersion })
+    this.load(engine, load, demand.mode)
+      .catch((error: unknown) => { this.services.stateLog.alarm('load failed', { engine: load.engine, error: String(error) }) })
+      .finally(() => {
+        engine.order = undefined
+        this.services.onReady()
+      })
+  }
+
+  private async load (engine: Engine, load: PlannedLoad, mode: SwapMode): Promise<void> {
+    const began = this.services.clock.monotonic()
+    const before = await this.report(engine)
+    if (!before.ok) {
+      engine.target.failed()
+      return
+    }
+    this.learn(engine, before.value)
+    if (engine.version(load.model) >= load.version) return
+    if (before.value.ordering) return await this.await(engine, load, began)
+    if (!this.services.duty.alone) return
+    const verdict = await this.order(engine, load, mode, before.value.sequence)
+    if (verdict === 'in-progress') {
+      await this.pause(LOAD_MS)
+      await this.await(engine, load, began)
+    } else if (verdict === 'holds') {
+      engine.learnVersion(load)
+    } else {
+      this.services.metrics.count('orders.not_taken')
+      this.services.stateLog.decided('order not taken', { engine: load.engine, model: load.model, version: load.version, verdict })
+      await this.pause(PAUSE_MS)
+    }
+  }
+
+  private async order (engine: Engine, load: PlannedLoad, mode: SwapMode, ifSequence: number): Promise<OrderVerdict | 'no-answer'> {
+    const { client, protocol, duty, machine, metrics } = this.services
+    const message = protocol.order({ named: { model: load.model, version: load.version }, mode, holder: machine, term: duty.term, ifSequence })
+    metrics.count('orders.sent')
+    const answer = await client.exchange({
+      address: engine.target.definition.address,
+      method: 'POST',
+      path: message.path,
+      headers: message.headers(engine.id),
+      body: new TextEncoder().encode(message.body),
+      ownConnection: false,
+      signal: AbortSignal.timeout(ANSWER_MS)
+    })
+    return answer.ok ? protocol.orderVerdict(answer.value.status) : 'no-answer'
+  }
+
+  /** Waits until the engine reports the version, or no order any more. */
+  private async await (engine: Engine, load: PlannedLoad, began: number): Promise<void> {
+    const { clock, duty, stateLog } = this.services
+    while (duty.holds && clock.monotonic() - began < LONGEST_LOAD_MS) {
+      const state = await this.report(engine)
+      if (!state.ok && engine.target.suspect) return
+      if (state.ok) {
+        this.learn(engine, state.value)
+        if (engine.version(load.model) >= load.version) {
+          return stateLog.decided('load ended', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
+        }
+      }
+      await this.pause(REPORT_MS)
+    }
+    stateLog.decided('load not seen to end', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
+  }
+
+  private learn (engine: Engine, state: EngineState): void {
+    for (const version of state.models) engine.learnVersion(version)
+  }
+
+  private async report (engine: Engine): Promise<Result<EngineState>> {
+    const { client, protocol, metrics } = this.services
+    metrics.count('orders.reports')
+    const { address, id } = engine.target.definition
+    const answer = await client.exchange({
+      address,
+      method: 'GET',
+      path: protocol.reportPath,
+      headers: protocol.reportHeaders(id),
+      body: undefined,
+      ownConnection: false,
+      signal: AbortSignal.timeout(ANSWER_MS)
+    })
+    if (!answer.ok) {
+      engine.target.failed()
+      return answer
+    }
+    return protocol.report(answer.value.status, new TextDecoder().decode(answer.value.body))
+  }
+
+  private async pause (milliseconds: number): Promise<void> {
+    await new Promise<void>((resolve) => { this.services.clock.after(milliseconds, resolve) })
+  }
+}
--- /dev/null
+++ b/src/adapters/node/httpTargetClient.ts
@@ -0,0 +1,67 @@
+/** Requests to targets over undici: kept connections, or one of its own for what must not run twice. */
+
+import { Client } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { Result } from '../../base/common/resultCode.ts'
+import { failure, success } from '../../base/common/resultCode.ts'
+import type { TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
+import type { Connections } from './connections.ts'
+import { neverSent } from './connections.ts'
+
+export interface TargetClientSettings {
+  /** Longest time for a connection to open, in milliseconds. */
+  readonly connectTimeoutMs: number
+  /** Bytes of a whole answer, at most. */
+  readonly maximumAnswerBytes: number
+}
+
+export class HttpTargetClient implements TargetClient {
+  constructor (private readonly connections: Connections, private readonly settings: TargetClientSettings) {}
+
+  async exchange (request: TargetRequest): Promise<Result<TargetAnswer>> {
+    const dispatcher = this.dispatcher(request)
+    try {
+      const answer = await this.send(dispatcher, request)
+      const body = await answer.body.bytes()
+      return success({ status: answer.statusCode, headers: answer.headers, body })
+    } catch (error) {
+      return failed(error)
+    } finally {
+      if (request.ownConnection) (dispatcher as Client).close().catch(() => undefined)
+    }
+  }
+
+  async open (request: TargetRequest): Promise<Result<TargetStream>> {
+    const dispatcher = this.dispatcher(request)
+    const end = new AbortController()
+    try {
+      const answer = await this.send(dispatcher, { ...request, signal: AbortSignal.any([request.signal, end.signal]) })
+      // A cancelled body reports its end as an error; whoever cancelled it knows.
+      answer.body.on('error', () => undefined)
+      return success({ status: answer.statusCode, headers: answer.headers, pieces: answer.body, cancel: () => { end.abort() } })
+    } catch (error) {
+      return failed(error)
+    } finally {
+      if (request.ownConnection) (dispatcher as Client).close().catch(() => undefined)
+    }
+  }
+
+  distrust (address: string): void {
+    const origin = `http://${address}`
+    this.connections.suspect(origin, this.connections.to(origin))
+  }
+
+  private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
+    const origin = `http://${address}`
+    if (!ownConnection) return this.connections.to(origin)
+    return new Client(origin, { connect: { timeout: this.settings.connectTimeoutMs }, maxResponseSize: this.settings.maximumAnswerBytes })
+  }
+
+  private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest): Promise<Dispatcher.ResponseData> {
+    return await dispatcher.request({ method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body ?? null, signal })
+  }
+}
+
+function failed (error: unknown): Result<never> {
+  return neverSent(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
+}
--- /dev/null
+++ b/src/core/common/routes/target.ts
@@ -0,0 +1,28 @@
+/** A target as it registered itself, and what it tells of its load. */
+
+/** A version of a model's weights. */
+export interface ModelVersion {
+  readonly model: string
+  readonly version: number
+}
+
+export interface TargetDefinition {
+  /** Id of one life of the target. */
+  readonly id: string
+  readonly service: string
+  /** `IP:PORT`; after the target's end another one may get it. */
+  readonly address: string
+  readonly place: string
+  readonly slots: number
+  readonly draining: boolean
+  /** How much longer the target stays slow after its start, in milliseconds. */
+  readonly coldMs: number
+  readonly models: readonly ModelVersion[]
+}
+
+/** Load in a target's own words, at the time of an answer. */
+export interface LoadReport {
+  readonly running: number
+  readonly waiting: number
+  readonly slots: number
+}
--- /dev/null
+++ b/src/core/common/steps/stepFold.ts
@@ -0,0 +1,181 @@
+/**
+ * The fold of the steps' topic: which steps are accepted, what stands at which position of their
+ * results, which are ended, and who holds a duty. Every host that has read as far holds the same; a
+ * race of two hosts (the same submission at both, the same item finished twice, two claims of a
+ * duty) is decided by the order of the topic alone.
+ */
+
+import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
+import type { SampleResult, StepItem, StepSubmission } from './step.ts'
+import type { DutyClaim, StepRecord } from './stepRecords.ts'
+import { readRecord, readSubmission } from './stepRecords.ts'
+
+export interface FoldedStep {
+  readonly submission: StepSubmission
+  /** Author's wall clock when the step came, in milliseconds since the epoch. */
+  readonly submittedAt: number
+  readonly items: ReadonlyMap<string, StepItem>
+  readonly results: readonly SampleResult[]
+  /** Position of each listed item. */
+  readonly positions: ReadonlyMap<string, number>
+  readonly ended: boolean
+}
+
+interface MutableStep extends FoldedStep {
+  readonly results: SampleResult[]
+  readonly positions: Map<string, number>
+  ended: boolean
+}
+
+export interface FoldedDuty extends DutyClaim {
+  /** Renewals and claims read so far: a holder that lives lets it rise. */
+  readonly signs: number
+  /** Count that the holder gave its newest renewal. */
+  readonly renewed: number
+  readonly released: boolean
+}
+
+export type StepChange =
+  | { readonly type: 'accepted', readonly step: FoldedStep }
+  | { readonly type: 'listed', readonly step: FoldedStep, readonly result: SampleResult }
+  | { readonly type: 'ended', readonly step: FoldedStep }
+  | { readonly type: 'duty', readonly duty: FoldedDuty }
+  | { readonly type: 'forgotten', readonly step: string }
+
+export class StepFold {
+  private readonly parts = new Map<string, string[]>()
+  private readonly folded = new Map<string, MutableStep>()
+  /** Results and ends read before their step: after a restart records come in the order of their newest writing. */
+  private readonly early = new Map<string, StepRecord[]>()
+  private readonly dutyStates = new Map<string, FoldedDuty>()
+  private readonly claimKeys = new Map<string, { readonly key: string, readonly term: number }[]>()
+
+  /** Starts over with all newest records, in their order. */
+  reset (entries: readonly KeyedEntry[]): StepChange[] {
+    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys]) map.clear()
+    return this.apply(entries)
+  }
+
+  /** Folds records in their order and tells what changed. */
+  apply (entries: readonly KeyedEntry[]): StepChange[] {
+    return entries.flatMap((entry) => this.fold(readRecord(entry)))
+  }
+
+  step (id: string): FoldedStep | undefined {
+    return this.folded.get(id)
+  }
+
+  steps (): Iterable<FoldedStep> {
+    return this.folded.values()
+  }
+
+  duty (name: string): FoldedDuty | undefined {
+    return this.dutyStates.get(name)
+  }
+
+  /** Keys of claims of terms before the present one: nobody needs them any more. */
+  outdatedClaims (name: string): string[] {
+    const term = this.dutyStates.get(name)?.term ?? 0
+    return (this.claimKeys.get(name) ?? []).filter((claim) => claim.term < term).map(({ key }) => key)
+  }
+
+  /** A complete result of the item in another step, if all its versions may be used. */
+  earlierResult (item: string, exceptStep: string, minimumVersion: number): { readonly result: SampleResult, readonly item: StepItem } | undefined {
+    for (const step of this.folded.values()) {
+      if (step.submission.id === exceptStep) continue
+      const position = step.positions.get(item)
+      const result = position === undefined ? undefined : step.results[position]
+      const source = step.items.get(item)
+      if (result?.state === 'complete' && source !== undefined && result.versions.every((version) => version >= minimumVersion)) return { result, item: source }
+    }
+    return undefined
+  }
+
+  private fold (record: StepRecord): StepChange[] {
+    switch (record.kind) {
+      case 'part': return this.foldPart(record)
+      case 'result': return this.foldResult(record)
+      case 'end': return this.foldEnd(record)
+      case 'claim': return this.foldClaim(record)
+      case 'renewal': return this.foldRenewal(record)
+      case 'release': return this.foldRelease(record.claim)
+      case 'forgotten-step': return this.forget(record.step)
+      case 'none': return []
+    }
+  }
+
+  private foldPart ({ step: id, index, count, text }: Extract<StepRecord, { kind: 'part' }>): StepChange[] {
+    if (this.folded.has(id)) return []
+    const parts = this.parts.get(id) ?? []
+    parts[index] = text
+    this.parts.set(id, parts)
+    if (Array.from({ length: count }, (_, place) => parts[place]).includes(undefined)) return []
+    this.parts.delete(id)
+    const submitted = readSubmission(parts)
+    if (submitted === undefined) return []
+    const step: MutableStep = {
+      submission: submitted.submission,
+      submittedAt: submitted.at,
+      items: new Map(submitted.submission.items.map((item) => [item.id, item])),
+      results: [],
+      positions: new Map(),
+      ended: false
+    }
+    this.folded.set(id, step)
+    const early = this.early.get(id) ?? []
+    this.early.delete(id)
+    return [{ type: 'accepted', step }, ...early.flatMap((record) => this.fold(record))]
+  }
+
+  private foldResult (record: Extract<StepRecord, { kind: 'result' }>): StepChange[] {
+    const step = this.folded.get(record.step)
+    if (step === undefined) return this.keepEarly(record.step, record)
+    const { result } = record
+    if (!step.items.has(result.item) || step.positions.has(result.item)) return []
+    step.positions.set(result.item, step.results.length)
+    step.results.push(result)
+    return [{ type: 'listed', step, result }]
+  }
+
+  private foldEnd (record: Extract<StepRecord, { kind: 'end' }>): StepChange[] {
+    const step = this.folded.get(record.step)
+    if (step === undefined) return this.keepEarly(record.step, record)
+    if (step.ended) return []
+    step.ended = true
+    return [{ type: 'ended', step }]
+  }
+
+  private keepEarly (step: string, record: StepRecord): StepChange[] {
+    this.early.set(step, [...(this.early.get(step) ?? []), record])
+    return []
+  }
+
+  private foldClaim ({ claim, key }: Extract<StepRecord, { kind: 'claim' }>): StepChange[] {
+    this.claimKeys.set(claim.duty, [...(this.claimKeys.get(claim.duty) ?? []), { key, term: claim.term }])
+    const current = this.dutyStates.get(claim.duty)
+    if (current !== undefined && claim.term !== current.term + 1) return []
+    return this.setDuty({ ...claim, signs: (current?.signs ?? 0) + 1, renewed: 0, released: false })
+  }
+
+  private foldRenewal ({ claim, count }: Extract<StepRecord, { kind: 'renewal' }>): StepChange[] {
+    const current = this.dutyStates.get(claim.duty)
+    if (current === undefined || current.term !== claim.term || current.holder !== claim.holder) return []
+    return this.setDuty({ ...current, signs: current.signs + 1, renewed: count })
+  }
+
+  private foldRelease (claim: DutyClaim): StepChange[] {
+    const current = this.dutyStates.get(claim.duty)
+    if (current === undefined || current.term !== claim.term || current.holder !== claim.holder) return []
+    return this.setDuty({ ...current, released: true })
+  }
+
+  private setDuty (duty: FoldedDuty): StepChange[] {
+    this.dutyStates.set(duty.duty, duty)
+    return [{ type: 'duty', duty }]
+  }
+
+  private forget (id: string): StepChange[] {
+    this.parts.delete(id)
+    return this.folded.delete(id) ? [{ type: 'forgotten', step: id }] : []
+  }
+}
--- /dev/null
+++ b/src/core/common/steps/stepRecords.ts
@@ -0,0 +1,124 @@
+/**
+ * Records of steps in a keyed topic, which keeps the newest record of every key for good. A record
+ * whose place in the order matters has a key of its own (with a nonce): written twice under one key,
+ * the second would replace the first, and the order after a restart would not be the one before.
+ */
+
+import { z } from 'zod'
+import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
+import type { SampleResult, StepSubmission } from './step.ts'
+
+/** Characters of one part of a submission: with four bytes a character it stays under 256 KiB, the least size of a record. */
+const PART_CHARACTERS = 60_000
+
+export interface DutyClaim {
+  readonly duty: string
+  readonly holder: string
+  /** Rises by one with each holder; the fencing number of its orders. */
+  readonly term: number
+}
+
+export type StepRecord =
+  | { readonly kind: 'part', readonly step: string, readonly index: number, readonly count: number, readonly text: string }
+  | { readonly kind: 'result', readonly step: string, readonly result: SampleResult }
+  | { readonly kind: 'end', readonly step: string }
+  | { readonly kind: 'claim', readonly claim: DutyClaim, readonly key: string }
+  | { readonly kind: 'renewal', readonly claim: DutyClaim, readonly count: number }
+  | { readonly kind: 'release', readonly claim: DutyClaim }
+  | { readonly kind: 'forgotten-step', readonly step: string }
+  | { readonly kind: 'none' }
+
+/** A submission with the wall-clock time at which it came. */
+export interface SubmittedStep {
+  readonly submission: StepSubmission
+  readonly at: number
+}
+
+const resultSchema = z.object({
+  item: z.string(),
+  state: z.enum(['complete', 'lost']),
+  text: z.string(),
+  versions: z.array(z.number()),
+  score: z.string().optional()
+})
+const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number() })
+const renewalSchema = claimSchema.extend({ count: z.number() })
+
+const encode = encodeURIComponent
+const decode = decodeURIComponent
+
+/** Records of a submission; they must be appended in one piece. */
+export function submissionRecords (submitted: SubmittedStep): KeyedRecord[] {
+  const text = JSON.stringify(submitted)
+  const count = Math.max(1, Math.ceil(text.length / PART_CHARACTERS))
+  return Array.from({ length: count }, (_, index) => ({
+    key: `step/${encode(submitted.submission.id)}/${index}`,
+    value: `${index}/${count}:${text.slice(index * PART_CHARACTERS, (index + 1) * PART_CHARACTERS)}`
+  }))
+}
+
+/** Reads a submission from its parts; `undefined` where it is not one. */
+export function readSubmission (parts: readonly string[]): SubmittedStep | undefined {
+  try {
+    return JSON.parse(parts.join('')) as SubmittedStep
+  } catch {
+    return undefined
+  }
+}
+
+export function resultRecord (step: string, result: SampleResult, nonce: string): KeyedRecord {
+  return { key: `result/${encode(step)}/${encode(result.item)}/${nonce}`, value: JSON.stringify(result) }
+}
+
+export function endRecord (step: string): KeyedRecord {
+  return { key: `end/${encode(step)}`, value: '{}' }
+}
+
+export function claimRecord (claim: DutyClaim, nonce: string): KeyedRecord {
+  return { key: `claim/${encode(claim.duty)}/${claim.term}/${nonce}`, value: JSON.stringify(claim) }
+}
+
+export function renewalRecord (claim: DutyClaim, count: number): KeyedRecord {
+  return { key: `renewal/${encode(claim.duty)}`, value: JSON.stringify({ ...claim, count }) }
+}
+
+export function releaseRecord (claim: DutyClaim): KeyedRecord {
+  return { key: `release/${encode(claim.duty)}/${claim.term}`, value: JSON.stringify(claim) }
+}
+
+/** Removes a key. */
+export function dropRecord (key: string): KeyedRecord {
+  return { key, value: undefined }
+}
+
+/** Reads a record; what is not known or cannot be read is `none` everywhere alike. */
+export function readRecord (entry: KeyedEntry): StepRecord {
+  const [kind = '', first = '', second = ''] = entry.key.split('/')
+  if (entry.value === undefined) return kind === 'step' ? { kind: 'forgotten-step', step: decode(first) } : { kind: 'none' }
+  switch (kind) {
+    case 'step': return readPart(decode(first), entry.value)
+    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score } }))
+    case 'end': return { kind, step: decode(first) }
+    case 'claim': return read(claimSchema, entry.value, (claim) => ({ kind, claim, key: entry.key }))
+    case 'renewal': return read(renewalSchema, entry.value, ({ count, ...claim }) => ({ kind, claim, count }))
+    case 'release': return second === '' ? { kind: 'none' } : read(claimSchema, entry.value, (claim) => ({ kind, claim }))
+    default: return { kind: 'none' }
+  }
+}
+
+function readPart (step: string, value: string): StepRecord {
+  const head = /^(\d+)\/(\d+):/.exec(value)
+  if (head === null) return { kind: 'none' }
+  return { kind: 'part', step, index: Number(head[1]), count: Number(head[2]), text: value.slice(head[0].length) }
+}
+
+function read<Schema extends z.ZodType> (schema: Schema, value: string, make: (parsed: z.infer<Schema>) => StepRecord): StepRecord {
+  let parsed: unknown
+  try {
+    parsed = JSON.parse(value)
+  } catch {
+    return { kind: 'none' }
+  }
+  const checked = schema.safeParse(parsed)
+  return checked.success ? make(checked.data) : { kind: 'none' }
+}
--- /dev/null
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -0,0 +1,47 @@
+/** Requests that a target answers: whole answers, and streams that are passed on as they come. */
+
+import type { RouteCalls } from '../../../actors/common/routes/routeCalls.ts'
+import type { StreamCalls } from '../../../actors/common/routes/streamCalls.ts'
+import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { FrontRequest, TargetProtocol } from '../../../ports/common/protocols.ts'
+import type { FrontExchange } from './frontExchange.ts'
+
+export interface ForwardServices {
+  readonly calls: RouteCalls
+  readonly streams: StreamCalls
+  readonly protocol: TargetProtocol
+}
+
+export class ForwardRoutes {
+  constructor (private readonly services: ForwardServices) {}
+
+  async serve (exchange: FrontExchange, read: Extract<FrontRequest, { type: 'routed' }>, route: Route, body: Uint8Array): Promise<void> {
+    const { calls, streams, protocol } = this.services
+    const call = {
+      route,
+      requestId: read.requestId,
+      method: exchange.method,
+      path: exchange.request.url ?? '/',
+      headers: (options: Parameters<TargetProtocol['forwardHeaders']>[1]) => protocol.forwardHeaders(exchange.request.rawHeaders, options),
+      body: exchange.hasBody ? body : undefined,
+      waitMs: read.deadlineMs ?? route.timeoutMs,
+      background: false,
+      gone: exchange.gone
+    }
+    if (route.kind === 'streaming') {
+      const failed = await streams.call({ ...call, resumeAfter: read.resumeAfter }, {
+        head: (status, headers) => { exchange.response.writeHead(status, protocol.answerHeaders(headers)) },
+        write: (piece) => { exchange.response.write(piece) },
+        end: () => { exchange.response.end() },
+        // An answer that is cut off must not look complete, so its connection is reset.
+        cut: () => { exchange.response.destroy() }
+      })
+      if (failed !== undefined) exchange.fail(failed)
+      return
+    }
+    const answered = await calls.call(call)
+    if (!answered.ok) return exchange.fail(answered)
+    const { status, headers, body: answerBody } = answered.value.answer
+    exchange.send(status, protocol.answerHeaders(headers), answerBody)
+  }
+}
--- /dev/null
+++ b/src/entry/node/front/frontServer.ts
@@ -0,0 +1,162 @@
+/**
+ * The server at the callers' address: finds what a request is, and has it answered. A host that
+ * knows no configuration yet, or is about to exit, says so; a route that it does not know it looks
+ * up in the store once more before it says that there is none.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { failure, failureBody } from '../../../base/common/resultCode.ts'
+import type { CallerLimits, Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
+import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
+import { FrontExchange } from './frontExchange.ts'
+import type { ForwardRoutes } from './forwardRoutes.ts'
+import type { StepRoutes } from './stepRoutes.ts'
+
+export interface FrontServerServices {
+  readonly protocol: FrontProtocol
+  readonly operator: OperatorTopic
+  readonly forward: ForwardRoutes
+  readonly steps: StepRoutes
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+}
+
+export interface FrontServerSettings {
+  readonly listen: string
+  readonly maximumConnections: number
+  /** Bytes of a head that the server takes at most; the configuration may allow less. */
+  readonly headBytes: number
+  /** Whether the host is about to exit: connections are not kept then. */
+  readonly isLeaving: () => boolean
+}
+
+/** Limits until a configuration says otherwise; those of Node's own defaults, but a shorter head timeout. */
+const FIRST_LIMITS: CallerLimits = { headerBytes: 16_384, bodyBytes: 33_554_432, headerTimeoutMs: 3000, idleTimeoutMs: 15_000 }
+/** Longest time for a whole request to arrive, in milliseconds. */
+const REQUEST_TIMEOUT_MS = 30_000
+/** Time between two checks of connections for their timeouts, in milliseconds. */
+const CHECK_MS = 1000
+/** A kept connection is closed this much later than callers stop to use it, in milliseconds: a request must not cross the close. */
+const IDLE_SLACK_MS = 1000
+
+export class FrontServer implements Disposable {
+  private readonly server: Server
+  private inFlight = 0
+
+  constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
+    this.server = createServer({
+      headersTimeout: FIRST_LIMITS.headerTimeoutMs,
+      requestTimeout: REQUEST_TIMEOUT_MS,
+      connectionsCheckingInterval: CHECK_MS,
+      keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs + IDLE_SLACK_MS,
+      maxHeaderSize: settings.headBytes
+    }, (request, response) => { this.receive(request, response) })
+    this.server.maxConnections = settings.maximumConnections
+    this.server.on('clientError', (error, socket) => { this.rejectBroken(error, socket as Socket) })
+    services.operator.onChange(() => { this.takeLimits() })
+  }
+
+  /** Requests in flight. */
+  get requests (): number {
+    return this.inFlight
+  }
+
+  async listen (): Promise<void> {
+    await listenAt(this.server, this.settings.listen)
+  }
+
+  /** Closes connections on which nothing is in flight, and takes no more. */
+  closeIdle (): void {
+    this.server.close()
+    this.server.closeIdleConnections()
+  }
+
+  dispose (): void {
+    this.server.close()
+    this.server.closeAllConnections()
+  }
+
+  private get limits (): CallerLimits {
+    return this.services.operator.routes?.configuration.limits ?? FIRST_LIMITS
+  }
+
+  private takeLimits (): void {
+    this.server.keepAliveTimeout = this.limits.idleTimeoutMs + IDLE_SLACK_MS
+    this.server.headersTimeout = this.limits.headerTimeoutMs
+  }
+
+  private receive (request: IncomingMessage, response: ServerResponse): void {
+    const exchange = new FrontExchange(request, response, this.services.protocol)
+    if (this.settings.isLeaving()) response.shouldKeepAlive = false
+    this.inFlight++
+    response.once('close', () => { this.inFlight-- })
+    this.serve(exchange).catch((error: unknown) => {
+      this.services.stateLog.alarm('request failed', { path: exchange.path, error: String((error as Error).stack ?? error) })
+      exchange.fail(failure('unknownOutcome', 'the host failed'))
+    })
+  }
+
+  private async serve (exchange: FrontExchange): Promise<void> {
+    if (headBytes(exchange.request) > this.limits.headerBytes) return exchange.fail(failure('headTooLarge', `the head of a request may have ${this.limits.headerBytes} bytes`))
+    const read = this.services.protocol.request(exchange.method, exchange.path, exchange.query, exchange.headers)
+    if (!read.ok) return exchange.fail(read)
+    if (this.services.operator.routes === undefined) return exchange.fail(failure('stale', 'this host knows no configuration yet'))
+    if (read.value.type === 'routed') return await this.serveRouted(exchange, read.value)
+    await this.services.steps.serve(exchange, read.value)
+  }
+
+  private async serveRouted (exchange: FrontExchange, read: Extract<FrontRequest, { type: 'routed' }>): Promise<void> {
+    const route = await this.findRoute(exchange)
+    if (route === 'unknown') return exchange.fail(failure('stale', 'this host may be behind the configuration'))
+    if (route === undefined) return exchange.fail(failure('notFound', `no route for host ${exchange.host} and path ${exchange.path}`))
+    const body = await exchange.body(this.limits.bodyBytes)
+    if (!body.ok) return exchange.fail(body)
+    if (route.kind === 'steps') return await this.services.steps.submit(exchange, read, route, body.value)
+    await this.services.forward.serve(exchange, read, route, body.value)
+  }
+
+  /** The route of a request; a missing one may be newer than what this host has read. */
+  private async findRoute (exchange: FrontExchange): Promise<Route | 'unknown' | undefined> {
+    const { operator } = this.services
+    const route = operator.routes?.find(exchange.host, exchange.path)
+    if (route !== undefined) return route
+    if (!await operator.catchUp()) return 'unknown'
+    return operator.routes?.find(exchange.host, exchange.path)
+  }
+
+  private rejectBroken (error: Error & { code?: string }, socket: Socket): void {
+    this.services.metrics.count('front.broken_requests')
+    if (!socket.writable || error.code === 'ECONNRESET') {
+      socket.destroy()
+      return
+    }
+    const failed = error.code === 'HPE_HEADER_OVERFLOW'
+      ? failure('headTooLarge', 'the head of the request is too large')
+      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? failure('tooSlow', 'the request did not arrive in time') : failure('malformed', 'the request is not HTTP/1.1')
+    const status = failed.code === 'headTooLarge' ? '431 Request Header Fields Too Large' : failed.code === 'tooSlow' ? '408 Request Timeout' : '400 Bad Request'
+    const body = JSON.stringify(failureBody(failed))
+    socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+  }
+}
+
+/** Listens at `IP:PORT`. */
+export async function listenAt (server: Server, address: string): Promise<void> {
+  const colon = address.lastIndexOf(':')
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject)
+    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
+      server.removeListener('error', reject)
+      resolve()
+    })
+  })
+}
+
+/** Bytes of names and values, with what stands around them. */
+function headBytes ({ rawHeaders, url = '' }: IncomingMessage): number {
+  return rawHeaders.reduce((sum, text) => sum + text.length + 2, url.length)
+}
--- a/src/entry/node/routes/hostRoutes.ts
+++ b/src/entry/node/routes/hostRoutes.ts
@@ -1,11 +1,9 @@
-/** Addresses for callers, statements of operators, calls of peers, and what the host tells of itself. */
+/** Addresses for callers, statements of operators, and what the host tells of itself. */
 
 import { z } from 'zod'
 import type { FoldView } from '../../../actors/common/log/controlLog.ts'
 import type { MembershipView } from '../../../actors/common/membership/membership.ts'
 import type { OperatorDesk } from '../../../actors/common/operators/operatorDesk.ts'
-import type { JsonRpcHandlers } from '../../../adapters/node/jsonRpcPeers.ts'
-import { PEER_PATH } from '../../../adapters/node/jsonRpcPeers.ts'
 import type { StatsdMetrics } from '../../../adapters/node/statsdMetrics.ts'
 import type { Exchange } from '../exchange.ts'
 import type { Router } from '../router.ts'
@@ -18,14 +16,10 @@
 
 /** Smallest weight of a host that is full: callers must still be able to find it. */
 const LEAST_WEIGHT = 0.05
-/** Bytes of a peer's call at most: it may carry the samples that the log does not take. */
-const PEER_BODY_BYTES = 64 * 1024 * 1024
-
 export interface HostRouteServices {
   readonly fold: FoldView
   readonly membership: MembershipView
   readonly desk: OperatorDesk
-  readonly peers: JsonRpcHandlers
   readonly metrics: StatsdMetrics
 }
 
@@ -37,7 +31,6 @@
     router.register({ method: 'GET', path: '/v1/health', access: 'anyone', handle: async (exchange) => { this.health(exchange) } })
     router.register({ method: 'GET', path: '/v1/metrics', access: 'operator', internal: true, handle: async (exchange) => { exchange.sendJson(200, this.services.metrics.values()) } })
     router.register({ method: 'POST', path: '/v1/command', access: 'operator', handle: async (exchange) => { await this.command(exchange) } })
-    router.register({ method: 'POST', path: PEER_PATH, access: 'peer', internal: true, handle: async (exchange) => { await this.peer(exchange) } })
   }
 
   /** Live hosts, this caller's place first; a host that leaves is no longer named. */
@@ -73,10 +66,4 @@
     if (answer.ok) exchange.sendJson(200, answer.value)
     else exchange.sendFailure(answer)
   }
-
-  private async peer (exchange: Exchange): Promise<void> {
-    const body = await exchange.text(PEER_BODY_BYTES)
-    if (!body.ok) return exchange.sendFailure(body)
-    exchange.send(200, 'application/json', await this.services.peers.receive(body.value))
-  }
 }
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -43,6 +43,7 @@
 import { Router } from '../../entry/node/router.ts'
 import { CompletionRoutes } from '../../entry/node/routes/completionRoutes.ts'
 import { HostRoutes } from '../../entry/node/routes/hostRoutes.ts'
+import { PeerRoutes } from '../../entry/node/routes/peerRoutes.ts'
 import { ServiceRoutes } from '../../entry/node/routes/serviceRoutes.ts'
 import { TrainerRoutes } from '../../entry/node/routes/trainerRoutes.ts'
 import type { Settings } from '../../settings/common/settings.ts'
@@ -146,7 +147,8 @@
   new CompletionRoutes({ ...base, completions, fold, registry }, limits.heartbeat).register(router)
   new ServiceRoutes({ ...base, calls: serviceCalls, fold, registry }).register(router)
   new TrainerRoutes({ desk: trainerDesk, fold, metrics }, settings.rollouts.pull_wait).register(router)
-  new HostRoutes({ fold, membership, desk: operatorDesk, peers: handlers, metrics }, limits.valid_for).register(router)
+  new HostRoutes({ fold, membership, desk: operatorDesk, metrics }, limits.valid_for).register(router)
+  new PeerRoutes(handlers).register(router)
   const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), metrics, stateLog }, {
     listen: settings.host.listen,
     maximumConnections: limits.connections,
--- /dev/null
+++ b/src/host/node/routedHost.ts
@@ -0,0 +1,208 @@
+/**
+ * The composition of a host that serves routes and steps over a store of keyed topics: follows what
+ * operators, trainers and targets write there, answers callers, and runs the steps while it holds
+ * their duty.
+ */
+
+import { start } from 'nact'
+import { randomUUID } from 'node:crypto'
+import { frontProtocol, registryProtocol, storeProtocol, targetProtocol } from '../../../platform/index.ts'
+import { DutyKeeper } from '../../actors/common/duties/dutyKeeper.ts'
+import { Membership } from '../../actors/common/membership/membership.ts'
+import { OperatorTopic } from '../../actors/common/routes/operatorTopic.ts'
+import { RouteCalls } from '../../actors/common/routes/routeCalls.ts'
+import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
+import { TargetTable } from '../../actors/common/routes/targetTable.ts'
+import { TargetTopic } from '../../actors/common/routes/targetTopic.ts'
+import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
+import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
+import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
+import { StepHome } from '../../actors/common/steps/stepHome.ts'
+import { GroupAppender } from '../../actors/common/store/groupAppender.ts'
+import { RelayedKeyedLog, serveRelays } from '../../actors/common/store/relayedKeyedLog.ts'
+import { StepTopic } from '../../actors/common/store/stepTopic.ts'
+import { EngineOrders } from '../../actors/common/weights/engineOrders.ts'
+import { Connections } from '../../adapters/node/connections.ts'
+import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
+import { JsonRpcHandlers, JsonRpcPeers } from '../../adapters/node/jsonRpcPeers.ts'
+import { KeyedLogClient } from '../../adapters/node/keyedLogClient.ts'
+import { NodeChance, NodeClock } from '../../adapters/node/nodeClock.ts'
+import { StatsdMetrics } from '../../adapters/node/statsdMetrics.ts'
+import { StructuredLog } from '../../adapters/node/structuredLog.ts'
+import { createHash } from '../../adapters/node/xxHash.ts'
+import { asHostId, asPlace } from '../../base/common/ids.ts'
+import { DisposableStore } from '../../base/common/lifecycle.ts'
+import { Identities } from '../../entry/common/identity.ts'
+import { EntryServer } from '../../entry/node/entryServer.ts'
+import { DirectoryServer } from '../../entry/node/front/directoryServer.ts'
+import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
+import { FrontServer } from '../../entry/node/front/frontServer.ts'
+import { StepRoutes } from '../../entry/node/front/stepRoutes.ts'
+import { PeerRoutes } from '../../entry/node/routes/peerRoutes.ts'
+import { Router } from '../../entry/node/router.ts'
+import type { KeyedLog } from '../../ports/common/keyedLog.ts'
+import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
+
+export interface RoutedHost {
+  /** Stops gracefully. */
+  stop (): Promise<void>
+}
+
+const PEER_CONNECTIONS = 16
+const PEER_SILENCE_MS = 5000
+const PEER_REQUESTS = 256
+/** Connections to the store: three long polls and some appends at once. */
+const STORE_CONNECTIONS = 16
+/** Silence of a target after which undici ends a connection: the callers' own limits are shorter. */
+const TARGET_SILENCE_MS = 30_000
+/** Hosts with less than one core wait this much longer before they claim the duty, in milliseconds: a third of a core runs out of time under a step. */
+const SMALL_HOST_DELAY_MS = 600
+const STEPS_DUTY = 'steps'
+const LOOK_MS = 50
+
+/** Starts a host; resolves once it listens. */
+export async function startRoutedHost (settings: RoutedSettings): Promise<RoutedHost> {
+  const disposables = new DisposableStore()
+  const system = start()
+  const clock = new NodeClock()
+  const chance = new NodeChance()
+  const hash = await createHash()
+  const { limits, store, listen } = settings
+  const machine = settings.host.name
+  const place = settings.host.place
+  const host = asHostId(`${machine}/${randomUUID().slice(0, 8)}`)
+  const metrics = disposables.add(new StatsdMetrics(undefined, host))
+  const stateLog = new StructuredLog(host, settings.host.log_level)
+  const base = { system, clock, chance, hash, metrics, stateLog }
+  stateLog.changed('start', { place, callers: listen.callers, store: store.address })
+
+  const answers = { maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout }
+  const storeConnections = disposables.add(new Connections({ ...answers, connections: STORE_CONNECTIONS, silenceMs: store.timeout + store.long_poll }))
+  const targetConnections = disposables.add(new Connections({ ...answers, connections: limits.target_connections, silenceMs: TARGET_SILENCE_MS }))
+  const peerConnections = disposables.add(new Connections({ ...answers, connections: PEER_CONNECTIONS, silenceMs: PEER_SILENCE_MS }))
+  const peers = new JsonRpcPeers(peerConnections, peerConnections, settings.peers.key, metrics)
+  const handlers = new JsonRpcHandlers()
+
+  const { membership: known } = settings
+  const ownAddress = `http://${listen.peers}`
+  const membership = disposables.add(new Membership({ ...base, peers, handlers }, {
+    seeds: known.seeds.filter((address) => address !== ownAddress),
+    probePeriodMs: known.probe_period,
+    probeTimeoutMs: known.probe_timeout,
+    indirect: known.indirect,
+    suspicionMs: known.suspicion,
+    forgetMs: known.forget,
+    fullExchangeMs: known.full_exchange
+  }, { host, address: ownAddress, place: asPlace(place) }))
+
+  const direct = new Map<string, KeyedLog>()
+  const keyedLog = (topic: string): KeyedLog => {
+    const client = new KeyedLogClient({ protocol: storeProtocol, connections: storeConnections, metrics }, store.address, topic, store.timeout)
+    direct.set(topic, client)
+    return new RelayedKeyedLog({ peers, helpers: () => membership.peerAddresses(), clock, metrics }, client, topic)
+  }
+  const tail = (name: string) => ({ name, longPollMs: store.long_poll })
+  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...base }, tail(registryProtocol.operatorTopic), registryProtocol))
+  const targets = new TargetTable(base)
+  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...base }, tail(registryProtocol.targetTopic), registryProtocol, targets))
+  const stepLog = keyedLog(store.topic)
+  const topic = disposables.add(new StepTopic({ log: stepLog, ...base }, tail(store.topic)))
+  serveRelays(handlers, direct)
+
+  const client = new HttpTargetClient(targetConnections, { connectTimeoutMs: limits.connect_timeout, maximumAnswerBytes: limits.answer_bytes })
+  const callServices = { ...base, targets, client, protocol: targetProtocol, place }
+  const calls = new RouteCalls(callServices)
+  const appender = new GroupAppender({ ...base, log: stepLog }, { callCharacters: store.call_bytes / 2 })
+  const duty = disposables.add(new DutyKeeper({ source: topic, log: stepLog, clock, chance, stateLog }, {
+    duty: STEPS_DUTY,
+    machine,
+    holder: host,
+    renewMs: settings.duty.renew,
+    leaseMs: settings.duty.lease,
+    restMs: settings.duty.rest,
+    claimDelayMs: settings.host.processor_share < 1 ? SMALL_HOST_DELAY_MS : 0
+  }))
+  const board = new EngineBoard(targets, clock, () => operator.routes)
+  const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes: () => operator.routes }))
+  const home: StepHome = disposables.add(new StepHome({
+    ...base,
+    client,
+    protocol: targetProtocol,
+    topic,
+    duty,
+    board,
+    appender,
+    scorer,
+    routes: () => operator.routes,
+    version: (model) => operator.version(model),
+    follows: (engine) => orders.follows(engine)
+  }, { firstEventMs: settings.steps.first_event, silenceMs: settings.steps.silence }))
+  const orders: EngineOrders = disposables.add(new EngineOrders({
+    ...base,
+    board,
+    duty,
+    client,
+    protocol: targetProtocol,
+    machine,
+    demands: () => home.demands(),
+    onReady: () => { home.schedule() }
+  }))
+  const desk = new StepDesk({ topic, appender, clock, stateLog }, {
+    acceptMs: settings.steps.accept,
+    endMs: settings.steps.end,
+    longestWaitMs: store.long_poll,
+    submissionCharacters: store.call_bytes / 2
+  })
+
+  let stopping = false
+  const isReady = (): boolean => !stopping && operator.routes !== undefined && targetTopic.loaded && topic.loaded
+  const front = disposables.add(new FrontServer({
+    protocol: frontProtocol,
+    operator,
+    forward: new ForwardRoutes({ calls, streams: new StreamCalls(callServices), protocol: targetProtocol }),
+    steps: new StepRoutes(desk, frontProtocol),
+    metrics,
+    stateLog
+  }, { listen: listen.callers, maximumConnections: limits.connections, headBytes: limits.head_bytes, isLeaving: () => stopping }))
+
+  /** All hosts of a deployment use the same ports, so a member's callers' address is its own IP with this host's port. */
+  const callersAddress = (peerAddress: string): string => `${new URL(peerAddress).hostname}:${new URL(`http://${listen.callers}`).port}`
+  const addresses = (): string[] => membership.available()
+    .filter((member) => member.host === host ? isReady() : (membership.loadOf(member.host) ?? 1) < 1)
+    .map((member) => callersAddress(member.address))
+  const directory = disposables.add(new DirectoryServer({ protocol: frontProtocol, isReady, addresses }, limits.valid_for))
+  const readiness = disposables.add(new DirectoryServer({ protocol: frontProtocol, isReady, addresses }, limits.valid_for))
+
+  const router = new Router()
+  new PeerRoutes(handlers).register(router)
+  const peerServer = disposables.add(new EntryServer({ router, identities: new Identities({ peers: settings.peers, callers: [], operators: [] }), metrics, stateLog }, {
+    listen: listen.peers,
+    maximumConnections: limits.connections,
+    maximumRequests: PEER_REQUESTS,
+    bodyTimeoutMs: PEER_SILENCE_MS,
+    maximumBodyBytes: store.call_bytes,
+    chance,
+    alternatives: () => [],
+    leaving: () => stopping
+  }))
+  membership.tellWithProbes({ offset: () => topic.position, load: () => isReady() ? Math.min(0.99, front.requests / limits.connections) : 1, pressures: () => ({}) })
+
+  await Promise.all([peerServer.listen(), front.listen(), directory.listen(listen.directory), readiness.listen(listen.readiness)])
+  for (const followed of [operator, targetTopic, topic]) followed.start()
+  stateLog.changed('listening', { callers: listen.callers, directory: listen.directory, peers: listen.peers })
+
+  const pause = async (milliseconds: number): Promise<void> => { await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) }) }
+  const stop = async (): Promise<void> => {
+    const began = clock.monotonic()
+    stopping = true
+    stateLog.changed('stop begins', { requests: front.requests, items: home.underway, records: appender.backlog })
+    membership.leave()
+    home.stopStarting()
+    await Promise.all([pause(limits.stop_serving), duty.release()])
+    front.closeIdle()
+    while ((front.requests > 0 || appender.backlog > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(LOOK_MS)
+    stateLog.changed('stop ends', { requests: front.requests, records: appender.backlog, tookMs: Math.round(clock.monotonic() - began) })
+    disposables.dispose()
+  }
+  return { stop }
+}
--- a/src/main.ts
+++ b/src/main.ts
@@ -9,6 +9,7 @@
 import { resultCodes } from './base/common/resultCode.ts'
 import { formatAnswer, formatRefusal, sendStatement } from './commandLine/node/operatorClient.ts'
 import { startEntryHost } from './host/node/entryHost.ts'
+import { startRoutedHost } from './host/node/routedHost.ts'
 import { readSettings } from './settings/node/readSettings.ts'
 
 const EXIT_FAILED = 1
@@ -22,7 +23,7 @@
     return
   }
   process.on('unhandledRejection', (reason) => { process.stderr.write(`${JSON.stringify({ type: 'alarm', what: 'unhandled rejection', error: String(reason) })}\n`) })
-  const host = await startEntryHost(settings.value)
+  const host = settings.value.type === 'routes' ? await startRoutedHost(settings.value.settings) : await startEntryHost(settings.value.settings)
   const stop = (): void => { host.stop().then(() => process.exit(0), () => process.exit(EXIT_FAILED)) }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
--- a/src/ports/common/observation.ts
+++ b/src/ports/common/observation.ts
@@ -1,4 +1,4 @@
-/** Ports for what the system tells about itself: counters first, lines only for changes of state. */
+/** Ports for what the system tells about itself: counters, changes of state, and decisions. */
 
 /** Counters and measures. Names are listed in docs/OPERATORS.md. */
 export interface Metrics {
@@ -7,8 +7,14 @@
   timing (name: string, milliseconds: number): void
 }
 
-/** Structured log lines, one for each change of state. */
+export type LogDetails = Readonly<Record<string, string | number | boolean>>
+
+/** Structured log lines. */
 export interface StateLog {
-  changed (what: string, details: Readonly<Record<string, string | number | boolean>>): void
-  alarm (what: string, details: Readonly<Record<string, string | number | boolean>>): void
+  /** What this process believes has changed. */
+  changed (what: string, details: LogDetails): void
+  /** Something is wrong that an operator may have to mend. */
+  alarm (what: string, details: LogDetails): void
+  /** A decision on a request; dropped, and counted, where there are too many. */
+  decided (what: string, details: LogDetails): void
 }
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -7,6 +7,7 @@
 import type { HostId, ShardKey } from '../../base/common/ids.ts'
 import type { MemberUpdate } from '../../core/common/membership/memberTable.ts'
 import type { AcquireRequest, Grant } from '../../core/common/routing/admissionMessages.ts'
+import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
 import type { LogEntry } from './log.ts'
 
 /** What travels with every probe. */
@@ -37,6 +38,10 @@
   'admission.renew': { parameters: { shard: ShardKey, grants: readonly Grant[] }, result: null }
   'admission.revoke': { parameters: { grant: string }, result: null }
   'samples.keep': { parameters: { id: string, host: HostId, record: string | null }, result: null }
+  /** Calls to the store for a host that does not reach it. */
+  'store.append': { parameters: { topic: string, records: readonly KeyedRecord[] }, result: Result<number> }
+  'store.read': { parameters: { topic: string, from: number, waitMs: number }, result: Result<KeyedPage> }
+  'store.newest': { parameters: { topic: string, after?: string }, result: Result<NewestPage> }
   'query.rows': { parameters: { view: string }, result: { rows: readonly Record<string, string | number | boolean | null>[], offset: number, revision: number } }
 }
 
--- /dev/null
+++ b/src/settings/common/routedSettings.ts
@@ -0,0 +1,67 @@
+/**
+ * Settings of a host that serves routes and steps over a store of keyed topics. What several hosts
+ * must agree on is not here: routes come from the operator's topic.
+ */
+
+import { z } from 'zod'
+import { count, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
+
+const hostSchema = z.strictObject({
+  name: name.describe('name of this machine in logs and orders'),
+  place: name.describe('place (failure domain) of this host'),
+  log_level: z.enum(['silent', 'warn', 'info']).default('info').describe('which log lines are written'),
+  processor_share: z.number().positive().default(1).describe("cores that the host may use; hosts with less than one core leave the steps' duty to others")
+})
+
+const listenSchema = z.strictObject({
+  callers: endpoint.describe('where callers connect'),
+  readiness: endpoint.describe('where the platform asks whether the host is ready'),
+  peers: endpoint.describe('where other hosts connect'),
+  directory: endpoint.describe('where callers ask which hosts to use')
+})
+
+const storeSchema = z.strictObject({
+  address: origin.describe('the store of keyed topics'),
+  topic: z.string().min(1).default('keyed.bulrushvalve').describe("the steps' topic"),
+  timeout: milliseconds(800, 'longest wait for an answer'),
+  long_poll: milliseconds(1000, 'how long a read may wait for records'),
+  call_bytes: count(2_000_000, 'bytes of one append, at most')
+})
+
+const dutySchema = z.strictObject({
+  renew: milliseconds(400, 'time between two renewals of the duty'),
+  lease: milliseconds(1500, 'how long the duty lasts after a renewal'),
+  rest: milliseconds(3300, 'how long a new holder waits before it orders: the time in which two holders must not order, and a little more')
+})
+
+const limitsSchema = z.strictObject({
+  connections: count(4000, 'open connections of callers'),
+  head_bytes: count(65_536, 'bytes of the head of a request that are read, at most'),
+  valid_for: milliseconds(2000, 'how long callers may keep an address answer'),
+  answer_bytes: count(33_554_432, 'bytes of a whole answer from a target'),
+  connect_timeout: milliseconds(400, 'time for a connection to a target to open'),
+  target_connections: count(64, 'connections to one target'),
+  stop_serving: milliseconds(5500, 'how long a stopping host goes on serving callers that still know it'),
+  stop_timeout: milliseconds(1500, 'longest wait after that for requests in flight')
+})
+
+const stepsSchema = z.strictObject({
+  accept: milliseconds(2500, 'how long a submission is offered to the store while its caller waits'),
+  end: milliseconds(20_000, "how long a step's end is offered to the store"),
+  first_event: milliseconds(1500, 'longest wait for the first event of an item'),
+  silence: milliseconds(800, 'longest silence within the stream of an item'),
+  status: milliseconds(150_000, 'how long a step is kept after its submission, at least')
+})
+
+export const routedSettingsSchema = z.strictObject({
+  host: hostSchema,
+  listen: listenSchema,
+  store: storeSchema,
+  peers: z.strictObject({ key: key.describe('key that hosts present to each other') }),
+  membership: membershipSchema.prefault({}),
+  duty: dutySchema.prefault({}),
+  limits: limitsSchema.prefault({}),
+  steps: stepsSchema.prefault({})
+})
+
+export type RoutedSettings = z.infer<typeof routedSettingsSchema>
--- a/src/settings/node/readSettings.ts
+++ b/src/settings/node/readSettings.ts
@@ -4,11 +4,19 @@
 import { parse, TomlError } from 'smol-toml'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
+import type { z } from 'zod'
+import type { RoutedSettings } from '../common/routedSettings.ts'
+import { routedSettingsSchema } from '../common/routedSettings.ts'
 import type { Settings } from '../common/settings.ts'
 import { settingsSchema } from '../common/settings.ts'
 
+/** Settings of a host; a table `store` makes it one that serves routes and steps. */
+export type HostSettings =
+  | { readonly type: 'pools', readonly settings: Settings }
+  | { readonly type: 'routes', readonly settings: RoutedSettings }
+
 /** Reads and checks a file. */
-export function readSettings (path: string): Result<Settings> {
+export function readSettings (path: string): Result<HostSettings> {
   let text: string
   try {
     text = readFileSync(path, 'utf8')
@@ -19,18 +27,27 @@
 }
 
 /** Checks the text of a settings file. */
-export function parseSettings (text: string): Result<Settings> {
-  let parsed: unknown
+export function parseSettings (text: string): Result<HostSettings> {
+  let parsed: Record<string, unknown>
   try {
     parsed = parse(text)
   } catch (error) {
     if (!(error instanceof TomlError)) throw error
     return failure('invalidSettings', `line ${error.line}: ${error.message.split('\n')[0] ?? ''}`)
   }
-  const checked = settingsSchema.safeParse(parsed)
+  if ('store' in parsed) {
+    const routed = check(text, parsed, routedSettingsSchema)
+    return routed.ok ? success({ type: 'routes', settings: routed.value }) : routed
+  }
+  const pooled = check(text, parsed, settingsSchema)
+  return pooled.ok ? success({ type: 'pools', settings: pooled.value }) : pooled
+}
+
+function check<Schema extends z.ZodType> (text: string, parsed: unknown, schema: Schema): Result<z.infer<Schema>> {
+  const checked = schema.safeParse(parsed)
   if (checked.success) return success(checked.data)
   const mistakes = checked.error.issues.flatMap((issue) => issue.code === 'unrecognized_keys'
-    ? issue.keys.map((key) => describe(text, [...issue.path, key], 'this key is not known'))
+    ? issue.keys.map((unknownKey) => describe(text, [...issue.path, unknownKey], 'this key is not known'))
     : [describe(text, issue.path, issue.message)])
   return failure('invalidSettings', mistakes.join('\n'))
 }
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -19,7 +19,7 @@
 describe('settings', () => {
   it('fill in every default', () => {
     const parsed = parseSettings(good)
-    expect(parsed.ok && parsed.value).toMatchSnapshot()
+    expect(parsed.ok && parsed.value.type === 'pools' && parsed.value.settings).toMatchSnapshot()
   })
 
   it('list every mistake with its line', () => {
--- a/test/support/fakeHost.ts
+++ b/test/support/fakeHost.ts
@@ -64,7 +64,7 @@
 }
 
 export const quietMetrics: Metrics = { count: () => undefined, gauge: () => undefined, timing: () => undefined }
-export const quietLog: StateLog = { changed: () => undefined, alarm: () => undefined }
+export const quietLog: StateLog = { changed: () => undefined, alarm: () => undefined, decided: () => undefined }
 export const noHandlers: PeerHandlers = { handle: () => undefined }
 export const noPeers: Peers = { call: async () => failure('targetUnreachable', 'nobody') }
 const plainHash: Hash = { digest: (text) => String(text.length), number: (text) => text.length }
