--- a/src/actors/common/duties/dutyKeeper.ts
+++ b/src/actors/common/duties/dutyKeeper.ts
@@ -36,6 +36,10 @@
   readonly clock: Clock
   readonly chance: Chance
   readonly stateLog: StateLog
+  /** Has a host asked whether it lives. */
+  readonly doubt: (holder: string) => void
+  /** Whether a host is known not to answer. */
+  readonly isLost: (holder: string) => boolean
 }
 
 export interface DutySettings {
@@ -46,8 +50,10 @@
   readonly holder: string
   readonly renewMs: number
   readonly leaseMs: number
-  /** How long a new holder waits before it acts alone. */
+  /** How long a new holder waits after the former one's lease has ended before it acts alone. */
   readonly restMs: number
+  /** Silence of the holder after which it is asked whether it lives. */
+  readonly doubtMs: number
   /** Added to the wait before a claim by hosts that should rather not have the duty. */
   readonly claimDelayMs: number
 }
@@ -149,10 +155,18 @@
     if (this.claiming || source.isLost) return
     const duty = source.duty(this.settings.duty)
     const quietMs = now - Math.max(this.signAt, source.regainedAt)
-    const patienceMs = duty === undefined || duty.released ? 0 : this.settings.leaseMs
+    const patienceMs = this.patienceFor(duty, quietMs)
     if (quietMs >= patienceMs + this.claimWaitMs) this.claim().catch((error: unknown) => { this.services.stateLog.alarm('claim failed', { error: String(error) }) })
   }
 
+  /** How long a holder may be silent before its duty is claimed: until its lease has ended, or a part of it if other hosts know that it is gone. */
+  private patienceFor (duty: FoldedDuty | undefined, quietMs: number): number {
+    if (duty === undefined || duty.released) return 0
+    if (quietMs < this.settings.doubtMs) return this.settings.leaseMs
+    this.services.doubt(duty.holder)
+    return this.services.isLost(duty.holder) ? this.settings.doubtMs : this.settings.leaseMs
+  }
+
   private renew (now: number): void {
     const { duty, holder } = this.settings
     this.renewedAt = now
@@ -164,7 +178,7 @@
 
   private async claim (): Promise<void> {
     const { source, log, clock, chance, stateLog } = this.services
-    const { duty, holder, machine, restMs } = this.settings
+    const { duty, holder, machine, restMs, leaseMs } = this.settings
     this.claiming = true
     try {
       const signs = source.duty(duty)?.signs
@@ -173,7 +187,8 @@
       const former = source.duty(duty)
       const claim = { duty, holder, term: (former?.term ?? 0) + 1 }
       const formerMachine = former?.holder.split('/')[0]
-      this.restUntil = clock.monotonic() + (former === undefined || formerMachine === machine ? 0 : restMs)
+      const mayBeActive = former !== undefined && formerMachine !== machine
+      this.restUntil = mayBeActive ? Math.max(this.signAt, clock.monotonic() - leaseMs) + leaseMs + restMs : clock.monotonic()
       stateLog.decided('duty claimed', { duty, term: claim.term, former: former?.holder ?? '', quietMs: Math.round(clock.monotonic() - this.signAt) })
       await log.append([claimRecord(claim, chance.id().slice(0, 8))])
     } finally {
--- a/src/actors/common/steps/engineBoard.ts
+++ b/src/actors/common/steps/engineBoard.ts
@@ -8,6 +8,8 @@
 
 /** Weight of the newest event in the moving mean of the time between events. */
 const PACE_WEIGHT = 0.1
+/** How long a pace is believed without another event, in milliseconds: a slow engine that is avoided must get a chance to show that it has recovered. */
+const PACE_VALID_MS = 3000
 /** How long an engine that refused is not asked again, in milliseconds: about the time of an item's shortest run. */
 const REFUSED_MS = 80
 /** Groups whose prompts an engine is taken to have read. */
@@ -21,8 +23,8 @@
 export class Engine {
   running = 0
   order: OrderUnderway | undefined
-  /** Moving mean of the time between two events of a stream, in milliseconds. */
-  paceMs: number | undefined
+  private meanPaceMs: number | undefined
+  private paceAt = Number.NEGATIVE_INFINITY
   private refusedUntil = Number.NEGATIVE_INFINITY
   private readonly versions = new Map<string, number>()
   private readonly prompts = new Set<string>()
@@ -51,8 +53,15 @@
     this.refusedUntil = this.clock.monotonic() + REFUSED_MS
   }
 
+  /** Moving mean of the time between two events of a stream, in milliseconds; forgotten where none came lately. */
+  get paceMs (): number | undefined {
+    return this.clock.monotonic() - this.paceAt < PACE_VALID_MS ? this.meanPaceMs : undefined
+  }
+
   notePace (milliseconds: number): void {
-    this.paceMs = this.paceMs === undefined ? milliseconds : this.paceMs + (milliseconds - this.paceMs) * PACE_WEIGHT
+    const known = this.paceMs
+    this.meanPaceMs = known === undefined ? milliseconds : known + (milliseconds - known) * PACE_WEIGHT
+    this.paceAt = this.clock.monotonic()
   }
 
   notePrompt (group: string): void {
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -4,6 +4,7 @@
  */
 
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
+import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
 import type { StepItem } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StreamEvent, TargetProtocol } from '../../../ports/common/protocols.ts'
@@ -15,6 +16,8 @@
 export class ItemText {
   readonly events: string[] = []
   readonly versions = new Set<number>()
+  /** Events that the store has. */
+  saved = 0
   /** Number of the newest event held. */
   last: number | undefined
   /** Version under which the next event is made, unless it says otherwise. */
@@ -35,7 +38,23 @@
     return true
   }
 
+  /** Takes over what another run has left. */
+  restore ({ events, last, versions }: SavedText): void {
+    this.clear()
+    this.events.push(...events)
+    this.last = last
+    for (const version of versions) this.versions.add(version)
+    this.saved = events.length
+  }
+
+  /** Events that are not saved yet; `undefined` if there are none. */
+  unsaved (): Omit<ProgressPart, 'step' | 'item'> | undefined {
+    if (this.last === undefined || this.events.length <= this.saved) return undefined
+    return { from: this.saved, events: this.events.slice(this.saved), last: this.last, versions: [...this.versions] }
+  }
+
   clear (): void {
+    this.saved = 0
     this.events.length = 0
     this.versions.clear()
     this.last = undefined
@@ -50,6 +69,8 @@
   | { readonly type: 'complete' }
   /** The stream broke, went silent or was not usable; it may go on elsewhere. */
   | { readonly type: 'broken', readonly why: string }
+  /** It was ended here, to go on at another engine. */
+  | { readonly type: 'moved' }
   /** The engine says that it did not run the item. */
   | { readonly type: 'refused' }
   /** The engine's own failure of the item. */
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -7,9 +7,11 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
-import { chooseEngine } from '../../../core/common/steps/engineChoice.ts'
+import { chooseEngine, TOO_SLOW } from '../../../core/common/steps/engineChoice.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
+import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
+import { progressKey } from '../../../core/common/steps/progress.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
 import type { SampleResult, StepItem } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -19,9 +21,10 @@
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
-import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
+import type { Engine, EngineBoard, EngineCandidate } from './engineBoard.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { ItemText, runItem } from './itemRun.ts'
+import type { ProgressKeeper } from './progressKeeper.ts'
 import type { SampleScorer } from './sampleScorer.ts'
 
 export interface StepHomeServices extends ItemRunServices {
@@ -30,6 +33,7 @@
   readonly board: EngineBoard
   readonly appender: GroupAppender
   readonly scorer: SampleScorer
+  readonly progress: ProgressKeeper
   readonly clock: Clock
   readonly metrics: Metrics
   readonly stateLog: StateLog
@@ -50,6 +54,10 @@
   readonly item: StepItem
   readonly text: ItemText
   readonly cancel: AbortController
+  /** Ends the run that is under way and nothing else. */
+  stopRun: AbortController | undefined
+  engine: Engine | undefined
+  startedAt: number
   state: ItemState
   /** Answers of engines that said that they failed. */
   failures: number
@@ -67,6 +75,12 @@
 const LOOK_MS = 50
 /** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
 const LIST_MS = 60_000
+/** Unfinished texts that are kept: those of some steps. */
+const KEPT_UNFINISHED = 500
+/** Shortest time that a run stays at an engine before it is moved, in milliseconds: the engine's pace is known by then. */
+const STAY_MS = 400
+/** An engine must be faster by this factor for a run to move to it. */
+const MOVE_GAIN = 1.5
 /** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
 const LEAST_WORK = 1
 
@@ -75,6 +89,8 @@
   private readonly works = new Map<string, StepWork>()
   /** Work that the newest step of each model brought. */
   private readonly workOfModels = new Map<string, number>()
+  /** Texts of items whose steps ended before them. */
+  private readonly unfinished = new Map<string, SavedText>()
   private stopping = false
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
@@ -90,15 +106,10 @@
     return count
   }
 
-  /** Starts no more items. */
-  stopStarting (): void {
-    this.stopping = true
-  }
-
   /** What models need of the engines. */
   demands (): ModelWork[] {
     const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
-    return [...models].flatMap((model) => this.demand(model) ?? [])
+    return [...models].map((model) => this.demand(model))
   }
 
   /** Starts whatever can be started. */
@@ -113,17 +124,17 @@
     this.disposables.dispose()
   }
 
-  private demand (model: string): ModelWork | undefined {
+  /** Before its first version is named, a model needs engines but no loads. */
+  private demand (model: string): ModelWork {
     const named = this.services.version(model)
-    if (named === undefined) return undefined
     const works = [...this.works.values()].filter(({ step }) => step.submission.model === model)
     const minimum = works.reduce((most, { step }) => Math.max(most, step.submission.minimumVersion), 0)
     const single = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
     return {
       model,
-      named: named.version,
-      namedAgeMs: this.services.clock.monotonic() - named.learnedAt,
-      minimumVersion: Math.min(minimum, named.version),
+      named: named?.version ?? 0,
+      namedAgeMs: named === undefined ? 0 : this.services.clock.monotonic() - named.learnedAt,
+      minimumVersion: Math.min(minimum, named?.version ?? 0),
       waiting: works.reduce((sum, { waiting }) => sum + waiting.length, 0),
       work: this.workOfModels.get(model) ?? LEAST_WORK,
       mode: single ? 'finish-first' : 'keep-running'
@@ -145,20 +156,31 @@
 
   private dutyChanged (): void {
     if (!this.services.duty.holds) return this.dropAll()
-    for (const step of this.services.topic.steps()) this.adopt(step)
+    this.takeOver().catch((error: unknown) => { this.services.stateLog.alarm('steps not taken over', { error: String(error) }) })
+  }
+
+  /** Goes on with the steps of a former holder from the progress that it saved. */
+  private async takeOver (): Promise<void> {
+    const open = [...this.services.topic.steps()].filter((step) => !step.ended && step.results.length < step.items.size)
+    const saved = open.length === 0 ? new Map<string, SavedText>() : await this.services.progress.load()
+    if (!this.services.duty.holds) return
+    for (const step of open) this.adopt(step, saved)
     this.schedule()
   }
 
-  private adopt (step: FoldedStep): void {
+  private adopt (step: FoldedStep, saved: ReadonlyMap<string, SavedText> = new Map()): void {
     const { submission } = step
     if (step.ended || this.works.has(submission.id)) return
     const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
     const open = order.filter(({ id }) => !step.positions.has(id))
-    const waiting = open.map((item): ItemWork => ({ item, text: new ItemText(), cancel: new AbortController(), state: 'waiting', failures: 0, runs: 0 }))
+    const waiting = open.map((item) => newWork(item))
     const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
-    for (const itemWork of [...waiting]) this.useEarlier(work, itemWork)
+    for (const itemWork of [...waiting]) {
+      this.useEarlier(work, itemWork)
+      this.restore(work, itemWork, saved.get(progressKey(submission.id, itemWork.item.id)) ?? this.unfinished.get(itemWork.item.id))
+    }
   }
 
   private isCarried (group: string, step: string): boolean {
@@ -180,6 +202,23 @@
     else this.score(work, itemWork, { ...earlier.result, score: undefined })
   }
 
+  /** Goes on from what is held of an item's text, if its versions fit. */
+  private restore (work: StepWork, itemWork: ItemWork, held: SavedText | undefined): void {
+    if (held === undefined || held.events.length === 0 || itemWork.state !== 'waiting') return
+    const single = this.routeOf(work.step)?.singleVersion === true
+    if (single || held.versions.some((version) => version < work.step.submission.minimumVersion)) return
+    itemWork.text.restore(held)
+    this.services.metrics.count('steps.resumed')
+  }
+
+  /** Keeps the unfinished texts of a step: its groups may come again. */
+  private keepUnfinished (work: StepWork): void {
+    for (const { item, text } of work.items.values()) {
+      if (text.last !== undefined) this.unfinished.set(item.id, { events: [...text.events], last: text.last, versions: [...text.versions] })
+    }
+    for (const id of [...this.unfinished.keys()].slice(0, -KEPT_UNFINISHED)) this.unfinished.delete(id)
+  }
+
   private routeOf (step: FoldedStep): Route | undefined {
     return this.services.routes()?.find(step.submission.host, step.submission.path)
   }
@@ -207,10 +246,14 @@
   private start (work: StepWork, route: Route, itemWork: ItemWork, candidate: EngineCandidate): void {
     const { engine } = candidate
     const { submission } = work.step
+    const stopRun = new AbortController()
+    const began = this.services.clock.monotonic()
     itemWork.state = 'running'
     itemWork.runs++
+    itemWork.stopRun = stopRun
+    itemWork.engine = engine
+    itemWork.startedAt = began
     engine.running++
-    const began = this.services.clock.monotonic()
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
       model: submission.model,
@@ -218,9 +261,11 @@
       body: decodeBase64(itemWork.item.body),
       firstEventMs: this.settings.firstEventMs,
       silenceMs: this.settings.silenceMs,
-      cancelled: itemWork.cancel.signal
+      cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal])
     }).then((end) => {
       engine.running--
+      itemWork.engine = undefined
+      if (stopRun.signal.aborted && end.type === 'broken') end = { type: 'moved' }
       if (!itemWork.cancel.signal.aborted) this.runEnded(work, route, itemWork, candidate, end, this.services.clock.monotonic() - began)
       this.schedule()
     }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: itemWork.item.id, error: String(error) }) })
@@ -238,6 +283,7 @@
       case 'refused':
         engine.refused()
         return this.again(work, itemWork, false)
+      case 'moved':
       case 'too-old': return this.again(work, itemWork, false)
       case 'broken':
         engine.target.failed()
@@ -293,6 +339,7 @@
   private dropStep (step: string, why: string): void {
     const work = this.works.get(step)
     if (work === undefined) return
+    this.keepUnfinished(work)
     this.services.stateLog.decided('step dropped', { step, why, open: work.items.size, waiting: work.waiting.length })
     for (const { cancel } of work.items.values()) cancel.abort()
     this.works.delete(step)
@@ -310,8 +357,57 @@
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
       if (route !== undefined && now - work.step.submittedAt > route.retentionMs) this.giveUp(work)
+      if (route !== undefined) this.moveFromSlow(work, route)
     }
     this.schedule()
+    this.saveProgress().catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
+  }
+
+  /**
+   * Moves runs away from engines that are much slower than the others, while those have free slots:
+   * a long item on an engine that takes four times as long would come after the step is due.
+   */
+  private moveFromSlow (work: StepWork, route: Route): void {
+    const { submission } = work.step
+    if (route.singleVersion || work.waiting.length > 0) return
+    const now = this.services.clock.monotonic()
+    const services = route.destinations.map(({ service }) => service)
+    for (const itemWork of work.items.values()) {
+      const { engine, stopRun } = itemWork
+      if (itemWork.state !== 'running' || engine === undefined || stopRun === undefined || now - itemWork.startedAt < STAY_MS) continue
+      const candidates = this.services.board.candidates(services, submission.model, itemWork.item.group)
+      const here = candidates.find(({ id }) => id === engine.id)
+      const better = chooseEngine(candidates, submission.minimumVersion)
+      if (here === undefined || here.slowness < TOO_SLOW || better === undefined || better.slowness * MOVE_GAIN > here.slowness) continue
+      this.services.stateLog.decided('run moved from a slow engine', { item: itemWork.item.id, step: submission.id, engine: engine.id, slowness: here.slowness, to: better.id, events: itemWork.text.events.length })
+      stopRun.abort()
+      itemWork.state = 'waiting'
+      itemWork.startedAt = now
+      return
+    }
+  }
+
+  /** Saves what came since the last time, in one record for all running items. */
+  private async saveProgress (force = false): Promise<void> {
+    if (!this.services.progress.due && !force) return
+    const parts: ProgressPart[] = []
+    const counts: { readonly text: ItemText, readonly count: number }[] = []
+    for (const { step, items } of this.works.values()) {
+      for (const { item, text, state } of items.values()) {
+        const unsaved = state === 'running' ? text.unsaved() : undefined
+        if (unsaved === undefined) continue
+        parts.push({ step: step.submission.id, item: item.id, ...unsaved })
+        counts.push({ text, count: unsaved.from + unsaved.events.length })
+      }
+    }
+    if (parts.length === 0 || !await this.services.progress.save(parts)) return
+    for (const { text, count } of counts) text.saved = Math.max(text.saved, Math.min(count, text.events.length))
+  }
+
+  /** Saves all progress before another host takes over. */
+  async handOver (): Promise<void> {
+    this.stopping = true
+    await this.saveProgress(true)
   }
 
   private giveUp (work: StepWork): void {
@@ -324,6 +420,10 @@
   }
 }
 
+function newWork (item: StepItem): ItemWork {
+  return { item, text: new ItemText(), cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
+}
+
 function lost (item: StepItem): SampleResult {
   return { item: item.id, state: 'lost', text: '', versions: [], score: undefined }
 }
--- a/src/core/common/steps/engineChoice.ts
+++ b/src/core/common/steps/engineChoice.ts
@@ -23,7 +23,7 @@
 /** What a prompt that is in memory is worth, in slots: reading it takes less than a token's step, so it only breaks ties. */
 const PROMPT_WORTH = 0.5
 /** An engine this much slower than the others is used last: an item on it would come after all others. */
-const TOO_SLOW = 2
+export const TOO_SLOW = 2
 
 /** The engine for an item that may use this version and newer ones; `undefined`: none has a free slot. */
 export function chooseEngine<Load extends EngineLoad> (engines: readonly Load[], minimumVersion: number): Load | undefined {
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -6,7 +6,7 @@
 
 import { start } from 'nact'
 import { randomUUID } from 'node:crypto'
-import { frontProtocol, registryProtocol, storeProtocol, targetProtocol } from '../../../platform/index.ts'
+import { frontProtocol, historyProtocol, registryProtocol, storeProtocol, targetProtocol } from '../../../platform/index.ts'
 import { DutyKeeper } from '../../actors/common/duties/dutyKeeper.ts'
 import { Membership } from '../../actors/common/membership/membership.ts'
 import { OperatorTopic } from '../../actors/common/routes/operatorTopic.ts'
@@ -15,6 +15,7 @@
 import { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { TargetTopic } from '../../actors/common/routes/targetTopic.ts'
 import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
+import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
 import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
 import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
 import { StepHome } from '../../actors/common/steps/stepHome.ts'
@@ -23,12 +24,14 @@
 import { StepTopic } from '../../actors/common/store/stepTopic.ts'
 import { EngineOrders } from '../../actors/common/weights/engineOrders.ts'
 import { Connections } from '../../adapters/node/connections.ts'
+import { HistoryClient } from '../../adapters/node/historyClient.ts'
 import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
 import { JsonRpcHandlers, JsonRpcPeers } from '../../adapters/node/jsonRpcPeers.ts'
 import { KeyedLogClient } from '../../adapters/node/keyedLogClient.ts'
 import { NodeChance, NodeClock } from '../../adapters/node/nodeClock.ts'
 import { StatsdMetrics } from '../../adapters/node/statsdMetrics.ts'
 import { StructuredLog } from '../../adapters/node/structuredLog.ts'
+import { StoreCaller } from '../../adapters/node/storeCaller.ts'
 import { createHash } from '../../adapters/node/xxHash.ts'
 import { asHostId, asPlace } from '../../base/common/ids.ts'
 import { DisposableStore } from '../../base/common/lifecycle.ts'
@@ -102,9 +105,10 @@
     fullExchangeMs: known.full_exchange
   }, { host, address: ownAddress, place: asPlace(place) }))
 
+  const storeCaller = new StoreCaller(storeConnections, metrics, store.address, store.timeout)
   const direct = new Map<string, KeyedLog>()
   const keyedLog = (topic: string): KeyedLog => {
-    const client = new KeyedLogClient({ protocol: storeProtocol, connections: storeConnections, metrics }, store.address, topic, store.timeout)
+    const client = new KeyedLogClient(storeCaller, storeProtocol, topic)
     direct.set(topic, client)
     return new RelayedKeyedLog({ peers, helpers: () => membership.peerAddresses(), clock, metrics }, client, topic)
   }
@@ -120,13 +124,22 @@
   const callServices = { ...base, targets, client, protocol: targetProtocol, place }
   const calls = new RouteCalls(callServices)
   const appender = new GroupAppender({ ...base, log: stepLog }, { callCharacters: store.call_bytes / 2 })
-  const duty = disposables.add(new DutyKeeper({ source: topic, log: stepLog, clock, chance, stateLog }, {
+  const duty = disposables.add(new DutyKeeper({
+    source: topic,
+    log: stepLog,
+    clock,
+    chance,
+    stateLog,
+    doubt: (holder) => { membership.doubt(asHostId(holder)) },
+    isLost: (holder) => membership.members().some((member) => member.host === holder && (member.status === 'suspect' || member.status === 'dead'))
+  }, {
     duty: STEPS_DUTY,
     machine,
     holder: host,
     renewMs: settings.duty.renew,
     leaseMs: settings.duty.lease,
     restMs: settings.duty.rest,
+    doubtMs: settings.duty.doubt,
     claimDelayMs: settings.host.processor_share < 1 ? SMALL_HOST_DELAY_MS : 0
   }))
   const board = new EngineBoard(targets, clock, () => operator.routes)
@@ -140,6 +153,7 @@
     board,
     appender,
     scorer,
+    progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, settings.steps.progress),
     routes: () => operator.routes,
     version: (model) => operator.version(model),
     follows: (engine) => orders.follows(engine)
@@ -204,8 +218,7 @@
     stopping = true
     stateLog.changed('stop begins', { requests: front.requests, items: home.underway, records: appender.backlog })
     membership.leave()
-    home.stopStarting()
-    await Promise.all([pause(limits.stop_serving), duty.release()])
+    await Promise.all([pause(limits.stop_serving), home.handOver().then(async () => { await duty.release() })])
     front.closeIdle()
     while ((front.requests > 0 || appender.backlog > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(LOOK_MS)
     stateLog.changed('stop ends', { requests: front.requests, records: appender.backlog, tookMs: Math.round(clock.monotonic() - began) })
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -26,6 +26,19 @@
   newestPage (status: number, body: Uint8Array): Result<NewestPage>
 }
 
+/** Part of a topic without keys; `forgotten` tells where the kept records begin. */
+export type HistoryPage =
+  | { readonly type: 'entries', readonly texts: readonly string[], readonly end: number }
+  | { readonly type: 'forgotten', readonly first: number }
+
+/** Calls to topics whose records have no keys and are kept for a limited time. */
+export interface HistoryProtocol {
+  append (topic: string, text: string): StoreCall
+  appended (status: number, body: Uint8Array): Result<number>
+  read (topic: string, from: number): StoreCall
+  page (status: number, body: Uint8Array): Result<HistoryPage>
+}
+
 /** What an operator or trainer wrote. */
 export type OperatorRecord =
   | { readonly type: 'configuration', readonly configuration: RouteConfiguration }
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -23,15 +23,17 @@
 const storeSchema = z.strictObject({
   address: origin.describe('the store of keyed topics'),
   topic: z.string().min(1).default('keyed.bulrushvalve').describe("the steps' topic"),
+  progress_topic: z.string().min(1).default('bulrushvalve.progress').describe('the topic of the progress of running items, which need not be kept'),
   timeout: milliseconds(800, 'longest wait for an answer'),
   long_poll: milliseconds(1000, 'how long a read may wait for records'),
   call_bytes: count(2_000_000, 'bytes of one append, at most')
 })
 
 const dutySchema = z.strictObject({
-  renew: milliseconds(400, 'time between two renewals of the duty'),
-  lease: milliseconds(1500, 'how long the duty lasts after a renewal'),
-  rest: milliseconds(3300, 'how long a new holder waits before it orders: the time in which two holders must not order, and a little more')
+  renew: milliseconds(250, 'time between two renewals of the duty'),
+  doubt: milliseconds(600, 'silence of the holder after which other hosts ask whether it lives'),
+  lease: milliseconds(1200, 'how long the duty lasts after a renewal'),
+  rest: milliseconds(3200, "how long a new holder waits after the former one's lease before it orders: the time in which two holders must not order, and a little more")
 })
 
 const limitsSchema = z.strictObject({
@@ -48,8 +50,9 @@
 const stepsSchema = z.strictObject({
   accept: milliseconds(2500, 'how long a submission is offered to the store while its caller waits'),
   end: milliseconds(20_000, "how long a step's end is offered to the store"),
-  first_event: milliseconds(1500, 'longest wait for the first event of an item'),
-  silence: milliseconds(800, 'longest silence within the stream of an item'),
+  progress: milliseconds(400, 'time between two saves of the progress of running items'),
+  first_event: milliseconds(1200, 'longest wait for the first event of an item'),
+  silence: milliseconds(500, 'longest silence within the stream of an item'),
   status: milliseconds(150_000, 'how long a step is kept after its submission, at least')
 })
 
