--- /dev/null
+++ b/test/platform/support/fleet.ts
@@ -0,0 +1,187 @@
+/** Hosts as separate processes over a stand-in of the prepared platform. Each has an address of its own in 127.0.0.0/8, and all use the same ports, as on the platform. */
+
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { request } from 'undici'
+import { HostProcess, PROGRAM, freePorts, waitUntil } from '../../support/hostProcess.ts'
+import type { StoreDoor } from './storeStandIn.ts'
+import { StoreStandIn } from './storeStandIn.ts'
+import type { TargetOptions } from './targetStandIn.ts'
+import { TargetStandIn } from './targetStandIn.ts'
+
+export interface FleetHost {
+  readonly name: string
+  readonly process: HostProcess
+  readonly door: StoreDoor
+  /** Where callers connect. */
+  readonly address: string
+  readonly directory: string
+  readonly settingsPath: string
+}
+
+export interface Reply {
+  readonly status: number
+  readonly headers: Record<string, string | string[] | undefined>
+  readonly text: string
+}
+
+export interface CallDetails {
+  readonly method?: string
+  readonly host?: string
+  readonly id?: string
+  readonly headers?: Record<string, string>
+  readonly body?: string
+}
+
+const CALLS_HOST = 'calls.example'
+
+/** The configuration that an operator writes; `details` of a route go over it by name. */
+export function configuration (version: number, details: Record<string, object> = {}): object {
+  const routes = [
+    { name: 'look-up', host: CALLS_HOST, path_prefix: '/look-up/', route_type: 'idempotent', timeout_ms: 1500, slo_ms: 300, priority: 2, service: 'app', attempts: 2 },
+    { name: 'entry', host: CALLS_HOST, path_prefix: '/entry/', route_type: 'non_idempotent', timeout_ms: 1500, slo_ms: 300, priority: 2, service: 'app', attempts: 1 },
+    { name: 'score', host: CALLS_HOST, path_prefix: '/score/', route_type: 'idempotent', timeout_ms: 1500, slo_ms: 300, priority: 2, service: 'app', attempts: 3 },
+    { name: 'chat', host: CALLS_HOST, path_prefix: '/chat/', route_type: 'streaming', resumable: true, timeout_ms: 5000, slo_ms: 300, priority: 2, service: 'engines', attempts: 3 },
+    { name: 'steps', host: CALLS_HOST, path_prefix: '/steps/', route_type: 'rollout', timeout_ms: 5000, slo_ms: 400, due_ms: 7500, retention_s: 30, priority: 1, service: 'engines', attempts: 3 }
+  ]
+  return {
+    version,
+    routes: routes.map((route) => ({ ...route, ...details[route.name] })),
+    services: [{ name: 'app', health_path: '/health', max_conns: 50 }, { name: 'engines', health_path: '/health', max_conns: 50, engine: { slots: 4, kv_cap_tokens: 10000, models: [{ name: 'm' }] } }],
+    limits: { max_header_bytes: 16384, max_body_bytes: 200_000, header_timeout_ms: 3000, idle_timeout_ms: 15000 }
+  }
+}
+
+export class Fleet {
+  readonly targets: TargetStandIn[] = []
+  private next = 0
+
+  private constructor (readonly store: StoreStandIn, readonly hosts: readonly FleetHost[], private readonly folder: string) {}
+
+  /** Starts hosts and waits until all are ready. */
+  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}): Promise<Fleet> {
+    const store = new StoreStandIn()
+    const folder = mkdtempSync(join(tmpdir(), 'fleet-'))
+    const [callers = 0, readiness = 0, peers = 0, directory = 0] = await freePorts(4)
+    const ip = (index: number): string => `127.0.1.${index + 1}`
+    const hosts = await Promise.all(Array.from({ length: count }, async (_, index): Promise<FleetHost> => {
+      const name = `host-${index}`
+      const door = await store.open()
+      const settingsPath = join(folder, `${name}.toml`)
+      writeFileSync(settingsPath, stringify({
+        host: { name, place: `place-${index % 3}`, ...settings.host },
+        listen: { callers: `${ip(index)}:${callers}`, readiness: `${ip(index)}:${readiness}`, peers: `${ip(index)}:${peers}`, directory: `${ip(index)}:${directory}` },
+        store: { address: door.address, ...settings.store },
+        peers: { key: 'between-the-hosts' },
+        membership: { seeds: [`http://${ip(0)}:${peers}`, `http://${ip(1)}:${peers}`], probe_period: 200, ...settings.membership },
+        limits: { stop_serving: 700, ...settings.limits },
+        duty: { ...settings.duty },
+        steps: { ...settings.steps }
+      } as unknown as Record<string, Record<string, unknown>>))
+      return { name, door, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, process: new HostProcess(name, '', '', settingsPath, PROGRAM) }
+    }))
+    const fleet = new Fleet(store, hosts, folder)
+    store.put('keyed.op', 'config', configuration(1))
+    for (const options of targets) await fleet.addTarget(options)
+    for (const { process } of hosts) process.start()
+    for (const host of hosts) await fleet.whenReady(host)
+    return fleet
+  }
+
+  async addTarget (options: TargetOptions): Promise<TargetStandIn> {
+    const target = await new TargetStandIn(options, this.store).start()
+    this.targets.push(target)
+    return target
+  }
+
+  host (index: number): FleetHost {
+    const host = this.hosts[index]
+    if (host === undefined) throw new Error(`there is no host ${index}`)
+    return host
+  }
+
+  target (id: string): TargetStandIn {
+    const target = this.targets.find(({ options }) => options.id === id)
+    if (target === undefined) throw new Error(`there is no target ${id}`)
+    return target
+  }
+
+  async whenReady (host: FleetHost): Promise<void> {
+    await waitUntil(async () => (await this.resolve(host)).includes(host.address.replace('http://', '')), 20_000, `${host.name} is ready\n${host.process.output}`)
+  }
+
+  /** Addresses that a host gives to callers. */
+  async resolve (host: FleetHost): Promise<string[]> {
+    const answer = await request(`${host.directory}/resolve?name=${CALLS_HOST}&region=r&zone=place-0`)
+    const body = await answer.body.json() as { addrs?: string[] }
+    return body.addrs ?? []
+  }
+
+  /** Sends a request to a host. */
+  async call (host: FleetHost, path: string, { method = 'POST', host: name = CALLS_HOST, id, headers = {}, body }: CallDetails = {}): Promise<Reply> {
+    const answer = await request(`${host.address}${path}`, {
+      method: method as 'POST',
+      headers: { host: name, 'bulrushvalve-request-id': id ?? this.newId(), 'bulrushvalve-deadline-ms': '2000', ...headers },
+      body: body ?? null,
+      signal: AbortSignal.timeout(15_000)
+    })
+    return { status: answer.statusCode, headers: answer.headers, text: await answer.body.text() }
+  }
+
+  newId (): string {
+    return `id-${this.next++}`
+  }
+
+  /** Body of a submission: groups of items, each of so many events. */
+  stepBody (groups: readonly (readonly number[])[], details: Record<string, unknown> = {}): string {
+    const items = groups.flatMap((events, group) => events.map((count, index) => ({
+      id: `item-${group}-${index}`,
+      path: `/steps/events-${count}/${group}-${index}`,
+      headers: { 'Bulrushvalve-Model': 'm', 'Bulrushvalve-Token-Usage': `100,${count * 10}` },
+      body: Buffer.from(`prompt ${group}-${index}`).toString('base64'),
+      tokens: 100 + count * 10,
+      group: `group-${group}`,
+      scorer: { id: `score-${group}-${index}`, host: CALLS_HOST, path: `/score/${group}-${index}`, body: '' }
+    })))
+    return JSON.stringify({ step: 0, model: 'm', min_version: 1, group_count: groups.length, items, ...details })
+  }
+
+  async submit (host: FleetHost, id: string, groups: readonly (readonly number[])[], details: Record<string, unknown> = {}): Promise<Reply> {
+    return await this.call(host, `/steps/${id}`, { id, body: this.stepBody(groups, details), headers: { 'content-type': 'application/json' } })
+  }
+
+  async results (host: FleetHost, id: string, after = 0): Promise<{ total: number, next: number, results: { id: string, state: string, text: string, versions: number[], score?: string }[] }> {
+    const answer = await this.call(host, `/lots/${id}?after=${after}`, { method: 'GET' })
+    if (answer.status !== 200) throw new Error(`results of ${id}: ${answer.status} ${answer.text}`)
+    return JSON.parse(answer.text) as Awaited<ReturnType<Fleet['results']>>
+  }
+
+  async whenWhole (host: FleetHost, id: string, timeoutMs = 15_000): Promise<Awaited<ReturnType<Fleet['results']>>> {
+    let page: Awaited<ReturnType<Fleet['results']>> | undefined
+    await waitUntil(async () => {
+      page = await this.results(host, id)
+      return page.results.length === page.total
+    }, timeoutMs, `step ${id} is whole\n${this.hosts.map(({ process }) => process.output).join('\n')}`)
+    if (page === undefined) throw new Error('no results')
+    return page
+  }
+
+  /** The host that holds the steps' duty, by the store's own records. */
+  holder (): FleetHost {
+    const claims = [...this.store.newest('keyed.bulrushvalve')].filter(([key]) => key.startsWith('claim/')).map(([, { value }]) => JSON.parse(value) as { holder: string, term: number })
+    const newest = claims.sort((a, b) => b.term - a.term)[0]
+    const host = this.hosts.find(({ name }) => newest?.holder.startsWith(`${name}/`) === true)
+    if (host === undefined) throw new Error('nobody holds the duty')
+    return host
+  }
+
+  async stop (): Promise<void> {
+    for (const { process } of this.hosts) process.wake()
+    await Promise.all(this.hosts.map(async ({ process }) => { await process.kill() }))
+    await Promise.all(this.targets.map(async (target) => { await target.kill() }))
+    await this.store.close()
+    rmSync(this.folder, { recursive: true, force: true })
+  }
+}
--- /dev/null
+++ b/test/platform/support/storeStandIn.ts
@@ -0,0 +1,178 @@
+/**
+ * A stand-in for the prepared platform's store: topics with offsets, keyed topics, long polls, and
+ * its faults. Each host gets a door of its own, so that a single host can be turned away.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+
+/** How a door treats its callers. */
+export type DoorFault = 'none' | 'busy' | 'many' | 'reset' | 'silent'
+
+interface StoredRecord {
+  readonly content: Buffer
+}
+
+interface Topic {
+  readonly records: StoredRecord[]
+  first: number
+  readonly waiting: Set<() => void>
+}
+
+export interface StoreDoor {
+  readonly address: string
+  fault: DoorFault
+  /** Appends that are done and get no answer. */
+  loseAnswers: number
+}
+
+/** Shortest poll of a reader that waits, in milliseconds. */
+const LONGEST_POLL_MS = 30_000
+
+export class StoreStandIn {
+  private readonly topics = new Map<string, Topic>()
+  private readonly servers: Server[] = []
+  readonly calls: string[] = []
+
+  /** Opens a door; closing the store closes all of them. */
+  async open (): Promise<StoreDoor> {
+    const door = { address: '', fault: 'none' as DoorFault, loseAnswers: 0 }
+    const server = createServer((request, response) => { this.receive(door, request, response).catch(() => { response.destroy() }) })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    this.servers.push(server)
+    door.address = `http://127.0.0.1:${(server.address() as AddressInfo).port}`
+    return door
+  }
+
+  async close (): Promise<void> {
+    for (const server of this.servers) {
+      server.closeAllConnections()
+      await new Promise<void>((resolve) => { server.close(() => { resolve() }) })
+    }
+  }
+
+  /** Writes a keyed record, as operators, trainers and targets do. */
+  put (topic: string, key: string, value: object | undefined): void {
+    const keyBytes = Buffer.from(key)
+    this.add(topic, [Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, Buffer.from(value === undefined ? '' : JSON.stringify(value))])])
+  }
+
+  /** Drops the history of a topic; the newest record of each key stays readable. */
+  compact (name: string): void {
+    const topic = this.topic(name)
+    topic.first = topic.records.length
+  }
+
+  /** Newest values of a keyed topic. */
+  newest (name: string): Map<string, { value: string, offset: number }> {
+    const found = new Map<string, { value: string, offset: number }>()
+    for (const [offset, { content }] of this.topic(name).records.entries()) {
+      const length = content.readUInt8(0)
+      const key = content.toString('utf8', 1, 1 + length)
+      const value = content.toString('utf8', 1 + length)
+      if (value === '') found.delete(key)
+      else found.set(key, { value, offset })
+    }
+    return found
+  }
+
+  private topic (name: string): Topic {
+    const known = this.topics.get(name)
+    if (known !== undefined) return known
+    const topic: Topic = { records: [], first: 0, waiting: new Set() }
+    this.topics.set(name, topic)
+    return topic
+  }
+
+  private add (name: string, contents: readonly Buffer[]): number {
+    const topic = this.topic(name)
+    const offset = topic.records.length
+    topic.records.push(...contents.map((content) => ({ content })))
+    for (const wake of [...topic.waiting]) wake()
+    return offset
+  }
+
+  private async receive (door: StoreDoor, request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const url = new URL(request.url ?? '/', 'http://store')
+    const pieces: Buffer[] = []
+    for await (const piece of request as AsyncIterable<Buffer>) pieces.push(piece)
+    this.calls.push(`${request.method ?? ''} ${url.pathname}`)
+    switch (door.fault) {
+      case 'busy': return json(response, 503, {})
+      case 'many': return json(response, 429, {})
+      case 'reset': request.socket.resetAndDestroy(); return
+      case 'silent': return
+      case 'none': return await this.answer(door, request, response, url, Buffer.concat(pieces))
+    }
+  }
+
+  private async answer (door: StoreDoor, request: IncomingMessage, response: ServerResponse, url: URL, body: Buffer): Promise<void> {
+    const name = url.searchParams.get('topic') ?? ''
+    switch (`${request.method ?? ''} ${url.pathname}`) {
+      case 'POST /log-append': return this.append(door, response, name, body)
+      case 'GET /log-read': return await this.read(response, name, Number(url.searchParams.get('from')), Number(url.searchParams.get('wait_ms') ?? 0))
+      case 'GET /log-newest': return this.page(response, name, url.searchParams.get('after') ?? undefined)
+      default: return json(response, 404, {})
+    }
+  }
+
+  private append (door: StoreDoor, response: ServerResponse, name: string, body: Buffer): void {
+    if (name === 'keyed.op' || name === 'keyed.servers') return json(response, 403, {})
+    const contents: Buffer[] = []
+    for (let place = 0; place < body.length;) {
+      const length = body.readUInt32BE(place)
+      contents.push(body.subarray(place + 4, place + 4 + length))
+      place += 4 + length
+    }
+    const offset = this.add(name, contents)
+    if (door.loseAnswers > 0) {
+      door.loseAnswers--
+      response.destroy()
+      return
+    }
+    json(response, 200, { offset, end: this.topic(name).records.length })
+  }
+
+  private async read (response: ServerResponse, name: string, from: number, waitMs: number): Promise<void> {
+    const topic = this.topic(name)
+    if (from < topic.first) return json(response, 410, { first: topic.first })
+    if (from >= topic.records.length && waitMs > 0) await wait(topic, Math.min(waitMs, LONGEST_POLL_MS), response)
+    const head = Buffer.alloc(16)
+    head.writeBigUInt64BE(BigInt(topic.records.length), 0)
+    head.writeBigUInt64BE(BigInt(topic.first), 8)
+    const records = topic.records.slice(from).map(({ content }) => {
+      const length = Buffer.alloc(4)
+      length.writeUInt32BE(content.length)
+      return Buffer.concat([length, content])
+    })
+    response.writeHead(200).end(Buffer.concat([head, ...records]))
+  }
+
+  private page (response: ServerResponse, name: string, after: string | undefined): void {
+    const sorted = [...this.newest(name)].sort(([a], [b]) => a < b ? -1 : 1).filter(([key]) => after === undefined || key > after)
+    const page = sorted.slice(0, 20)
+    json(response, 200, {
+      items: page.map(([key, { value, offset }]) => ({ key, value: Buffer.from(value).toString('base64'), offset })),
+      more: sorted.length > page.length,
+      end: this.topic(name).records.length
+    })
+  }
+}
+
+async function wait (topic: Topic, waitMs: number, response: ServerResponse): Promise<void> {
+  await new Promise<void>((resolve) => {
+    const done = (): void => {
+      clearTimeout(timer)
+      topic.waiting.delete(done)
+      resolve()
+    }
+    const timer = setTimeout(done, waitMs)
+    topic.waiting.add(done)
+    response.once('close', done)
+  })
+}
+
+function json (response: ServerResponse, status: number, body: object): void {
+  response.writeHead(status, { 'content-type': 'application/json' }).end(JSON.stringify(body))
+}
--- /dev/null
+++ b/test/platform/support/targetStandIn.ts
@@ -0,0 +1,199 @@
+/**
+ * Stand-ins for the prepared platform's targets: engines that stream and load weights, and plain
+ * workers. They register themselves, keep their own record of what they ran, and misbehave on demand.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import type { StoreStandIn } from './storeStandIn.ts'
+
+/** How a target treats the next requests. */
+export type TargetFault = 'none' | 'full' | 'fails' | 'resets' | 'silent' | 'foreign' | 'unsealed' | 'short' | 'extra' | 'breaks' | 'impossible'
+
+export interface RunRecord {
+  readonly id: string
+  readonly path: string
+  readonly method: string
+  readonly body: string
+  readonly headers: IncomingMessage['headers']
+  ended: 'open' | 'answered' | 'dropped'
+}
+
+export interface OrderRecord {
+  readonly holder: string
+  readonly fence: number
+  readonly model: string
+  readonly version: number
+  readonly at: number
+}
+
+interface OrderBody {
+  readonly holder: string
+  readonly fence: number
+  readonly model: string
+  readonly version: number
+  readonly precondition?: number
+}
+
+export interface TargetOptions {
+  readonly id: string
+  readonly service: string
+  readonly place: string
+  readonly slots?: number
+  /** Present for engines: the models and the time between two events, in milliseconds. */
+  readonly engine?: { readonly models: readonly string[], readonly eventMs: number, readonly loadMs: number }
+  /** Time for an answer of a plain worker, in milliseconds. */
+  readonly answerMs?: number
+}
+
+export class TargetStandIn {
+  readonly runs: RunRecord[] = []
+  readonly orders: OrderRecord[] = []
+  readonly versions = new Map<string, number>()
+  fault: TargetFault = 'none'
+  /** So many requests meet the fault; the following ones do not. */
+  faults = Number.POSITIVE_INFINITY
+  /** Events of a run; by default two and the number in the item's path after `events-`. */
+  draining = false
+  private loading: string | undefined
+  private server: Server | undefined
+  address = ''
+
+  constructor (readonly options: TargetOptions, private readonly store: StoreStandIn) {
+    for (const model of options.engine?.models ?? []) this.versions.set(model, 1)
+  }
+
+  async start (): Promise<this> {
+    const server = createServer((request, response) => { this.receive(request, response).catch(() => { response.destroy() }) })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    this.server = server
+    this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    this.register()
+    return this
+  }
+
+  register (): void {
+    const { id, service, place, slots = 4 } = this.options
+    const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
+    this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...(models.length > 0 ? { stage: 'both', models } : {}) })
+  }
+
+  drain (): void {
+    this.draining = true
+    this.register()
+  }
+
+  leave (): void {
+    this.store.put('keyed.servers', this.options.id, undefined)
+  }
+
+  /** Dies without a word. */
+  async kill (): Promise<void> {
+    this.server?.closeAllConnections()
+    await new Promise<void>((resolve) => { this.server === undefined ? resolve() : this.server.close(() => { resolve() }) })
+  }
+
+  private async receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const pieces: Buffer[] = []
+    for await (const piece of request as AsyncIterable<Buffer>) pieces.push(piece)
+    const body = Buffer.concat(pieces).toString('utf8')
+    const expected = request.headers['bulrushvalve-expect-instance']
+    if (expected !== undefined && expected !== this.options.id) return answer(response, 421, { 'bulrushvalve-instance-id': this.options.id }, '')
+    if (request.url === '/report') return this.report(response)
+    if (request.url === '/order') return this.order(response, JSON.parse(body) as OrderBody)
+    await this.run(request, response, body)
+  }
+
+  private report (response: ServerResponse): void {
+    const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
+    answer(response, 200, { 'content-type': 'application/json' }, JSON.stringify({ stage: 'both', models, busy: this.loading !== undefined, seq: this.orders.length, waiting: 0, running: 0, kv_used: 0, kv_total: 1, handles: 0 }))
+  }
+
+  private order (response: ServerResponse, { holder, fence, model, version, precondition }: OrderBody): void {
+    if (this.loading !== undefined || (precondition !== undefined && precondition !== this.orders.length)) return answer(response, 409, {}, '')
+    this.orders.push({ holder, fence, model, version, at: Date.now() })
+    this.loading = model
+    setTimeout(() => {
+      this.versions.set(model, version)
+      this.loading = undefined
+      this.register()
+    }, this.options.engine?.loadMs ?? 0)
+    answer(response, 202, {}, '')
+  }
+
+  private async run (request: IncomingMessage, response: ServerResponse, body: string): Promise<void> {
+    const id = String(request.headers['bulrushvalve-request-id'])
+    const fault = this.takeFault()
+    const model = String(request.headers['bulrushvalve-model'] ?? '')
+    if (fault === 'full' || (this.loading !== undefined && this.loading === model)) return answer(response, 503, { 'bulrushvalve-not-run': '1', 'bulrushvalve-request-id': id }, '')
+    const record: RunRecord = { id, path: request.url ?? '', method: request.method ?? '', body, headers: request.headers, ended: 'open' }
+    this.runs.push(record)
+    response.once('close', () => { if (record.ended === 'open') record.ended = 'dropped' })
+    const seal = `seal-of-${id}`
+    const own = { 'bulrushvalve-request-id': id, 'bulrushvalve-response-seal': seal, 'bulrushvalve-server-load': `${this.runs.filter(({ ended }) => ended === 'open').length},0,${this.options.slots ?? 4}` }
+    switch (fault) {
+      case 'resets': request.socket.resetAndDestroy(); return
+      case 'silent': return
+      case 'impossible': return finish(record, response, 422, own, '')
+      case 'fails': return finish(record, response, 500, own, 'failed')
+      case 'foreign': return finish(record, response, 200, { ...own, 'bulrushvalve-request-id': 'another' }, 'not yours')
+      case 'unsealed': return finish(record, response, 200, { 'bulrushvalve-request-id': id }, 'no seal')
+      case 'short':
+        response.writeHead(200, { ...own, 'content-length': '100' })
+        response.write('half', () => { request.socket.resetAndDestroy() })
+        return
+      case 'extra':
+        finish(record, response, 200, own, `whole ${id}`)
+        request.socket.write('HTTP/1.1 200 OK\r\nbulrushvalve-request-id: another\r\nbulrushvalve-response-seal: x\r\ncontent-length: 3\r\n\r\nbad')
+        return
+      default: break
+    }
+    if (this.options.engine !== undefined) return await this.stream(record, request, response, own, fault === 'breaks')
+    await delay(this.options.answerMs ?? 5)
+    finish(record, response, 200, own, `${this.options.id} answers ${id}`)
+  }
+
+  private takeFault (): TargetFault {
+    if (this.fault === 'none' || this.faults <= 0) return 'none'
+    this.faults--
+    return this.fault
+  }
+
+  /** Events with numbers from 0; an event at which the version changed says so in its first line. */
+  private async stream (record: RunRecord, request: IncomingMessage, response: ServerResponse, own: Record<string, string>, breaks: boolean): Promise<void> {
+    const model = String(request.headers['bulrushvalve-model'] ?? '')
+    const last = request.headers['last-event-id']
+    const count = Number(/events-(\d+)/.exec(record.path)?.[1] ?? 3)
+    const begin = last === undefined ? 0 : Number(last) + 1
+    let version = this.versions.get(model) ?? 1
+    response.writeHead(200, { ...own, 'content-type': 'text/event-stream', 'bulrushvalve-weight-versions': String(version) })
+    for (let number = begin; number < count; number++) {
+      await delay(this.options.engine?.eventMs ?? 1)
+      if (response.destroyed) return
+      const now = this.versions.get(model) ?? 1
+      const changed = now === version ? '' : `bulrushvalve-weight-versions: ${now}\n`
+      version = now
+      response.write(`${changed}id: ${number}\ndata: ${record.id}-${number}\n\n`)
+      if (breaks && number === begin + 1) {
+        response.write(`id: ${number + 1}\ndata: torn`, () => { request.socket.resetAndDestroy() })
+        return
+      }
+    }
+    record.ended = 'answered'
+    response.end()
+  }
+}
+
+function answer (response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
+  response.writeHead(status, { ...headers, 'content-length': Buffer.byteLength(body) }).end(body)
+}
+
+function finish (record: RunRecord, response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
+  record.ended = 'answered'
+  answer(response, status, headers, body)
+}
+
+async function delay (milliseconds: number): Promise<void> {
+  await new Promise((resolve) => setTimeout(resolve, milliseconds))
+}
