--- /dev/null
+++ b/test/actors/routes/routeCalls.test.ts
@@ -0,0 +1,234 @@
+/** Requests on their way through targets that refuse, fail, lie or say nothing. */
+
+import { expect } from 'chai'
+import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
+import type { RoutedAnswer } from '../../../src/actors/common/routes/routeCalls.ts'
+import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
+import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
+import type { Failure, Result } from '../../../src/base/common/resultCode.ts'
+import type { Route } from '../../../src/core/common/routes/routeConfiguration.ts'
+import { targetProtocol } from '../../../platform/index.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock, seededChance } from '../../support/manualClock.ts'
+import { route, targetDefinition } from '../../support/routes.ts'
+import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
+import { ScriptedClient } from '../../support/scriptedClient.ts'
+
+const own = { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }
+const good = (afterMs = 20): ScriptedAnswer => ({ afterMs, headers: own })
+const refused: ScriptedAnswer = { afterMs: 5, status: 503, headers: { 'bulrushvalve-not-run': '1', 'bulrushvalve-request-id': 'r' } }
+const failed: ScriptedAnswer = { afterMs: 5, status: 500, headers: own }
+const unreachable: ScriptedAnswer = { afterMs: 5, failure: 'targetUnreachable' }
+const reset: ScriptedAnswer = { afterMs: 5, failure: 'unknownOutcome' }
+const foreign: ScriptedAnswer = { afterMs: 5, headers: { ...own, 'bulrushvalve-request-id': 'other' } }
+const unsealed: ScriptedAnswer = { afterMs: 5, headers: { 'bulrushvalve-request-id': 'r' } }
+const silent: ScriptedAnswer = { afterMs: Number.POSITIVE_INFINITY }
+
+interface Scene {
+  readonly clock: ManualClock
+  readonly client: ScriptedClient
+  readonly table: TargetTable
+  readonly gone: AbortController
+}
+
+function scene (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>): Scene {
+  const clock = new ManualClock()
+  const table = new TargetTable({ clock, stateLog: quietLog })
+  for (const id of Object.keys(targets)) table.set(targetDefinition({ id, address: id }))
+  return { clock, client: new ScriptedClient(clock, targets), table, gone: new AbortController() }
+}
+
+async function call ({ clock, client, table, gone }: Scene, details: Partial<Route> = {}, { advanceMs = 3000, waitMs = 2000, background = false } = {}): Promise<{ result: Result<RoutedAnswer>, tookMs: number }> {
+  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+  const began = clock.now
+  let ended = Number.POSITIVE_INFINITY
+  const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, background, gone: gone.signal })
+  result.then(() => { ended = clock.now }).catch(() => undefined)
+  await clock.advance(advanceMs)
+  return { result: await result, tookMs: ended - began }
+}
+
+const outcome = (result: Result<RoutedAnswer>): string => result.ok ? `${result.value.answer.status} of ${result.value.target}` : result.code
+
+describe('a request that may be repeated', () => {
+  for (const { name, answers, expected } of [
+    { name: 'a refusal', answers: [refused], expected: '200 of b' },
+    { name: 'a failure to connect', answers: [unreachable], expected: '200 of b' },
+    { name: 'a broken connection', answers: [reset], expected: '200 of b' },
+    { name: "another request's answer", answers: [foreign], expected: '200 of b' },
+    { name: 'an answer without a seal', answers: [unsealed], expected: '200 of b' },
+    { name: "the target's own failure", answers: [failed], expected: '200 of b' },
+    { name: 'silence', answers: [silent], expected: '200 of b' }
+  ]) {
+    it(`goes to another target after ${name}`, async () => {
+      const stage = scene({ a: answers, b: [good()] })
+      stage.table.get('b')?.answered(90)
+      const { result, tookMs } = await call(stage)
+      expect(outcome(result)).to.equal(expected)
+      expect(tookMs).to.be.lessThan(200)
+    })
+  }
+
+  it('goes to no more targets than its route allows', async () => {
+    const stage = scene({ a: [reset], b: [reset], c: [good()] })
+    stage.table.get('c')?.answered(500)
+    const { result } = await call(stage)
+    expect(outcome(result)).to.equal('unknownOutcome')
+    expect(stage.client.sent).to.have.length(2)
+  })
+
+  it('takes the first answer and ends the other attempt', async () => {
+    const stage = scene({ a: [good(400)], b: [good(30)] })
+    stage.table.get('b')?.answered(90)
+    const { result, tookMs } = await call(stage)
+    expect(outcome(result)).to.equal('200 of b')
+    expect(tookMs).to.equal(130)
+    expect(stage.client.sent[0]?.cancelledAt).to.equal(stage.client.sent[0]?.at === undefined ? undefined : stage.client.sent[0].at + 130)
+  })
+
+  it("gets the targets' own failure if none does better", async () => {
+    const { result } = await call(scene({ a: [failed], b: [failed] }))
+    expect(outcome(result)).to.match(/^500/)
+    expect(result.ok && result.value.failures).to.equal(2)
+  })
+
+  it('is asked for again while all targets are full, and rejected while there is time to ask elsewhere', async () => {
+    const soon = scene({ a: [refused, refused, good()], b: [refused] })
+    expect(outcome((await call(soon)).result)).to.equal('200 of a')
+    const never = await call(scene({ a: [refused], b: [refused] }))
+    expect(never.result).to.include({ ok: false, code: 'overloaded', retryAfterMs: 300 })
+    expect(never.tookMs).to.be.within(900, 1050)
+  })
+
+  it('is rejected at once where there is no target', async () => {
+    const { result, tookMs } = await call(scene({}))
+    expect(outcome(result)).to.equal('noTarget')
+    expect(tookMs).to.equal(0)
+  })
+
+  it('has its answer in time though nobody answers', async () => {
+    const { result, tookMs } = await call(scene({ a: [silent], b: [silent] }), { timeoutMs: 700 })
+    expect(outcome(result)).to.equal('unknownOutcome')
+    expect(tookMs).to.equal(700)
+  })
+
+  it('hands targets no more time than is left', async () => {
+    const stage = scene({ a: [silent], b: [silent] })
+    await call(stage, { timeoutMs: 700 }, { waitMs: 500 })
+    const given = stage.client.sent.map(({ headers }) => Number(headers[headers.indexOf('bulrushvalve-deadline-ms') + 1]))
+    expect(given).to.deep.equal([500, 400])
+  })
+
+  it('is ended at all targets when its caller leaves', async () => {
+    const stage = scene({ a: [silent], b: [silent] })
+    stage.clock.after(150, () => { stage.gone.abort() })
+    const { result } = await call(stage)
+    expect(outcome(result)).to.equal('cancelled')
+    expect(stage.client.sent.map(({ at, cancelledAt }) => (cancelledAt ?? 0) - at)).to.deep.equal([150, 50])
+  })
+
+  it('asks a target last that has failed', async () => {
+    const stage = scene({ a: [reset, good()], b: [good()] })
+    stage.table.get('b')?.answered(90)
+    await call(stage, {}, { advanceMs: 100 })
+    const second = await call(stage, {}, { advanceMs: 100 })
+    expect(outcome(second.result)).to.equal('200 of b')
+    expect(stage.client.sent.filter(({ address }) => address === 'a')).to.have.length(1)
+  })
+})
+
+describe('a request that must not be repeated', () => {
+  const once = { kind: 'once-only', attempts: 3 } as const
+
+  for (const { name, answers } of [{ name: 'a refusal', answers: [refused] }, { name: 'a failure to connect', answers: [unreachable] }]) {
+    it(`goes to another target after ${name}, which ran nothing`, async () => {
+      const stage = scene({ a: answers, b: [good()] })
+      stage.table.get('b')?.answered(90)
+      expect(outcome((await call(stage, once)).result)).to.equal('200 of b')
+    })
+  }
+
+  for (const { name, answers, expected } of [
+    { name: 'a broken connection', answers: [reset], expected: 'unknownOutcome' },
+    { name: "another request's answer", answers: [foreign], expected: 'unknownOutcome' },
+    { name: 'an answer without a seal', answers: [unsealed], expected: 'unknownOutcome' },
+    { name: 'silence', answers: [silent], expected: 'unknownOutcome' },
+    { name: "the target's own failure", answers: [failed], expected: '500 of a' }
+  ]) {
+    it(`goes nowhere else after ${name}`, async () => {
+      const stage = scene({ a: answers, b: [good()] })
+      stage.table.get('b')?.answered(90)
+      expect(outcome((await call(stage, once)).result)).to.equal(expected)
+      expect(stage.client.sent).to.have.length(1)
+      expect(stage.client.sent[0]?.ownConnection).to.equal(true)
+    })
+  }
+})
+
+describe('background calls', () => {
+  it('leave a slot of each target to callers that wait', async () => {
+    const { clock, client, table, gone } = scene({ a: [silent] })
+    const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+    for (let index = 0; calls.hasRoom(route()); index++) {
+      calls.call({ route: route(), requestId: `b${index}`, method: 'POST', path: '/', headers: () => [], body: undefined, waitMs: 1000, background: true, gone: gone.signal }).catch(() => undefined)
+    }
+    expect(client.sent).to.have.length(5)
+    await clock.advance(2000)
+  })
+})
+
+describe('a stream', () => {
+  const event = (id: number): string => `id: ${id}\ndata: ${id}\n\n`
+  const events = (from: number, to: number, afterMs = 10): ScriptedAnswer['events'] => Array.from({ length: to - from }, (_, index) => ({ afterMs, raw: event(from + index) }))
+  const whole = [0, 1, 2, 3].map(event).join('')
+
+  async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient }> {
+    const stage = scene(targets)
+    const calls = new StreamCalls({ targets: stage.table, client: stage.client, protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+    stage.table.get('b')?.answered(90)
+    let got = ''
+    let ended = ''
+    const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
+      head: () => { got += 'head ' },
+      write: (piece) => { got += piece },
+      end: () => { ended = 'end' },
+      cut: () => { ended = 'cut' }
+    })
+    await stage.clock.advance(9000)
+    return { got, ended, failed: await done, client: stage.client }
+  }
+
+  it('is passed on whole', async () => {
+    const { got, ended } = await stream({ a: [{ ...good(), events: events(0, 4) }] })
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+  })
+
+  it('goes on at another target after its last whole event, torn pieces left out', async () => {
+    const torn = [...events(0, 2) ?? [], { afterMs: 5, raw: 'id: 2\nda' }]
+    const { got, ended, client } = await stream({ a: [{ ...good(), events: torn, breaks: true }], b: [{ ...good(), events: events(2, 4) }] })
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+    expect(client.sent[1]?.headers).to.include.members(['last-event-id', '1'])
+  })
+
+  it('is given up by a silent target in time to go on elsewhere', async () => {
+    const { got, ended, client } = await stream({ a: [{ ...good(), events: [...events(0, 2) ?? [], { afterMs: 60_000, raw: '' }] }], b: [{ ...good(), events: events(2, 4) }] })
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+    expect((client.sent[1]?.at ?? 0) - (client.sent[0]?.at ?? 0)).to.be.at.most(1600)
+  })
+
+  it('is cut off where it may not be resumed', async () => {
+    const { ended, client } = await stream({ a: [{ ...good(), events: events(0, 2), breaks: true }], b: [{ ...good(), events: events(2, 4) }] }, { resumable: false })
+    expect(ended).to.equal('cut')
+    expect(client.sent).to.have.length(1)
+  })
+
+  it('is cut off rather than passed on with an event missing', async () => {
+    const { got, ended } = await stream({ a: [{ ...good(), events: [...events(0, 2) ?? [], ...events(3, 4) ?? []] }] })
+    expect([got, ended]).to.deep.equal([`head ${event(0)}${event(1)}`, 'cut'])
+  })
+
+  it('is refused where no target took it', async () => {
+    const { ended, failed } = await stream({ a: [refused], b: [refused] })
+    expect([ended, failed?.code]).to.deep.equal(['', 'overloaded'])
+  })
+})
