Hosts read in batches and keep no timers without work

Cause: idle hosts woke some 110 times a second for timers and once for each write of any target. Reads pause after records came, while nobody waits for them; timers of the steps run only at their holder.

--- a/src/actors/common/duties/dutyKeeper.ts
+++ b/src/actors/common/duties/dutyKeeper.ts
@@ -59,7 +59,7 @@
 }
 
 /** Time between two looks, in milliseconds: a fraction of a renewal. */
-const LOOK_MS = 50
+const LOOK_MS = 125
 /** Claims are spread over this time, in milliseconds, so that mostly one host makes one. */
 const CLAIM_SPREAD_MS = 300
 /** Times of renewals that may still be read back. */
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -5,7 +5,6 @@
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ScorerCall } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -41,12 +40,10 @@
 const AFTER_SUCCESS = 300
 
 export class SampleScorer implements Disposable {
-  private readonly disposables = new DisposableStore()
   private readonly queue: WaitingCall[] = []
+  private timer: Disposable | undefined
 
-  constructor (private readonly services: SampleScorerServices) {
-    this.disposables.add(services.clock.every(LOOK_MS, () => { this.startCalls() }))
-  }
+  constructor (private readonly services: SampleScorerServices) {}
 
   /** Scores a sample; waits as long as it takes, unless cancelled. */
   async score (call: ScorerCall, cancelled: AbortSignal): Promise<ScoreOutcome> {
@@ -57,10 +54,16 @@
   }
 
   dispose (): void {
-    this.disposables.dispose()
+    this.timer?.dispose()
   }
 
   private startCalls (): void {
+    this.startWhatFits()
+    this.timer?.dispose()
+    this.timer = this.queue.length === 0 ? undefined : this.services.clock.after(LOOK_MS, () => { this.startCalls() })
+  }
+
+  private startWhatFits (): void {
     while (this.queue.length > 0) {
       const next = this.queue[0]
       if (next === undefined) return
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -104,8 +104,10 @@
   }
 
   private async waitForResult (id: string, waitMs: number, gone: AbortSignal): Promise<void> {
+    const reading = this.services.topic.awaitRecords()
     await new Promise<void>((resolve) => {
       const done = (): void => {
+        reading.dispose()
         timer.dispose()
         subscription.dispose()
         gone.removeEventListener('abort', done)
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -92,11 +92,13 @@
   /** Texts of items whose steps ended before them. */
   private readonly unfinished = new Map<string, SavedText>()
   private stopping = false
+  /** Present while this host holds the duty. */
+  private timer: Disposable | undefined
+  private reading: Disposable | undefined
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
-    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
   }
 
   /** Items under way. */
@@ -120,6 +122,7 @@
   }
 
   dispose (): void {
+    this.timer?.dispose()
     this.dropAll()
     this.disposables.dispose()
   }
@@ -155,7 +158,11 @@
   }
 
   private dutyChanged (): void {
+    this.timer?.dispose()
+    this.reading?.dispose()
     if (!this.services.duty.holds) return this.dropAll()
+    this.timer = this.services.clock.every(LOOK_MS, () => { this.look() })
+    this.reading = this.services.topic.awaitRecords()
     this.takeOver().catch((error: unknown) => { this.services.stateLog.alarm('steps not taken over', { error: String(error) }) })
   }
 
--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -27,6 +27,8 @@
   readonly name: string
   /** How long a read may wait for records, in milliseconds: a silent connection is noticed that late. */
   readonly longPollMs: number
+  /** Pause after a read that brought records, in milliseconds: what comes within it is read together, which spares calls where many write often. */
+  readonly pauseMs: number
 }
 
 /** Pause after a failed call, in milliseconds: short, since an outage ends at any moment and each try is cheap. */
@@ -38,6 +40,8 @@
   private lost = false
   private regained = Number.NEGATIVE_INFINITY
   private stopped = false
+  private hurried: (() => boolean) | undefined
+  private wake: (() => void) | undefined
 
   constructor (private readonly services: TailServices, private readonly settings: TailSettings, private readonly listener: TailListener) {}
 
@@ -71,6 +75,16 @@
     this.follow().catch((error: unknown) => { this.services.stateLog.alarm('a topic is no longer followed', { topic: this.settings.name, error: String(error) }) })
   }
 
+  /** Reads without pauses while this holds. */
+  hurryWhile (condition: () => boolean): void {
+    this.hurried = condition
+  }
+
+  /** Ends a pause that is under way. */
+  hurry (): void {
+    this.wake?.()
+  }
+
   /** Loads what is missing at once; true if all records older than this call are known afterwards. */
   async catchUp (): Promise<boolean> {
     const began = this.services.clock.monotonic()
@@ -91,10 +105,12 @@
   private async follow (): Promise<void> {
     while (!this.stopped) {
       const began = this.services.clock.monotonic()
-      const answered = this.offset === undefined ? await this.load() : await this.readOn(this.offset)
+      const from = this.offset
+      const answered = from === undefined ? await this.load() : await this.readOn(from)
       if (this.stopped) return
       this.note(answered, began)
-      if (!answered) await this.pause()
+      if (!answered) await this.pause(RETRY_MS)
+      else if (this.position !== from && this.hurried?.() !== true) await this.pause(this.settings.pauseMs)
     }
   }
 
@@ -149,7 +165,15 @@
     else this.services.stateLog.alarm('store lost', details)
   }
 
-  private async pause (): Promise<void> {
-    await new Promise<void>((resolve) => { this.services.clock.after(RETRY_MS, resolve) })
+  private async pause (milliseconds: number): Promise<void> {
+    if (milliseconds === 0) return
+    await new Promise<void>((resolve) => {
+      const timer = this.services.clock.after(milliseconds, resolve)
+      this.wake = () => {
+        timer.dispose()
+        resolve()
+      }
+    })
+    this.wake = undefined
   }
 }
--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -1,7 +1,7 @@
 /** The steps' topic as this host has read it: the fold, its events, and how sure this host is of them. */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import { Emitter } from '../../../base/common/lifecycle.ts'
+import { Emitter, toDisposable } from '../../../base/common/lifecycle.ts'
 import type { FoldedDuty, FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { StepFold } from '../../../core/common/steps/stepFold.ts'
 import type { DutySource } from '../duties/dutyKeeper.ts'
@@ -13,6 +13,8 @@
   private readonly tail: KeyedTail
   private readonly changes = new Emitter<StepChange>()
   private readonly dutyChanges = new Emitter<FoldedDuty>()
+  /** Those who wait for the next record. */
+  private waiting = 0
   readonly onChange = this.changes.event
   readonly onDuty = this.dutyChanges.event
 
@@ -21,6 +23,7 @@
       reset: (entries) => { this.tell(this.fold.reset(entries)) },
       apply: (entries) => { this.tell(this.fold.apply(entries)) }
     })
+    this.tail.hurryWhile(() => this.waiting > 0)
   }
 
   get loaded (): boolean {
@@ -47,6 +50,13 @@
     return await this.tail.catchUp()
   }
 
+  /** Has records read without pauses until the result is disposed. */
+  awaitRecords (): Disposable {
+    this.waiting++
+    this.tail.hurry()
+    return toDisposable(() => { this.waiting-- })
+  }
+
   step (id: string): FoldedStep | undefined {
     return this.fold.step(id)
   }
--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -55,9 +55,14 @@
 export class EngineOrders implements Disposable {
   private readonly disposables = new DisposableStore()
   private assignment: Assignment = new Map()
+  /** Present while this host holds the duty. */
+  private timer: Disposable | undefined
 
   constructor (private readonly services: EngineOrderServices) {
-    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
+    this.disposables.add(services.duty.onChange(() => {
+      this.timer?.dispose()
+      this.timer = services.duty.holds ? services.clock.every(LOOK_MS, () => { this.look() }) : undefined
+    }))
   }
 
   /** Model that an engine follows. */
@@ -66,6 +71,7 @@
   }
 
   dispose (): void {
+    this.timer?.dispose()
     this.disposables.dispose()
   }
 
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -112,12 +112,12 @@
     direct.set(topic, client)
     return new RelayedKeyedLog({ peers, helpers: () => membership.peerAddresses(), clock, metrics }, client, topic)
   }
-  const tail = (name: string) => ({ name, longPollMs: store.long_poll })
-  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...base }, tail(registryProtocol.operatorTopic), registryProtocol))
+  const tail = (name: string, pauseMs: number) => ({ name, longPollMs: store.long_poll, pauseMs })
+  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...base }, tail(registryProtocol.operatorTopic, 0), registryProtocol))
   const targets = new TargetTable(base)
-  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...base }, tail(registryProtocol.targetTopic), registryProtocol, targets))
+  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...base }, tail(registryProtocol.targetTopic, store.registry_pause), registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
-  const topic = disposables.add(new StepTopic({ log: stepLog, ...base }, tail(store.topic)))
+  const topic = disposables.add(new StepTopic({ log: stepLog, ...base }, tail(store.topic, store.read_pause)))
   serveRelays(handlers, direct)
 
   const client = new HttpTargetClient(targetConnections, { connectTimeoutMs: limits.connect_timeout, maximumAnswerBytes: limits.answer_bytes })
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -26,6 +26,8 @@
   progress_topic: z.string().min(1).default('bulrushvalve.progress').describe('the topic of the progress of running items, which need not be kept'),
   timeout: milliseconds(800, 'longest wait for an answer'),
   long_poll: milliseconds(1000, 'how long a read may wait for records'),
+  read_pause: milliseconds(120, 'pause after a read that brought records, while nobody waits for them'),
+  registry_pause: milliseconds(300, 'the same for the entries of targets, which come often and may be known this much later'),
   call_bytes: count(2_000_000, 'bytes of one append, at most')
 })
 
