--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -26,6 +26,8 @@
   readonly body: Uint8Array | undefined
   /** How long the caller waits from now on, in milliseconds. */
   readonly waitMs: number
+  /** Version of the configuration that the route is of. */
+  readonly configuration: number
   /** Background calls leave a slot of each target to callers that wait. */
   readonly background: boolean
   /** Aborted when the caller has gone. */
@@ -60,12 +62,15 @@
 const RETRY_AFTER_MS = 300
 /** Times for an answer over this are not what a target needs but what it lost. */
 const SILENT_MS = 1500
+const SERVER_ERROR = 500
 
 /** One try at one target. */
 interface Attempt {
   readonly target: KnownTarget
   readonly abort: AbortController
   readonly beganAt: number
+  /** Requests in flight and age of the load report when the target was chosen. */
+  readonly known: string
 }
 
 export class RouteCalls {
@@ -94,6 +99,8 @@
   private readonly refused = new Set<string>()
   private readonly timers = new DisposableStore()
   private readonly beganAt: number
+  /** What each attempt came to: target, what this host knew of it, and how it ended, for the log. */
+  private readonly story: string[] = []
   private failures = 0
   private rounds = 0
   private lastFailure: RoutedAnswer | undefined
@@ -156,7 +163,7 @@
 
   private launch (target: KnownTarget): void {
     const { services, request } = this
-    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic() }
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target) }
     this.running.add(attempt)
     this.sent.add(target.definition.id)
     target.inFlight++
@@ -180,7 +187,7 @@
   }
 
   private ended (attempt: Attempt, result: Result<TargetAnswer>): void {
-    const { target } = attempt
+    const { target, known } = attempt
     const tookMs = this.services.clock.monotonic() - attempt.beganAt
     target.inFlight--
     this.running.delete(attempt)
@@ -188,7 +195,9 @@
       if (tookMs > SILENT_MS && !result.ok) target.failed()
       return
     }
+    const note = (end: string): void => { this.story.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
+      note(result.code)
       target.failed()
       if (result.code === 'targetUnreachable') this.sent.delete(target.definition.id)
       this.refused.add(target.definition.id)
@@ -198,6 +207,7 @@
     if (head.load !== undefined) target.reported(head.load)
     const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
     const verdict = judgeAnswer(head, this.request.requestId)
+    note(verdict)
     switch (verdict) {
       case 'answer':
         target.answered(tookMs)
@@ -241,7 +251,10 @@
     if (this.settled) return
     this.settled = true
     this.timers.dispose()
-    for (const { abort } of this.running) abort.abort()
+    for (const { abort, target, known } of this.running) {
+      this.story.push(`${target.definition.id}:${known}:ended`)
+      abort.abort()
+    }
     this.tell(result)
     this.resolve(result)
   }
@@ -253,12 +266,19 @@
     services.stateLog.decided('call ended', {
       request: request.requestId ?? '',
       route: request.route.name,
+      configuration: request.configuration,
+      failed: !result.ok || result.value.answer.status >= SERVER_ERROR,
       outcome: result.ok ? String(result.value.answer.status) : result.code,
-      target: result.ok ? result.value.target : [...this.sent].join(' '),
-      targets: this.sent.size,
+      why: result.ok ? '' : result.message,
+      target: result.ok ? result.value.target : '',
+      attempts: this.story.join(' '),
       rounds: this.rounds,
       tookMs: Math.round(this.elapsedMs),
       allowedMs: Math.round(this.allowedMs)
     })
   }
 }
+
+function knownOf ({ inFlight, report, reportAgeMs }: KnownTarget): string {
+  return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms`
+}
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -89,6 +89,7 @@
       headers: (options) => protocol.scorerHeaders(call.host, call.requestId, options),
       body: Uint8Array.from(atob(call.body), (character) => character.charCodeAt(0)),
       waitMs: route.timeoutMs,
+      configuration: this.services.routes()?.version ?? 0,
       background: true,
       gone: cancelled
     })
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -6,7 +6,7 @@
 import { endRecord, submissionRecords } from '../../../core/common/steps/stepRecords.ts'
 import type { SampleResult, StepSubmission } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
-import type { StateLog } from '../../../ports/common/observation.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
 
@@ -14,6 +14,7 @@
   readonly topic: StepTopic
   readonly appender: GroupAppender
   readonly clock: Clock
+  readonly metrics: Metrics
   readonly stateLog: StateLog
 }
 
@@ -49,7 +50,8 @@
     const began = clock.monotonic()
     const appended = await appender.append(() => records, this.settings.acceptMs)
     const taken = appended.ok || (appended.code === 'commandUnknown' && await this.find(submission.id) !== undefined)
-    stateLog.decided('step submitted', { step: submission.id, number: submission.number, model: submission.model, items: submission.items.length, outcome: taken ? 'accepted' : appended.ok ? '' : appended.code, tookMs: Math.round(clock.monotonic() - began), offset: appended.ok ? appended.value : topic.position })
+    this.services.metrics.timing('steps.accept', clock.monotonic() - began)
+    stateLog.decided('step submitted', { step: submission.id, failed: !taken, number: submission.number, model: submission.model, items: submission.items.length, outcome: taken ? 'accepted' : appended.ok ? '' : appended.code, tookMs: Math.round(clock.monotonic() - began), offset: appended.ok ? appended.value : topic.position })
     return taken ? success(undefined) : appended as Result<void>
   }
 
@@ -82,7 +84,7 @@
     if (!found.ok) return found
     if (found.value.ended) return success(undefined)
     const appended = await this.services.appender.append(() => [endRecord(id)], this.settings.endMs)
-    this.services.stateLog.decided('step end asked', { step: id, outcome: appended.ok ? 'ended' : appended.code })
+    this.services.stateLog.decided('step end asked', { step: id, failed: !appended.ok, outcome: appended.ok ? 'ended' : appended.code })
     return appended.ok ? success(undefined) : appended
   }
 
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -281,7 +281,8 @@
   private runEnded (work: StepWork, route: Route, itemWork: ItemWork, { engine }: EngineCandidate, end: RunEnd, tookMs: number): void {
     const { submission } = work.step
     const { item, text } = itemWork
-    this.services.stateLog.decided('run ended', { item: item.id, step: submission.id, engine: engine.id, end: end.type, why: end.type === 'broken' ? end.why : '', events: text.events.length, versions: [...text.versions].join(' '), run: itemWork.runs, tookMs: Math.round(tookMs) })
+    this.services.metrics.timing('steps.run', tookMs)
+    this.services.stateLog.decided('run ended', { item: item.id, step: submission.id, failed: end.type !== 'complete' && end.type !== 'moved', engine: engine.id, end: end.type, why: end.type === 'broken' ? end.why : '', events: text.events.length, versions: [...text.versions].join(' '), run: itemWork.runs, tookMs: Math.round(tookMs) })
     switch (end.type) {
       case 'complete':
         engine.target.answered(tookMs)
@@ -298,9 +299,9 @@
         return this.again(work, itemWork, route.singleVersion)
       case 'failed':
         itemWork.failures++
-        if (itemWork.failures >= route.attempts) return this.list(work, itemWork, lost(item))
+        if (itemWork.failures >= route.attempts) return this.giveUpItem(work, itemWork, `${itemWork.failures} engines failed`)
         return this.again(work, itemWork, true)
-      case 'impossible': return this.list(work, itemWork, lost(item))
+      case 'impossible': return this.giveUpItem(work, itemWork, 'the engine says that it can never be done')
     }
   }
 
@@ -317,10 +318,18 @@
     itemWork.state = 'scoring'
     this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
       if (itemWork.cancel.signal.aborted) return
-      this.list(work, itemWork, outcome.type === 'scored' ? { ...result, score: outcome.score } : lost(itemWork.item))
+      if (outcome.type === 'scored') this.list(work, itemWork, { ...result, score: outcome.score })
+      else this.giveUpItem(work, itemWork, 'the scorer failed as often as its route allows')
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
 
+  private giveUpItem (work: StepWork, itemWork: ItemWork, why: string): void {
+    const { item, text, runs } = itemWork
+    this.services.metrics.count('steps.lost')
+    this.services.stateLog.decided('item listed as lost', { item: item.id, step: work.step.submission.id, failed: true, why, runs, events: text.events.length })
+    this.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
+  }
+
   private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
     const step = work.step.submission.id
     itemWork.state = 'listing'
@@ -422,7 +431,7 @@
       if (itemWork.state === 'listing') continue
       itemWork.cancel.abort()
       removeFrom(work.waiting, itemWork)
-      this.list(work, itemWork, lost(itemWork.item))
+      this.giveUpItem(work, itemWork, 'its time is over')
     }
   }
 }
@@ -431,10 +440,6 @@
   return { item, text: new ItemText(), cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
 }
 
-function lost (item: StepItem): SampleResult {
-  return { item: item.id, state: 'lost', text: '', versions: [], score: undefined }
-}
-
 function removeFrom<T> (list: T[], value: T): void {
   const index = list.indexOf(value)
   if (index >= 0) list.splice(index, 1)
--- a/src/adapters/node/structuredLog.ts
+++ b/src/adapters/node/structuredLog.ts
@@ -1,50 +1,79 @@
 /**
- * Log lines by loglevel: one JSON object a line. Decisions on requests come as often as requests
- * do; beyond a number of lines a second they are dropped and counted, so that a burst costs lines
- * and not the requests that it consists of.
+ * Log lines by loglevel: one JSON object a line, written so that nothing ever waits for a reader.
+ * Decisions on requests come as often as requests do; beyond a number of lines a second they are
+ * left out and counted by event, so that a burst costs lines and not the requests that it consists
+ * of. What ends a request badly is left out last: it is what somebody will ask about.
  */
 
 import loglevel from 'loglevel'
+import type { DecidedEvent } from '../../base/common/logEvents.ts'
 import type { LogDetails, StateLog } from '../../ports/common/observation.ts'
 
 /** Lines of decisions a second: a few times the requests that one small host serves. */
 const DECISIONS_PER_SECOND = 100
+/** Lines a second that are kept for decisions that explain a failure. */
+const FAILURES_PER_SECOND = 100
+/** Lines that wait for a reader, in characters: some seconds of the most lines. */
+const WAITING_CHARACTERS = 512 * 1024
+
+/** Where lines go: standard output, or what a test gives. */
+export interface LineSink {
+  /** Characters that were written and that nobody has read. */
+  readonly writableLength: number
+  write (line: string): void
+}
 
 export class StructuredLog implements StateLog {
-  private readonly logger = loglevel.getLogger('bulrushvalve')
+  private readonly logger: loglevel.Logger
   private second = 0
-  private written = 0
-  private dropped = 0
+  private usual = 0
+  private failures = 0
+  private dropped = new Map<string, number>()
 
-  constructor (private readonly host: string, level: 'silent' | 'warn' | 'info') {
+  constructor (private readonly host: string, level: 'silent' | 'warn' | 'info', private readonly sink: LineSink = process.stdout) {
+    this.logger = loglevel.getLogger(`bulrushvalve ${host}`)
+    this.logger.methodFactory = () => (line: string) => { this.write(line) }
     this.logger.setLevel(level, false)
   }
 
-  changed (what: string, details: LogDetails): void {
+  changed (what: Parameters<StateLog['changed']>[0], details: LogDetails): void {
     this.logger.info(this.line('changed', what, details))
   }
 
-  alarm (what: string, details: LogDetails): void {
+  alarm (what: Parameters<StateLog['alarm']>[0], details: LogDetails): void {
     this.logger.warn(this.line('alarm', what, details))
   }
 
-  decided (what: string, details: LogDetails): void {
-    const second = Math.floor(performance.now() / 1000)
-    if (second !== this.second) this.nextSecond(second)
-    if (this.written >= DECISIONS_PER_SECOND) {
-      this.dropped++
-      return
-    }
-    this.written++
+  decided (what: DecidedEvent, details: LogDetails): void {
+    this.turnSecond()
+    const failed = details.failed === true
+    const full = failed ? this.failures >= FAILURES_PER_SECOND : this.usual >= DECISIONS_PER_SECOND
+    if (full) return this.drop(what)
+    if (failed) this.failures++
+    else this.usual++
     this.logger.info(this.line('decided', what, details))
   }
 
-  private nextSecond (second: number): void {
+  private turnSecond (): void {
+    const second = Math.floor(performance.now() / 1000)
+    if (second === this.second) return
     this.second = second
-    this.written = 0
-    if (this.dropped === 0) return
-    this.logger.info(this.line('changed', 'log lines dropped', { lines: this.dropped }))
-    this.dropped = 0
+    this.usual = 0
+    this.failures = 0
+    if (this.dropped.size === 0) return
+    const dropped = Object.fromEntries(this.dropped)
+    this.dropped = new Map()
+    this.changed('log lines dropped', dropped)
+  }
+
+  private drop (what: string): void {
+    this.dropped.set(what, (this.dropped.get(what) ?? 0) + 1)
+  }
+
+  /** A pipe that nobody reads would take memory without end; beyond a bound lines are left out. */
+  private write (line: string): void {
+    if (this.sink.writableLength > WAITING_CHARACTERS) this.drop('unread')
+    else this.sink.write(`${line}\n`)
   }
 
   private line (type: string, what: string, details: LogDetails): string {
--- /dev/null
+++ b/src/base/common/logEvents.ts
@@ -0,0 +1,89 @@
+/**
+ * All events that log lines tell of. A line is one JSON object with `time`, `host`, `type`, `what`
+ * and the event's own details. docs/LOGS.md is written from this table.
+ */
+
+export const logEvents = {
+  /** What a process believes has changed. */
+  changed: {
+    start: 'the process begins; with its addresses',
+    listening: 'all its addresses take connections',
+    'stop begins': 'a graceful stop; with what is under way',
+    'stop ends': 'the process exits; with what was still under way',
+    'settings reloaded': 'the settings file changed; with the tables that hold only after a restart',
+    'host status': 'another host is believed alive, leaving, suspect or dead',
+    'host is suspect': 'another host did not answer',
+    'host is dead': 'a suspect did not answer in time either',
+    'the log answers again': 'the control log is back',
+    'state found': 'the fold begins from a checkpoint or a peer',
+    'checkpoint written': 'the folded state is in the log',
+    'lease taken': 'this host orders the engines of a shard',
+    'target weights': 'an engine reports another version',
+    'topic loaded': 'the newest records of a topic are read; with their number and the offset',
+    'topic has forgotten its history': 'the next records are gone, the newest ones are loaded again',
+    'store regained': 'calls for a topic succeed again; with the time without',
+    'configuration in force': 'a newer configuration; with its version and the former one',
+    'version named': 'a trainer named a version of weights',
+    'target registered': 'a target has an entry',
+    'target drains': 'a target takes no new work by its own word',
+    'target gone': 'the entry of a target is gone',
+    'duty held': 'this host runs the steps; with the term',
+    'duty lost': 'another host does, or nobody',
+    'duty released': 'this host gave the duty up before it stops',
+    'log lines dropped': 'lines of decisions that were left out in the second before, by event'
+  },
+  /** Something is wrong that an operator may have to mend. */
+  alarm: {
+    'the log does not answer': 'the control log is out of reach',
+    'the log no longer has the next entry': 'this host was away for longer than the log keeps entries',
+    'the log ends before what was read from it': 'the log lost entries, or is another one',
+    'a record cannot be read and is skipped': 'a record of another version, or a broken one',
+    'no state can be found': 'neither checkpoint nor peer',
+    'control log failed': 'a fault of this program',
+    'woke from a freeze': 'the process stood still',
+    'order refused as fenced': 'an engine knows a newer holder',
+    'a rollout failed': 'a fault of this program',
+    'a request handler failed': 'a fault of this program',
+    'stop does not wait longer': 'what was under way is cut off',
+    'store lost': 'calls for a topic fail; with the offset read so far',
+    'a topic is no longer followed': 'a fault of this program',
+    'record of the operator cannot be read': 'the configuration or a named version is broken; the former stays in force',
+    "a target's entry cannot be read": 'the entry is passed over',
+    'request failed': 'a fault of this program; the caller got 502',
+    'call to a scorer failed': 'a fault of this program',
+    'claim failed': 'the store did not take a claim of the duty',
+    'listing failed': 'a fault of this program',
+    'load failed': 'a fault of this program',
+    'progress not saved': 'a fault of this program',
+    'progress of running items cannot be read': 'items of a former holder begin anew',
+    'result not taken by the store': 'a finished result waits for the store',
+    'run of an item failed': 'a fault of this program',
+    'scoring failed': 'a fault of this program',
+    'settings cannot be reloaded': 'the file has mistakes; the former settings hold',
+    'steps not taken over': 'a fault of this program'
+  },
+  /** A decision that touches a request, a step or an order. */
+  decided: {
+    'call ended': 'a request has its answer: route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, age of the newest load report',
+    'call rejected': 'a request was rejected before it was sent anywhere, with the code and the configuration version',
+    'stream ended': 'a stream is whole, cut or refused; with the targets and the last event',
+    'step submitted': 'a submission was accepted or not; with offset and time',
+    'step end asked': 'a trainer ended a step',
+    'step adopted': 'this host runs a step; with the items still open, those resumed from saved events, and the term',
+    'step whole': 'all items of a step are listed',
+    'step dropped': 'a step is no longer run here, and why; with the items still open',
+    'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
+    'run moved from a slow engine': 'a run goes on at another engine; with the slowness that decided it',
+    'item listed as lost': 'an item was given up, and why',
+    'duty claimed': 'the holder was silent, or released the duty; with its silence',
+    'engine assigned': 'an engine follows another model',
+    'load begins': 'an engine is ordered to load a version; with what waits and runs',
+    'load ended': 'the engine reports the version',
+    'load not seen to end': 'the engine did not report the version in time; it is asked again',
+    'order not taken': 'an engine refused an order or gave no answer'
+  }
+} as const
+
+export type ChangedEvent = keyof typeof logEvents.changed
+export type AlarmEvent = keyof typeof logEvents.alarm
+export type DecidedEvent = keyof typeof logEvents.decided
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -15,7 +15,7 @@
 export class ForwardRoutes {
   constructor (private readonly services: ForwardServices) {}
 
-  async serve (exchange: FrontExchange, read: Extract<FrontRequest, { type: 'routed' }>, route: Route, body: Uint8Array): Promise<void> {
+  async serve (exchange: FrontExchange, read: Extract<FrontRequest, { type: 'routed' }>, route: Route, configuration: number, body: Uint8Array): Promise<void> {
     const { calls, streams, protocol } = this.services
     const call = {
       route,
@@ -25,6 +25,7 @@
       headers: (options: Parameters<TargetProtocol['forwardHeaders']>[1]) => protocol.forwardHeaders(exchange.request.rawHeaders, options),
       body: exchange.hasBody ? body : undefined,
       waitMs: read.deadlineMs ?? route.timeoutMs,
+      configuration,
       background: false,
       gone: exchange.gone
     }
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -15,7 +15,7 @@
   readonly path: string
   readonly query: URLSearchParams
 
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol) {
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol, private readonly onFailure: (failed: Failure) => void = () => undefined) {
     const abort = new AbortController()
     this.gone = abort.signal
     response.once('close', () => { if (!response.writableFinished) abort.abort() })
@@ -63,6 +63,7 @@
 
   /** Sends a failure; the status says whether the request has run. */
   fail (failed: Failure): void {
+    this.onFailure(failed)
     if (failed.code === 'cancelled') {
       this.response.destroy()
       return
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -8,6 +8,7 @@
 import { createServer } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
+import type { Failure } from '../../../base/common/resultCode.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
 import type { CallerLimits, Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -91,7 +92,7 @@
   }
 
   private receive (request: IncomingMessage, response: ServerResponse): void {
-    const exchange = new FrontExchange(request, response, this.services.protocol)
+    const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.tellRejected(exchange, failed) })
     if (this.settings.isLeaving()) response.shouldKeepAlive = false
     this.inFlight++
     response.once('close', () => { this.inFlight-- })
@@ -101,6 +102,18 @@
     })
   }
 
+  /** What was sent to a target or is a step's matter has a line of its own. */
+  private tellRejected (exchange: FrontExchange, { code, message }: Failure): void {
+    const { metrics, stateLog, operator } = this.services
+    metrics.count(`front.refused.${code}`)
+    stateLog.decided('call rejected', { request: this.requestId(exchange), path: exchange.path, failed: true, outcome: code, why: message, configuration: operator.routes?.version ?? 0, storeLost: operator.isLost })
+  }
+
+  private requestId (exchange: FrontExchange): string {
+    const read = this.services.protocol.request(exchange.method, exchange.path, exchange.query, exchange.headers)
+    return read.ok && read.value.type === 'routed' ? read.value.requestId ?? '' : ''
+  }
+
   private async serve (exchange: FrontExchange): Promise<void> {
     if (headBytes(exchange.request) > this.limits.headerBytes) return exchange.fail(failure('headTooLarge', `the head of a request may have ${this.limits.headerBytes} bytes`))
     const read = this.services.protocol.request(exchange.method, exchange.path, exchange.query, exchange.headers)
@@ -117,7 +130,7 @@
     const body = await exchange.body(this.limits.bodyBytes)
     if (!body.ok) return exchange.fail(body)
     if (route.kind === 'steps') return await this.services.steps.submit(exchange, read, route, body.value)
-    await this.services.forward.serve(exchange, read, route, body.value)
+    await this.services.forward.serve(exchange, read, route, this.services.operator.routes?.version ?? 0, body.value)
   }
 
   /** The route of a request; a missing one may be newer than what this host has read. */
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -29,6 +29,8 @@
 import { JsonRpcHandlers, JsonRpcPeers } from '../../adapters/node/jsonRpcPeers.ts'
 import { KeyedLogClient } from '../../adapters/node/keyedLogClient.ts'
 import { NodeChance, NodeClock } from '../../adapters/node/nodeClock.ts'
+import { ScrapedMetrics } from '../../adapters/node/scrapedMetrics.ts'
+import { StandardOutput } from '../../adapters/node/standardOutput.ts'
 import { StatsdMetrics } from '../../adapters/node/statsdMetrics.ts'
 import { StructuredLog } from '../../adapters/node/structuredLog.ts'
 import { StoreCaller } from '../../adapters/node/storeCaller.ts'
@@ -40,6 +42,7 @@
 import { DirectoryServer } from '../../entry/node/front/directoryServer.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
 import { FrontServer } from '../../entry/node/front/frontServer.ts'
+import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
 import { StepRoutes } from '../../entry/node/front/stepRoutes.ts'
 import { PeerRoutes } from '../../entry/node/routes/peerRoutes.ts'
 import { Router } from '../../entry/node/router.ts'
@@ -67,6 +70,8 @@
 const SMALL_HOST_DELAY_MS = 600
 const STEPS_DUTY = 'steps'
 const LOOK_MS = 50
+/** Longest wait at the end for a reader of the log lines, in milliseconds. */
+const OUTPUT_DRAIN_MS = 200
 /** Time between two looks at the settings file, which may change without a signal, in milliseconds. */
 const SETTINGS_LOOK_MS = 5000
 
@@ -81,8 +86,9 @@
   const machine = settings.host.name
   const place = settings.host.place
   const host = asHostId(`${machine}/${randomUUID().slice(0, 8)}`)
-  const metrics = disposables.add(new StatsdMetrics(undefined, host))
-  const stateLog = new StructuredLog(host, settings.host.log_level)
+  const metrics = new ScrapedMetrics(machine, disposables.add(new StatsdMetrics(settings.metrics?.collector, host)))
+  const output = new StandardOutput()
+  const stateLog = new StructuredLog(host, settings.host.log_level, output)
   const base = { system, clock, chance, hash, metrics, stateLog }
   stateLog.changed('start', { place, callers: listen.callers, store: store.address })
 
@@ -168,7 +174,7 @@
     demands: () => home.demands(),
     onReady: () => { home.schedule() }
   }))
-  const desk = new StepDesk({ topic, appender, clock, stateLog }, {
+  const desk = new StepDesk({ topic, appender, clock, metrics, stateLog }, {
     acceptMs: settings.steps.accept,
     endMs: settings.steps.end,
     longestWaitMs: store.long_poll,
@@ -208,6 +214,15 @@
   }))
   membership.tellWithProbes({ offset: () => topic.position, load: () => isReady() ? Math.min(0.99, front.requests / limits.connections) : 1, pressures: () => ({}) })
 
+  if (settings.metrics?.listen !== undefined) {
+    const metricsServer = disposables.add(new MetricsServer(metrics, () => {
+      metrics.gauge('duty.term', duty.term)
+      metrics.gauge('front.requests', front.requests)
+      metrics.gauge('steps.items', home.underway)
+      metrics.gauge('store.backlog', appender.backlog)
+    }))
+    await metricsServer.listen(settings.metrics.listen)
+  }
   await Promise.all([peerServer.listen(), front.listen(), directory.listen(listen.directory), readiness.listen(listen.readiness)])
   for (const followed of [operator, targetTopic, topic]) followed.start()
   stateLog.changed('listening', { callers: listen.callers, directory: listen.directory, peers: listen.peers })
@@ -223,6 +238,7 @@
     while ((front.requests > 0 || appender.backlog > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(LOOK_MS)
     stateLog.changed('stop ends', { requests: front.requests, records: appender.backlog, tookMs: Math.round(clock.monotonic() - began) })
     disposables.dispose()
+    await output.drained(OUTPUT_DRAIN_MS)
   }
 
   const reloader = new SettingsReloader(settings, readAgain, (changed) => { membership.setListed(changed.membership.seeds) }, stateLog)
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,12 +1,13 @@
 /**
  * The program: `serve` runs an entry host, `check` reads a settings file, `query` and `order` are
- * for operators.
+ * for operators, `explain` is for whoever asks what became of a request.
  */
 
 import { randomUUID } from 'node:crypto'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
 import { resultCodes } from './base/common/resultCode.ts'
+import { explainFromFiles } from './commandLine/node/explainCommand.ts'
 import { formatAnswer, formatRefusal, sendStatement } from './commandLine/node/operatorClient.ts'
 import { startEntryHost } from './host/node/entryHost.ts'
 import { startRoutedHost } from './host/node/routedHost.ts'
@@ -40,6 +41,16 @@
   process.exitCode = EXIT_USAGE
 }
 
+async function explain (id: string, files: readonly string[]): Promise<void> {
+  const story = await explainFromFiles(id, files)
+  if (story.ok) {
+    process.stdout.write(`${story.value}\n`)
+    return
+  }
+  process.stderr.write(`${resultCodes[story.code].number} ${story.code}: ${story.message}\n`)
+  process.exitCode = EXIT_FAILED
+}
+
 interface StatementOptions {
   readonly host: readonly string[]
   readonly key: string
@@ -82,7 +93,8 @@
     .command('check', 'check a settings file', (command) => command.option('settings', { type: 'string', demandOption: true }), ({ settings }) => { check(settings) })
     .command('query <statement..>', 'ask: show targets where place = "Abdali"', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
     .command('order <statement..>', 'change: set lane desk priority 2 if revision = 118', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
-    .demandCommand(1, 'one of: serve, check, query, order')
+    .command('explain <id> <files..>', 'tell from log files what became of a request, an item or a step', (command) => command.positional('id', { type: 'string', demandOption: true }).positional('files', { type: 'string', array: true, demandOption: true }), async ({ id, files }) => { await explain(id, files) })
+    .demandCommand(1, 'one of: serve, check, query, order, explain')
     .strict()
     .help()
     .fail((message, error) => {
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -58,6 +58,11 @@
   status: milliseconds(150_000, 'how long a step is kept after its submission, at least')
 })
 
+const metricsSchema = z.strictObject({
+  listen: endpoint.optional().describe('where counters and histograms are served as text, under /metrics'),
+  collector: endpoint.optional().describe('StatsD collector')
+})
+
 export const routedSettingsSchema = z.strictObject({
   host: hostSchema,
   listen: listenSchema,
@@ -66,7 +71,8 @@
   membership: membershipSchema.prefault({}),
   duty: dutySchema.prefault({}),
   limits: limitsSchema.prefault({}),
-  steps: stepsSchema.prefault({})
+  steps: stepsSchema.prefault({}),
+  metrics: metricsSchema.optional()
 })
 
 export type RoutedSettings = z.infer<typeof routedSettingsSchema>
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -42,7 +42,7 @@
   const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
   const began = clock.now
   let ended = Number.POSITIVE_INFINITY
-  const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, background, gone: gone.signal })
+  const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, configuration: 1, background, gone: gone.signal })
   result.then(() => { ended = clock.now }).catch(() => undefined)
   await clock.advance(advanceMs)
   return { result: await result, tookMs: ended - began }
@@ -170,7 +170,7 @@
     const { clock, client, table, gone } = scene({ a: [silent] })
     const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
     for (let index = 0; calls.hasRoom(route()); index++) {
-      calls.call({ route: route(), requestId: `b${index}`, method: 'POST', path: '/', headers: () => [], body: undefined, waitMs: 1000, background: true, gone: gone.signal }).catch(() => undefined)
+      calls.call({ route: route(), requestId: `b${index}`, method: 'POST', path: '/', headers: () => [], body: undefined, waitMs: 1000, configuration: 1, background: true, gone: gone.signal }).catch(() => undefined)
     }
     expect(client.sent).to.have.length(5)
     await clock.advance(2000)
@@ -188,7 +188,7 @@
     stage.table.get('b')?.answered(90)
     let got = ''
     let ended = ''
-    const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
+    const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
       head: () => { got += 'head ' },
       write: (piece) => { got += piece },
       end: () => { ended = 'end' },
--- /dev/null
+++ b/test/core/explanation/explanation.test.ts
@@ -0,0 +1,44 @@
+/** Stories from recorded log lines. */
+
+import { expect } from 'chai'
+import { readLine } from '../../../src/commandLine/node/explainCommand.ts'
+import { explain, formatStory } from '../../../src/core/common/explanation/explanation.ts'
+import type { LogLine } from '../../../src/core/common/explanation/explanation.ts'
+
+const at = (seconds: number): string => new Date(1_790_000_000_000 + seconds * 1000).toISOString()
+const line = (seconds: number, host: string, type: string, what: string, details: object): string => JSON.stringify({ time: at(seconds), host, type, what, ...details })
+
+const recorded = [
+  line(0, 'a/1', 'decided', 'step submitted', { step: 's1', number: 3, outcome: 'accepted' }),
+  line(0.1, 'b/1', 'decided', 'step adopted', { step: 's1', items: 2, term: 4 }),
+  line(0.2, 'b/1', 'changed', 'store regained', { topic: 't', silentMs: 800 }),
+  line(1, 'b/1', 'decided', 'run ended', { item: 'i1', step: 's1', engine: 'e1', end: 'broken', why: 'silent', events: 12, failed: true }),
+  line(1.1, 'b/1', 'changed', 'target gone', { target: 'e1', why: 'its entry is gone' }),
+  line(1.1, 'b/1', 'changed', 'target gone', { target: 'e9', why: 'its entry is gone' }),
+  line(2, 'b/1', 'decided', 'run ended', { item: 'i1', step: 's1', engine: 'e2', end: 'complete', why: '', events: 40 }),
+  line(2, 'b/1', 'decided', 'run ended', { item: 'i2', step: 's1', engine: 'e2', end: 'complete', why: '', events: 9 }),
+  line(2.2, 'c/1', 'alarm', 'store lost', { topic: 't' }),
+  line(3, 'a/1', 'decided', 'call ended', { request: 'r1', route: 'x', failed: true, outcome: 'unknownOutcome', attempts: 'w1:0,-:unknownOutcome:5ms w2:1,-:ended' }),
+  line(60, 'b/1', 'changed', 'configuration in force', { version: 9 })
+].map(readLine).filter((read): read is LogLine => read !== undefined)
+
+describe('the story', () => {
+  it('of an item has its runs, its step and what its host learned meanwhile', () => {
+    expect(formatStory(explain(recorded, 'i1'))).toMatchSnapshot()
+  })
+
+  it('of a request has its attempts', () => {
+    expect(explain(recorded, 'r1').map(({ what }) => what)).to.deep.equal(['call ended'])
+  })
+
+  it('of a step has all that names it', () => {
+    expect(explain(recorded, 's1').filter(({ type }) => type === 'decided').map(({ what }) => what)).to.deep.equal(['step submitted', 'step adopted', 'run ended', 'run ended', 'run ended'])
+  })
+
+  it('of an unknown id is empty', () => { expect(explain(recorded, 'nobody')).to.deep.equal([]) })
+
+  it('is read from lines with something before them, and passes over what is no log line', () => {
+    expect(readLine(`  12.5 host ${line(0, 'a/1', 'changed', 'start', {})}`)?.what).to.equal('start')
+    for (const text of ['', 'not JSON', '{"time":1}', '{"time"', '{"time":"2026","host":1}']) expect(readLine(text)).to.equal(undefined)
+  })
+})
--- a/tools/references.ts
+++ b/tools/references.ts
@@ -2,6 +2,9 @@
 
 import { writeFileSync } from 'node:fs'
 import { z } from 'zod'
+import { scrapedName } from '../src/adapters/node/scrapedMetrics.ts'
+import { logEvents } from '../src/base/common/logEvents.ts'
+import { counters, gauges, timings } from '../src/base/common/metricNames.ts'
 import { resultCodes } from '../src/base/common/resultCode.ts'
 import { objectSchemas } from '../src/core/common/fold/command.ts'
 import { routedSettingsSchema } from '../src/settings/common/routedSettings.ts'
@@ -73,7 +76,63 @@
 `
 }
 
+export function logsPage (): string {
+  const rows = (events: Readonly<Record<string, string>>): string => Object.entries(events).map(([name, meaning]) => `| ${name} | ${meaning} |`).join('\n')
+  return `# Log lines
+
+Written by tools/references.ts. A host writes one JSON object a line to standard output: \`time\`, \`host\`
+(machine and life), \`type\`, \`what\`, and the details of the event. Nothing waits for a reader: at most
+100 lines of decisions a second and 100 of failed ones (\`failed\`: true) are written, and none while 512
+KiB wait for a reader; what is left out is counted by event in a line \`log lines dropped\`. Lines of the
+types \`changed\` and \`alarm\` are not limited by the second. \`bulrushvalve explain ID FILE...\` puts the
+lines about one request, item or step in order.
+
+## changed: what a process believes
+
+| event | meaning |
+| --- | --- |
+${rows(logEvents.changed)}
+
+## alarm: an operator may have to act
+
+| event | meaning |
+| --- | --- |
+${rows(logEvents.alarm)}
+
+## decided: requests, steps, orders
+
+| event | meaning |
+| --- | --- |
+${rows(logEvents.decided)}
+`
+}
+
+export function metricsPage (): string {
+  const rows = (names: Readonly<Record<string, string>>, end: string): string => Object.entries(names).map(([name, meaning]) => `| ${name} | ${scrapedName(name)}${end} | ${meaning} |`).join('\n')
+  return `# Counters and measures
+
+Written by tools/references.ts. With \`metrics.listen\` a host serves them as text under \`/metrics\`; with
+\`metrics.collector\` it sends them by StatsD. Counters begin at 0 with each start. Those of
+\`completions\`, \`orders.failed\`, \`refused\`, \`rollouts.ended\`, \`services\`, \`front.refused\` and \`task\` are
+also counted by result code or task, in the label \`code\`.
+
+| counter | scraped as | meaning |
+| --- | --- | --- |
+${rows(counters, '_total')}
+
+| gauge | scraped as | meaning |
+| --- | --- | --- |
+${rows(gauges, '')}
+
+| histogram, milliseconds | scraped as | meaning |
+| --- | --- | --- |
+${rows(timings, '_milliseconds')}
+`
+}
+
 if (process.argv[1]?.endsWith('references.ts') === true) {
   writeFileSync('docs/RESULT-CODES.md', resultCodesPage())
   writeFileSync('docs/SETTINGS.md', settingsPage())
+  writeFileSync('docs/LOGS.md', logsPage())
+  writeFileSync('docs/METRICS.md', metricsPage())
 }
