--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -98,10 +98,10 @@
   }
 
   private assign (engines: readonly Engine[], wanted: readonly ModelWork[]): void {
-    const next = assignEngines(engines.map(({ id, target }) => ({
-      id,
-      place: target.definition.place,
-      models: target.definition.models.map(({ model }) => model)
+    const next = assignEngines(engines.map((engine) => ({
+      id: engine.id,
+      place: engine.target.definition.place,
+      versions: new Map(engine.target.definition.models.map(({ model }) => [model, engine.version(model)]))
     })), wanted, this.assignment)
     for (const [engine, model] of next) {
       if (this.assignment.get(engine) !== model) this.services.stateLog.decided('engine assigned', { engine, model, former: this.assignment.get(engine) ?? '', engines: engines.length })
--- a/src/core/common/weights/engineAssignment.ts
+++ b/src/core/common/weights/engineAssignment.ts
@@ -8,13 +8,16 @@
 export interface AssignableEngine {
   readonly id: string
   readonly place: string
-  readonly models: readonly string[]
+  /** Version of each model that it can serve. */
+  readonly versions: ReadonlyMap<string, number>
 }
 
 export interface ModelShare {
   readonly model: string
   /** Work that the model brings, in slot-seconds or any other unit that is alike for all. */
   readonly work: number
+  /** Newest version that was named; 0 before the first. */
+  readonly named: number
 }
 
 /** Model that each engine follows. */
@@ -39,7 +42,7 @@
 
 /**
  * Assigns engines to models. Engines keep the model that they have unless a model is short by more
- * than one engine, or has none; new engines go to the model that is shortest, spread over failure domains.
+ * than one engine, or has none; new engines go to models that are short, those first that have their weights.
  */
 export function assignEngines (engines: readonly AssignableEngine[], shares: readonly ModelShare[], previous: Assignment): Map<string, string> {
   const assigned = new Map<string, string>()
@@ -51,23 +54,48 @@
     const model = previous.get(engine.id)
     if (model !== undefined && counts.has(model) && short(model) > -TOLERATED_DIFFERENCE) assigned.set(engine.id, model)
   }
+  for (const { engine, model } of byCurrency(engines.filter(({ id }) => !assigned.has(id)), shares)) {
+    if (!assigned.has(engine.id) && short(model) > 0) assigned.set(engine.id, model)
+  }
   for (const engine of engines) {
     if (assigned.has(engine.id)) continue
-    const fitting = shares.filter(({ model }) => engine.models.includes(model)).map(({ model }) => model)
-    const next = fitting.sort((a, b) => short(b) - short(a) || inPlace(engines, assigned, a, engine.place) - inPlace(engines, assigned, b, engine.place))[0]
+    const fitting = shares.filter(({ model }) => engine.versions.has(model)).map(({ model }) => model)
+    const next = fitting.sort((a, b) => short(b) - short(a))[0]
     if (next !== undefined) assigned.set(engine.id, next)
   }
   for (const { model } of shares) if (have(model) === 0) takeOne(engines, assigned, model, have)
   return assigned
 }
 
-function inPlace (engines: readonly AssignableEngine[], assigned: Assignment, model: string, place: string): number {
-  return engines.filter((engine) => engine.place === place && assigned.get(engine.id) === model).length
+interface Pairing {
+  readonly engine: AssignableEngine
+  readonly model: string
+  /** Versions that the engine lacks. */
+  readonly lag: number
+  /** How many engines of its place come before it: taking them in this order spreads models over places. */
+  readonly rank: number
+}
+
+/**
+ * Engines with the models that they can serve, the most current first: a host that takes over, and
+ * knows no former assignment, finds the one that the engines' weights show.
+ */
+function byCurrency (engines: readonly AssignableEngine[], shares: readonly ModelShare[]): Pairing[] {
+  const seen = new Map<string, number>()
+  const pairings = engines.flatMap((engine) => {
+    const rank = seen.get(engine.place) ?? 0
+    seen.set(engine.place, rank + 1)
+    return shares.flatMap(({ model, named }): Pairing[] => {
+      const version = engine.versions.get(model)
+      return version === undefined ? [] : [{ engine, model, lag: Math.max(0, named - version), rank }]
+    })
+  })
+  return pairings.sort((a, b) => a.lag - b.lag || a.rank - b.rank)
 }
 
 /** A model without any engine gets one from the model that has the most, unless that has but one. */
 function takeOne (engines: readonly AssignableEngine[], assigned: Map<string, string>, model: string, have: (model: string) => number): void {
-  const donors = engines.filter(({ id, models }) => assigned.has(id) && models.includes(model))
+  const donors = engines.filter(({ id, versions }) => assigned.has(id) && versions.has(model))
   const donor = donors.sort((a, b) => have(assigned.get(b.id) ?? '') - have(assigned.get(a.id) ?? ''))[0]
   if (donor !== undefined && have(assigned.get(donor.id) ?? '') > 1) assigned.set(donor.id, model)
 }
--- a/test/core/weights/engineAssignment.test.ts
+++ b/test/core/weights/engineAssignment.test.ts
@@ -6,8 +6,8 @@
 import type { LoadableEngine, ModelDemand } from '../../../src/core/common/weights/loadPlan.ts'
 import { parallelLoads, planLoads } from '../../../src/core/common/weights/loadPlan.ts'
 
-const engines = (count: number) => Array.from({ length: count }, (_, index) => ({ id: `e${index}`, place: `p${index % 3}`, models: ['m', 'n', 'o', 'p'] }))
-const share = (model: string, work = 100) => ({ model, work })
+const engines = (count: number) => Array.from({ length: count }, (_, index) => ({ id: `e${index}`, place: `p${index % 3}`, versions: new Map([['m', 1], ['n', 1], ['o', 1], ['p', 1]]) }))
+const share = (model: string, work = 100, named = 1) => ({ model, work, named })
 
 describe('the assignment of engines', () => {
   it('gives all engines to a single model', () => {
@@ -37,9 +37,17 @@
     expect([...after.values()].sort()).to.deep.equal(['m', 'n'])
   })
 
+  it('finds the former assignment in the weights of the engines', () => {
+    // Symptom: after a takeover engines loaded weights of models that others had already.
+    const weights = [[7, 1], [1, 8], [6, 1], [1, 8], [1, 7], [7, 2]]
+    const known = weights.map(([m = 0, n = 0], index) => ({ id: `e${index}`, place: `p${index % 3}`, versions: new Map([['m', m], ['n', n]]) }))
+    const assigned = assignEngines(known, [share('m', 100, 7), share('n', 100, 8)], new Map())
+    expect(known.map(({ id }) => assigned.get(id))).to.deep.equal(['m', 'n', 'm', 'n', 'n', 'm'])
+  })
+
   it('leaves no model without an engine and no engine without a model', () => {
     fc.assert(fc.property(fc.integer({ min: 1, max: 30 }), fc.array(fc.integer({ min: 0, max: 5000 }), { minLength: 1, maxLength: 4 }), fc.array(fc.constantFrom('m', 'n', 'o', 'p', 'gone'), { maxLength: 30 }), (count, works, former) => {
-      const shares = works.slice(0, count).map((work, index) => share(['m', 'n', 'o', 'p'][index] ?? '', work))
+      const shares = works.slice(0, count).map((work, index) => share(['m', 'n', 'o', 'p'][index] ?? '', work, work % 7))
       const previous = new Map(former.map((model, index) => [`e${index}`, model]))
       const assigned = assignEngines(engines(count), shares, previous)
       expect(assigned.size).to.equal(count)
