--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -65,6 +65,10 @@
     return this.fold.steps()
   }
 
+  keysOf (step: string): string[] {
+    return this.fold.keysOf(step)
+  }
+
   duty (name: string): FoldedDuty | undefined {
     return this.fold.duty(name)
   }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -60,7 +60,8 @@
     'run of an item failed': 'a fault of this program',
     'scoring failed': 'a fault of this program',
     'settings cannot be reloaded': 'the file has mistakes; the former settings hold',
-    'steps not taken over': 'a fault of this program'
+    'steps not taken over': 'a fault of this program',
+    'step not forgotten': 'a fault of this program'
   },
   /** A decision that touches a request, a step or an order. */
   decided: {
@@ -72,6 +73,7 @@
     'step adopted': 'this host runs a step; with the items still open, those resumed from saved events, and the term',
     'step whole': 'all items of a step are listed',
     'step dropped': 'a step is no longer run here, and why; with the items still open',
+    'step forgotten': 'the records of an old step are dropped from the store',
     'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
     'run moved from a slow engine': 'a run goes on at another engine; with the slowness that decided it',
     'item listed as lost': 'an item was given up, and why',
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -48,17 +48,28 @@
   /** Results and ends read before their step: after a restart records come in the order of their newest writing. */
   private readonly early = new Map<string, StepRecord[]>()
   private readonly dutyStates = new Map<string, FoldedDuty>()
+  /** Keys of all records of each step. */
+  private readonly stepKeys = new Map<string, Set<string>>()
   private readonly claimKeys = new Map<string, { readonly key: string, readonly term: number }[]>()
 
   /** Starts over with all newest records, in their order. */
   reset (entries: readonly KeyedEntry[]): StepChange[] {
-    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys]) map.clear()
+    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys, this.stepKeys]) map.clear()
     return this.apply(entries)
   }
 
   /** Folds records in their order and tells what changed. */
   apply (entries: readonly KeyedEntry[]): StepChange[] {
-    return entries.flatMap((entry) => this.fold(readRecord(entry)))
+    return entries.flatMap((entry) => {
+      const record = readRecord(entry)
+      if ('step' in record) this.noteKey(record.step, entry)
+      return this.fold(record)
+    })
+  }
+
+  /** Keys of all records of a step. */
+  keysOf (step: string): string[] {
+    return [...this.stepKeys.get(step) ?? []]
   }
 
   step (id: string): FoldedStep | undefined {
@@ -91,6 +102,14 @@
     return undefined
   }
 
+  private noteKey (step: string, { key, value }: KeyedEntry): void {
+    const keys = this.stepKeys.get(step) ?? new Set()
+    if (value === undefined) keys.delete(key)
+    else keys.add(key)
+    if (keys.size === 0) this.stepKeys.delete(step)
+    else this.stepKeys.set(step, keys)
+  }
+
   private fold (record: StepRecord): StepChange[] {
     switch (record.kind) {
       case 'part': return this.foldPart(record)
@@ -100,6 +119,7 @@
       case 'renewal': return this.foldRenewal(record)
       case 'release': return this.foldRelease(record.claim)
       case 'forgotten-step': return this.forget(record.step)
+      case 'dropped':
       case 'none': return []
     }
   }
@@ -176,6 +196,7 @@
 
   private forget (id: string): StepChange[] {
     this.parts.delete(id)
+    this.early.delete(id)
     return this.folded.delete(id) ? [{ type: 'forgotten', step: id }] : []
   }
 }
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -26,6 +26,8 @@
   | { readonly kind: 'renewal', readonly claim: DutyClaim, readonly count: number }
   | { readonly kind: 'release', readonly claim: DutyClaim }
   | { readonly kind: 'forgotten-step', readonly step: string }
+  /** A record of a step that is dropped with it. */
+  | { readonly kind: 'dropped', readonly step: string }
   | { readonly kind: 'none' }
 
 /** A submission with the wall-clock time at which it came. */
@@ -94,7 +96,7 @@
 /** Reads a record; what is not known or cannot be read is `none` everywhere alike. */
 export function readRecord (entry: KeyedEntry): StepRecord {
   const [kind = '', first = '', second = ''] = entry.key.split('/')
-  if (entry.value === undefined) return kind === 'step' ? { kind: 'forgotten-step', step: decode(first) } : { kind: 'none' }
+  if (entry.value === undefined) return readDropped(kind, decode(first))
   switch (kind) {
     case 'step': return readPart(decode(first), entry.value)
     case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score } }))
@@ -106,6 +108,15 @@
   }
 }
 
+/** All records of a step are dropped in one piece; the step itself goes with its first part. */
+function readDropped (kind: string, step: string): StepRecord {
+  switch (kind) {
+    case 'step': return { kind: 'forgotten-step', step }
+    case 'result': case 'end': return { kind: 'dropped', step }
+    default: return { kind: 'none' }
+  }
+}
+
 function readPart (step: string, value: string): StepRecord {
   const head = /^(\d+)\/(\d+):/.exec(value)
   if (head === null) return { kind: 'none' }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -17,6 +17,7 @@
 import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
 import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
+import { StepCleaner } from '../../actors/common/steps/stepCleaner.ts'
 import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
 import { StepHome } from '../../actors/common/steps/stepHome.ts'
 import { GroupAppender } from '../../actors/common/store/groupAppender.ts'
@@ -184,6 +185,7 @@
     demands: () => home.demands(),
     onReady: () => { home.schedule() }
   }))
+  disposables.add(new StepCleaner({ topic, appender, duty, clock, stateLog }, settings.steps.status))
   const desk = new StepDesk({ topic, appender, clock, metrics, stateLog }, {
     acceptMs: settings.steps.accept,
     endMs: settings.steps.end,
--- a/test/core/steps/stepFold.test.ts
+++ b/test/core/steps/stepFold.test.ts
@@ -85,6 +85,16 @@
     expect(live.step('s')).to.equal(undefined)
   })
 
+  it('leaves nothing behind when all records of a step are dropped', () => {
+    const { live, log } = foldOf([...accepted('s'), resultRecord('s', result('a'), 'n1'), endRecord('s'), ...accepted('t')])
+    expect(live.keysOf('s')).to.have.length(3)
+    log.write(live.keysOf('s').map(dropRecord))
+    live.apply(log.entries.slice(-3))
+    expect([live.step('s'), live.keysOf('s'), live.step('t') === undefined]).to.deep.equal([undefined, [], false])
+    expect(pictureOf(anew(log))).to.deep.equal(pictureOf(live))
+    expect(log.newestEntries().filter(({ key }) => key.includes('/s'))).to.deep.equal([])
+  })
+
   it('skips what it cannot read', () => {
     const { live } = foldOf([{ key: 'result/s/a/n', value: '{' }, { key: 'step/s/0', value: 'no head' }, { key: 'unheard/of', value: '{}' }, { key: 'claim/d/1/x', value: '{"duty":1}' }, ...accepted('s')])
     expect(live.step('s')?.results).to.deep.equal([])
