--- /dev/null
+++ b/tools/days/writeDays.ts
@@ -0,0 +1,82 @@
+/**
+ * Writes a day for each kind of trouble and variant into deploy/days: the trouble comes twice, once
+ * early and once in the middle. Pairs put a trouble of the hosts beside one of the store.
+ */
+
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { stringify } from 'smol-toml'
+
+interface Trouble {
+  readonly kind: string
+  readonly [setting: string]: string | number
+}
+
+/** Settings of each kind, and its variants. */
+const troubles: readonly { readonly trouble: Trouble, readonly variants: readonly string[], readonly plan?: boolean }[] = [
+  { trouble: { kind: 'give_up', share: 0.3, for_s: 5 }, variants: [''] },
+  { trouble: { kind: 'srv_crash', share: 0.2, for_s: 5 }, variants: ['', 'dark', 'gone'] },
+  { trouble: { kind: 'srv_slow', share: 0.2, x: 4, for_s: 6 }, variants: [''] },
+  { trouble: { kind: 'srv_grey', share: 0.2, x: 0.4, for_s: 5 }, variants: ['errors', 'shed', 'busy', 'hang', 'reset', 'mute', 'slow'] },
+  { trouble: { kind: 'srv_cut', share: 0.2, for_s: 5 }, variants: ['', 'some', 'reborn'] },
+  { trouble: { kind: 'release', share: 0.5, x: 1, gap_s: 1 }, variants: [''], plan: true },
+  { trouble: { kind: 'scale_in', share: 0.15 }, variants: ['', 'spot'], plan: true },
+  { trouble: { kind: 'scale_out', share: 0.3 }, variants: [''], plan: true },
+  { trouble: { kind: 'replace_with_reuse', share: 0.15 }, variants: ['', 'drain', 'dark'] },
+  { trouble: { kind: 'answer_lost', share: 0.5, x: 0.05, for_s: 5 }, variants: ['', 'reset'] },
+  { trouble: { kind: 'garble', share: 0.5, x: 0.05, for_s: 5 }, variants: ['', 'extra', 'extra late', 'unframed', 'early'] },
+  { trouble: { kind: 'applied_late', x: 0.5, for_s: 6 }, variants: ['orders', 'all'] },
+  { trouble: { kind: 'node_kill', on: 'core', count: 1, for_s: 3 }, variants: ['leader', 'leader power', 'leader race drain'] },
+  { trouble: { kind: 'herd_kill', share: 0.6, for_s: 2 }, variants: ['', 'power'] },
+  { trouble: { kind: 'node_freeze', on: 'core', count: 1, for_s: 4 }, variants: ['leader', 'renewed'] },
+  { trouble: { kind: 'node_slow', on: 'core', count: 1, x: 5, for_s: 5 }, variants: ['leader'] },
+  { trouble: { kind: 'roll_term', share: 0.5, x: 1, gap_s: 1 }, variants: ['', 'busy'], plan: true },
+  { trouble: { kind: 'add_nodes', count: 1 }, variants: [''], plan: true },
+  { trouble: { kind: 'replace_core', x: 2 }, variants: ['', 'planned'] },
+  { trouble: { kind: 'after_ack_kill', for_s: 3 }, variants: ['', 'timed', 'taken'] },
+  { trouble: { kind: 'hup', share: 0.6, gap_s: 2 }, variants: [''], plan: true },
+  { trouble: { kind: 'core_cut', count: 1, for_s: 5 }, variants: ['leader', 'leader race', 'giver reset', 'leader one_way'] },
+  { trouble: { kind: 'node_cut', share: 0.2, for_s: 5 }, variants: ['', 'all', 'servers'] },
+  { trouble: { kind: 'lossy', x: 0.03, for_s: 5 }, variants: [''] },
+  { trouble: { kind: 'reset_conns', share: 0.3, x: 0.5 }, variants: [''] },
+  { trouble: { kind: 'clock_step', share: 0.3, x: 2000, for_s: 5 }, variants: ['ahead', 'back'] },
+  { trouble: { kind: 'platform_down', for_s: 4 }, variants: ['silent', 'busy', 'reset', 'silent lapse'] },
+  { trouble: { kind: 'platform_down', share: 0.35, for_s: 6 }, variants: ['nodes busy', 'nodes many', 'nodes leader silent', 'nodes reset revoke meet'] },
+  { trouble: { kind: 'platform_slow', x: 60, for_s: 5 }, variants: [''] },
+  { trouble: { kind: 'platform_lost', x: 0.35, for_s: 5 }, variants: ['', 'late'] },
+  { trouble: { kind: 'platform_compact', x: 5, for_s: 1 }, variants: ['', 'keyed', 'rebalance', 'rewind'] },
+  { trouble: { kind: 'config_change' }, variants: ['route', 'weights', 'timeout', 'idle'], plan: true },
+  { trouble: { kind: 'big_config', count: 350 }, variants: [''], plan: true },
+  { trouble: { kind: 'burst', x: 3, for_s: 5 }, variants: [''] }
+]
+
+/** Seconds of the first and second time. */
+const FIRST_S = 5
+const SECOND_S = 17
+
+const pairs: readonly { readonly name: string, readonly faults: readonly Trouble[] }[] = [
+  { name: 'pair-kill-and-outage', faults: [{ kind: 'platform_down', how: 'silent', for_s: 4, at: 8 }, { kind: 'node_kill', on: 'core', count: 1, how: 'leader', for_s: 3, at: 9 }] },
+  { name: 'pair-freeze-and-late-orders', faults: [{ kind: 'applied_late', how: 'orders', x: 0.5, for_s: 8, at: 6 }, { kind: 'node_freeze', on: 'core', count: 1, how: 'leader', for_s: 4, at: 8 }] },
+  { name: 'pair-cut-and-slow-engine', faults: [{ kind: 'srv_slow', share: 0.2, x: 4, for_s: 8, at: 6 }, { kind: 'core_cut', count: 1, how: 'leader', for_s: 6, at: 8 }] },
+  { name: 'pair-lost-answers-and-herd', faults: [{ kind: 'platform_lost', how: 'late', x: 0.35, for_s: 6, at: 6 }, { kind: 'herd_kill', share: 0.6, for_s: 2, at: 8 }] },
+  { name: 'pair-slow-store-and-crash', faults: [{ kind: 'platform_slow', x: 60, for_s: 6, at: 6 }, { kind: 'srv_crash', how: 'dark', share: 0.2, for_s: 5, at: 8 }] }
+]
+
+const closings: readonly Trouble[] = [
+  { kind: 'power_off_all', down_s: 1, how: 'all taken' },
+  { kind: 'power_off_all', down_s: 1, how: 'timed' },
+  { kind: 'kill_all', down_s: 1 }
+]
+
+function write (name: string, day: object): void {
+  writeFileSync(`deploy/days/${name}.toml`, `${stringify({ name, slot: 'trouble', seed: 1, ...day })}\n`)
+}
+
+mkdirSync('deploy/days', { recursive: true })
+for (const { trouble, variants, plan = false } of troubles) {
+  for (const how of variants) {
+    const entries = [FIRST_S, SECOND_S].map((at) => ({ ...trouble, at, ...(how === '' ? {} : { how }) }))
+    write([trouble.kind, ...how.split(' ')].filter((word) => word !== '').join('-').replaceAll('_', '-'), plan ? { plan: entries } : { faults: entries })
+  }
+}
+for (const { name, faults } of pairs) write(name, { faults })
+for (const closing of closings) write(['closing', closing.kind, ...String(closing.how ?? '').split(' ')].filter((word) => word !== '').join('-').replaceAll('_', '-'), { closing })
