--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -37,11 +37,11 @@
         // An answer that is cut off must not look complete, so its connection is reset.
         cut: () => { exchange.response.destroy() }
       })
-      if (failed !== undefined) exchange.fail(failed)
+      if (failed !== undefined) exchange.fail(failed, true)
       return
     }
     const answered = await calls.call(call)
-    if (!answered.ok) return exchange.fail(answered)
+    if (!answered.ok) return exchange.fail(answered, true)
     const { status, headers, body: answerBody } = answered.value.answer
     exchange.send(status, protocol.answerHeaders(headers), answerBody)
   }
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -61,9 +61,12 @@
     this.response.end(this.method === 'HEAD' ? undefined : body)
   }
 
-  /** Sends a failure; the status says whether the request has run. */
-  fail (failed: Failure): void {
-    this.onFailure(failed)
+  /**
+   * Sends a failure; the status says whether the request has run.
+   * @param told whether the log has a line on it already
+   */
+  fail (failed: Failure, told = false): void {
+    if (!told) this.onFailure(failed)
     if (failed.code === 'cancelled') {
       this.response.destroy()
       return
