--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -14,8 +14,6 @@
   /** Longest silence before the head of an answer and between parts of its body. */
   readonly silenceMs: number
   readonly maximumAnswerBytes: number
-  /** How long an idle connection is kept, unless the other end says less, in milliseconds; a few seconds where absent. */
-  readonly idleMs?: number
 }
 
 export class Connections implements Disposable {
@@ -33,8 +31,7 @@
       connect: { timeout: this.settings.connectTimeoutMs },
       headersTimeout: this.settings.silenceMs,
       bodyTimeout: this.settings.silenceMs,
-      maxResponseSize: this.settings.maximumAnswerBytes,
-      ...(this.settings.idleMs === undefined ? {} : { keepAliveTimeout: this.settings.idleMs })
+      maxResponseSize: this.settings.maximumAnswerBytes
     })
     this.pools.set(address, pool)
     return pool
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -71,8 +71,6 @@
 const TARGET_SILENCE_MS = 30_000
 /** Hosts with less than one core wait this much longer before they claim the duty, in milliseconds: a third of a core runs out of time under a step. */
 const SMALL_HOST_DELAY_MS = 600
-/** How long an idle connection to a target is kept, in milliseconds: several times the pause between two steps, which would otherwise each open all connections anew. */
-const TARGET_IDLE_MS = 30_000
 const STEPS_DUTY = 'steps'
 const LOOK_MS = 50
 /** Longest wait for the answer to a probe of the store, in milliseconds: longer than a slow store takes, shorter than an outage. */
@@ -103,7 +101,7 @@
 
   const answers = { maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout }
   const storeConnections = disposables.add(new Connections({ ...answers, connections: STORE_CONNECTIONS, silenceMs: store.timeout + store.long_poll }))
-  const targetConnections = disposables.add(new Connections({ ...answers, connections: limits.target_connections, silenceMs: TARGET_SILENCE_MS, idleMs: TARGET_IDLE_MS }))
+  const targetConnections = disposables.add(new Connections({ ...answers, connections: limits.target_connections, silenceMs: TARGET_SILENCE_MS }))
   const peerConnections = disposables.add(new Connections({ ...answers, connections: PEER_CONNECTIONS, silenceMs: PEER_SILENCE_MS }))
   const peers = new JsonRpcPeers(peerConnections, peerConnections, settings.peers.key, metrics)
   const handlers = new JsonRpcHandlers()
