--- a/src/actors/common/steps/engineBoard.ts
+++ b/src/actors/common/steps/engineBoard.ts
@@ -95,6 +95,13 @@
     return present.map((target) => this.engine(target))
   }
 
+  /** Whether some engine is this much slower than the usual one. */
+  hasSlower (factor: number): boolean {
+    const paces = this.all().flatMap(({ paceMs }) => paceMs ?? [])
+    const usual = median(paces)
+    return usual !== undefined && paces.some((pace) => pace >= usual * factor)
+  }
+
   /** What the choice of an engine for an item of this model and group needs. */
   candidates (services: readonly string[], model: string, group: string): EngineCandidate[] {
     const engines = services.flatMap((service) => this.ofService(service))
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -370,10 +370,11 @@
   private look (): void {
     if (!this.services.duty.holds || this.works.size === 0) return
     const now = this.services.clock.wall()
+    const someSlow = this.services.board.hasSlower(TOO_SLOW)
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
       if (route !== undefined && now - work.step.submittedAt > route.retentionMs) this.giveUp(work)
-      if (route !== undefined) this.moveFromSlow(work, route)
+      if (route !== undefined && someSlow) this.moveFromSlow(work, route)
     }
     this.schedule()
     this.saveProgress().catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -8,6 +8,23 @@
 /** When to come back where a failure does not say, in milliseconds. */
 const DEFAULT_RETRY_AFTER_MS = 300
 
+/** Bytes of bodies that a host holds at once: many large ones together would take more memory than it has. */
+export class ByteBudget {
+  private held = 0
+
+  constructor (private readonly maximumBytes: number) {}
+
+  /** Counts bytes that are held; false if there are too many. They count until they are given back. */
+  take (bytes: number): boolean {
+    this.held += bytes
+    return this.held <= this.maximumBytes
+  }
+
+  giveBack (bytes: number): void {
+    this.held -= bytes
+  }
+}
+
 export class FrontExchange {
   /** Aborted when the caller goes away before it has its answer. */
   readonly gone: AbortSignal
@@ -38,15 +55,18 @@
     return this.request.headers['transfer-encoding'] !== undefined || Number(this.request.headers['content-length'] ?? 0) > 0
   }
 
-  /** Reads the whole body, up to a limit. */
-  async body (maximumBytes: number): Promise<Result<Uint8Array>> {
+  /** Reads the whole body, up to a limit; what it holds counts in the budget until the answer has ended. */
+  async body (maximumBytes: number, budget: ByteBudget): Promise<Result<Uint8Array>> {
     if (Number(this.request.headers['content-length'] ?? 0) > maximumBytes) return tooLarge(maximumBytes)
     const pieces: Buffer[] = []
     let size = 0
+    this.response.once('close', () => { budget.giveBack(size) })
     try {
       for await (const piece of this.request as AsyncIterable<Buffer>) {
         size += piece.length
+        const fits = budget.take(piece.length)
         if (size > maximumBytes) return tooLarge(maximumBytes)
+        if (!fits) return failure('overloaded', 'this host holds as many bytes of requests as it may')
         pieces.push(piece)
       }
     } catch (error) {
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -14,7 +14,7 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
-import { FrontExchange } from './frontExchange.ts'
+import { ByteBudget, FrontExchange } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
 import type { StepRoutes } from './stepRoutes.ts'
 
@@ -32,6 +32,8 @@
   readonly maximumConnections: number
   /** Bytes of a head that the server takes at most; the configuration may allow less. */
   readonly headBytes: number
+  /** Bytes of bodies that are held at once, at most. */
+  readonly heldBytes: number
   /** Whether the host is about to exit: connections are not kept then. */
   readonly isLeaving: () => boolean
 }
@@ -47,9 +49,11 @@
 
 export class FrontServer implements Disposable {
   private readonly server: Server
+  private readonly budget: ByteBudget
   private inFlight = 0
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
+    this.budget = new ByteBudget(settings.heldBytes)
     this.server = createServer({
       headersTimeout: FIRST_LIMITS.headerTimeoutMs,
       requestTimeout: REQUEST_TIMEOUT_MS,
@@ -127,7 +131,7 @@
     const route = await this.findRoute(exchange)
     if (route === 'unknown') return exchange.fail(failure('stale', 'this host may be behind the configuration'))
     if (route === undefined) return exchange.fail(failure('notFound', `no route for host ${exchange.host} and path ${exchange.path}`))
-    const body = await exchange.body(this.limits.bodyBytes)
+    const body = await exchange.body(this.limits.bodyBytes, this.budget)
     if (!body.ok) return exchange.fail(body)
     if (route.kind === 'steps') return await this.services.steps.submit(exchange, read, route, body.value)
     await this.services.forward.serve(exchange, read, route, this.services.operator.routes?.version ?? 0, body.value)
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -202,7 +202,7 @@
     steps: new StepRoutes(desk, frontProtocol),
     metrics,
     stateLog
-  }, { listen: listen.callers, maximumConnections: limits.connections, headBytes: limits.head_bytes, isLeaving: () => stopping }))
+  }, { listen: listen.callers, maximumConnections: limits.connections, headBytes: limits.head_bytes, heldBytes: limits.held_bytes, isLeaving: () => stopping }))
 
   /** All hosts of a deployment use the same ports, so a member's callers' address is its own IP with this host's port. */
   const callersAddress = (peerAddress: string): string => `${new URL(peerAddress).hostname}:${new URL(`http://${listen.callers}`).port}`
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -42,6 +42,7 @@
 const limitsSchema = z.strictObject({
   connections: count(4000, 'open connections of callers'),
   head_bytes: count(65_536, 'bytes of the head of a request that are read, at most'),
+  held_bytes: count(67_108_864, 'bytes of request bodies that are held at once'),
   valid_for: milliseconds(2000, 'how long callers may keep an address answer'),
   answer_bytes: count(33_554_432, 'bytes of a whole answer from a target'),
   connect_timeout: milliseconds(400, 'time for a connection to a target to open'),
--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -1,5 +1,6 @@
 /** The whole path over a stand-in of the prepared platform, with hosts as separate processes. */
 
+import { connect } from 'node:net'
 import { expect } from 'chai'
 import { waitUntil } from '../support/hostProcess.ts'
 import type { FleetHost } from './support/fleet.ts'
@@ -14,7 +15,7 @@
   this.timeout(60_000)
   let fleet: Fleet
 
-  beforeEach(async () => { fleet = await Fleet.start(3, targets) })
+  beforeEach(async () => { fleet = await Fleet.start(3, targets, { steps: { status: 1000 } }) })
   afterEach(async () => { await fleet.stop() })
 
   const runsOf = (id: string): number => fleet.targets.reduce((sum, { runs }) => sum + runs.filter((run) => run.id === id).length, 0)
@@ -149,4 +150,51 @@
       expect([...text.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number))).to.deep.equal([0, 1, 2, 3, 4, 5])
     }
   })
+
+  it('forget a step when its time is over, in the store too', async () => {
+    await fleet.submit(fleet.host(0), 'step-1', [[2]])
+    await fleet.whenWhole(fleet.host(0), 'step-1')
+    await waitUntil(() => [...fleet.store.newest('keyed.bulrushvalve').keys()].every((key) => !key.includes('/step-1')), 15_000, 'its records are dropped')
+    expect((await fleet.call(fleet.host(1), '/lots/step-1', { method: 'GET' })).status).to.equal(404)
+  })
+})
+
+describe('bad input at the callers\' address', function () {
+  this.timeout(60_000)
+  let fleet: Fleet
+  before(async () => { fleet = await Fleet.start(2, targets, { limits: { held_bytes: 150_000 } }) })
+  after(async () => { await fleet.stop() })
+
+  const codeOf = (text: string): number => (JSON.parse(text) as { error: { number: number } }).error.number
+
+  it('gets a number for each mistake, and the host goes on', async () => {
+    const host = fleet.host(0)
+    const answers = [
+      await fleet.call(host, '/nowhere/x'),
+      await fleet.call(host, '/look-up/x', { host: 'other.example' }),
+      await fleet.call(host, '/look-up/x', { body: 'x'.repeat(250_000) }),
+      await fleet.call(host, '/look-up/x', { body: 'x'.repeat(180_000) }),
+      await fleet.call(host, '/look-up/x', { headers: { 'x-long': 'y'.repeat(20_000) } }),
+      await fleet.call(host, '/steps/x', { body: '{' }),
+      await fleet.call(host, '/steps/x', { body: '{"items":[]}' }),
+      await fleet.call(host, '/steps/x', { method: 'GET' }),
+      await fleet.call(host, '/lots/x?after=-1', { method: 'GET' }),
+      await fleet.call(host, '/lots/unheard-of', { method: 'DELETE' })
+    ]
+    expect(answers.map(({ status, text }) => `${status} ${codeOf(text)}`)).toMatchSnapshot()
+    expect((await fleet.call(host, '/look-up/x')).status).to.equal(200)
+  })
+
+  it('gets an answer though it is not HTTP', async () => {
+    const url = new URL(fleet.host(0).address)
+    const socket = connect(Number(url.port), url.hostname)
+    socket.write('this is not HTTP\r\n\r\n')
+    let answer = ''
+    for await (const piece of socket) answer += String(piece)
+    expect(answer).to.match(/^HTTP\/1.1 400 Bad Request[^]*"number":3001/)
+  })
+
+  it('holds nothing: its bytes count only until its answer', async () => {
+    for (let request = 0; request < 6; request++) expect((await fleet.call(fleet.host(0), '/look-up/x', { body: 'x'.repeat(100_000) })).status).to.equal(200)
+  })
 })
