--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -4,6 +4,7 @@
  * the calls queue here, first come first served, and leave a slot of each target free.
  */
 
+import { decodeBase64 } from '../../../base/common/base64.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ScorerCall } from '../../../core/common/steps/step.ts'
@@ -87,7 +88,7 @@
       method: 'POST',
       path: call.path,
       headers: (options) => protocol.scorerHeaders(call.host, call.requestId, options),
-      body: Uint8Array.from(atob(call.body), (character) => character.charCodeAt(0)),
+      body: decodeBase64(call.body),
       waitMs: route.timeoutMs,
       configuration: this.services.routes()?.version ?? 0,
       background: true,
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -4,6 +4,7 @@
  * host that takes the duty over starts from there, and what two hosts finish twice the topic decides.
  */
 
+import { decodeBase64 } from '../../../base/common/base64.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
@@ -21,11 +22,13 @@
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
-import type { Engine, EngineBoard, EngineCandidate } from './engineBoard.ts'
-import type { ItemRunServices, RunEnd } from './itemRun.ts'
-import { ItemText, runItem } from './itemRun.ts'
+import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
+import type { ItemRunServices, RunEnd, ItemText } from './itemRun.ts'
+import { runItem } from './itemRun.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { SampleScorer } from './sampleScorer.ts'
+import type { ItemWork, StepWork } from './stepWork.ts'
+import { newWork, removeFrom } from './stepWork.ts'
 
 export interface StepHomeServices extends ItemRunServices {
   readonly topic: StepTopic
@@ -48,29 +51,6 @@
   readonly silenceMs: number
 }
 
-type ItemState = 'waiting' | 'running' | 'scoring' | 'listing'
-
-interface ItemWork {
-  readonly item: StepItem
-  readonly text: ItemText
-  readonly cancel: AbortController
-  /** Ends the run that is under way and nothing else. */
-  stopRun: AbortController | undefined
-  engine: Engine | undefined
-  startedAt: number
-  state: ItemState
-  /** Answers of engines that said that they failed. */
-  failures: number
-  runs: number
-}
-
-interface StepWork {
-  readonly step: FoldedStep
-  readonly items: Map<string, ItemWork>
-  /** Items that wait, in the order in which they are started. */
-  readonly waiting: ItemWork[]
-}
-
 /** Time between two looks for what no event has started, in milliseconds. */
 const LOOK_MS = 50
 /** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
@@ -436,16 +416,3 @@
     }
   }
 }
-
-function newWork (item: StepItem): ItemWork {
-  return { item, text: new ItemText(), cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
-}
-
-function removeFrom<T> (list: T[], value: T): void {
-  const index = list.indexOf(value)
-  if (index >= 0) list.splice(index, 1)
-}
-
-function decodeBase64 (text: string): Uint8Array {
-  return Uint8Array.from(atob(text), (character) => character.charCodeAt(0))
-}
--- /dev/null
+++ b/src/actors/common/steps/stepWork.ts
@@ -0,0 +1,39 @@
+/** What the holder of the steps' duty keeps of a step and of each of its items. */
+
+import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { Engine } from './engineBoard.ts'
+import { ItemText } from './itemRun.ts'
+
+export type ItemState = 'waiting' | 'running' | 'scoring' | 'listing'
+
+export interface ItemWork {
+  readonly item: StepItem
+  readonly text: ItemText
+  readonly cancel: AbortController
+  /** Ends the run that is under way and nothing else. */
+  stopRun: AbortController | undefined
+  engine: Engine | undefined
+  startedAt: number
+  state: ItemState
+  /** Answers of engines that said that they failed. */
+  failures: number
+  runs: number
+}
+
+export interface StepWork {
+  readonly step: FoldedStep
+  readonly items: Map<string, ItemWork>
+  /** Items that wait, in the order in which they are started. */
+  readonly waiting: ItemWork[]
+}
+
+export function newWork (item: StepItem): ItemWork {
+  return { item, text: new ItemText(), cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
+}
+
+/** Takes a value out of a list, if it is there. */
+export function removeFrom<T> (list: T[], value: T): void {
+  const index = list.indexOf(value)
+  if (index >= 0) list.splice(index, 1)
+}
--- /dev/null
+++ b/src/base/common/base64.ts
@@ -0,0 +1,5 @@
+/** Bytes that travel as base64. */
+
+export function decodeBase64 (text: string): Uint8Array {
+  return Uint8Array.from(atob(text), (character) => character.charCodeAt(0))
+}
--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -13,6 +13,7 @@
 import type { Identities } from '../common/identity.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
+import { listenAt } from './listenAt.ts'
 import type { Route, Router } from './router.ts'
 
 export interface EntryServerSettings extends ExchangeOptions {
@@ -56,15 +57,7 @@
   }
 
   async listen (): Promise<void> {
-    const at = this.settings.listen.lastIndexOf(':')
-    const host = this.settings.listen.slice(0, at).replace(/^\[|\]$/g, '')
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject)
-      this.server.listen(Number(this.settings.listen.slice(at + 1)), host, () => {
-        this.server.removeListener('error', reject)
-        resolve()
-      })
-    })
+    await listenAt(this.server, this.settings.listen)
   }
 
   /** Takes no new connections; resolves when the last has ended. */
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -5,7 +5,7 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
-import { listenAt } from './frontServer.ts'
+import { listenAt } from '../listenAt.ts'
 
 export interface DirectoryServerServices {
   readonly protocol: FrontProtocol
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -14,6 +14,7 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
+import { listenAt } from '../listenAt.ts'
 import { ByteBudget, FrontExchange } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
 import type { StepRoutes } from './stepRoutes.ts'
@@ -161,18 +162,6 @@
   }
 }
 
-/** Listens at `IP:PORT`. */
-export async function listenAt (server: Server, address: string): Promise<void> {
-  const colon = address.lastIndexOf(':')
-  await new Promise<void>((resolve, reject) => {
-    server.once('error', reject)
-    server.listen(Number(address.slice(colon + 1)), address.slice(0, colon), () => {
-      server.removeListener('error', reject)
-      resolve()
-    })
-  })
-}
-
 /** Bytes of names and values, with what stands around them. */
 function headBytes ({ rawHeaders, url = '' }: IncomingMessage): number {
   return rawHeaders.reduce((sum, text) => sum + text.length + 2, url.length)
--- a/src/entry/node/front/metricsServer.ts
+++ b/src/entry/node/front/metricsServer.ts
@@ -4,7 +4,7 @@
 import { createServer } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { ScrapedMetrics } from '../../../adapters/node/scrapedMetrics.ts'
-import { listenAt } from './frontServer.ts'
+import { listenAt } from '../listenAt.ts'
 
 const PATH = '/metrics'
 
