--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -146,6 +146,8 @@
     if (target !== undefined) return this.launch(target)
     if (this.running.size > 0) return
     if (known.length === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
+    // Where all that are left have had the request, waiting brings nothing.
+    if (known.every(({ definition }) => this.sent.has(definition.id))) return this.settle(this.lastOr(failure('unknownOutcome', 'no target gave a usable answer')))
     this.nextRound()
   }
 
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -92,6 +92,14 @@
     expect(result.ok && result.value.failures).to.equal(2)
   })
 
+  it('has its answer at once when all targets have failed, though its route would allow more', async () => {
+    // Symptom: samples whose scorer always fails held their steps up for seconds. A route that allows four
+    // targets has only three; with all of them failed the call waited for another one until half its time.
+    const { result, tookMs } = await call(scene({ a: [failed], b: [failed] }), { attempts: 4 })
+    expect(outcome(result)).to.match(/^500/)
+    expect(tookMs).to.equal(10)
+  })
+
   it('is asked for again while all targets are full, and rejected while there is time to ask elsewhere', async () => {
     const soon = scene({ a: [refused, refused, good()], b: [refused] })
     expect(outcome((await call(soon)).result)).to.equal('200 of a')
