Test support: ports that outgoing connections do not take; messages say what a host wrote by then

Its output was not in the message, as that was made before the wait. Ports came from the range of outgoing connections and could be taken before the host listened. Whether that was the cause is not shown: listed as open.

--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -109,7 +109,7 @@
   }
 
   async whenReady (host: FleetHost): Promise<void> {
-    await waitUntil(async () => (await this.resolve(host)).includes(host.address.replace('http://', '')), 20_000, `${host.name} is ready\n${host.process.output}`)
+    await waitUntil(async () => (await this.resolve(host)).includes(host.address.replace('http://', '')), 20_000, () => `${host.name} is ready\n${host.process.output}`)
   }
 
   /** Addresses that a host gives to callers. */
@@ -163,7 +163,7 @@
     await waitUntil(async () => {
       page = await this.results(host, id)
       return page.results.length === page.total
-    }, timeoutMs, `step ${id} is whole\n${this.hosts.map(({ process }) => process.output).join('\n')}`)
+    }, timeoutMs, () => `step ${id} is whole\n${this.hosts.map(({ process }) => process.output).join('\n')}`)
     if (page === undefined) throw new Error('no results')
     return page
   }
--- a/test/support/hostProcess.ts
+++ b/test/support/hostProcess.ts
@@ -124,7 +124,7 @@
   static async start (options: ClusterOptions): Promise<Cluster> {
     const cluster = await Cluster.prepare(options)
     for (const host of cluster.hosts) host.start()
-    await Promise.all(cluster.hosts.map(async (host) => { await waitUntil(async () => (await host.health()).fresh === true, 30_000, `${host.name} is fresh\n${host.output}`) }))
+    await Promise.all(cluster.hosts.map(async (host) => { await waitUntil(async () => (await host.health()).fresh === true, 30_000, () => `${host.name} is fresh\n${host.output}`) }))
     await waitUntil(async () => (await cluster.host(0).rows('show hosts')).length === cluster.hosts.length, 20_000, 'hosts know each other')
     return cluster
   }
@@ -191,21 +191,30 @@
   } as unknown as SettingsTables
 }
 
+/** Ports below those that the system gives to outgoing connections: one of these could be taken between its finding and the start of a host. */
+const LOWEST_PORT = 12_000
+const HIGHEST_PORT = 32_000
+
 /** Finds free ports on loopback. */
 export async function freePorts (count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, async () => {
-    const server = createServer()
-    server.listen(0, '127.0.0.1')
-    await once(server, 'listening')
-    return server
-  }))
-  const ports = servers.map((server) => (server.address() as AddressInfo).port)
-  await Promise.all(servers.map(async (server) => { server.close(); await once(server, 'close') }))
-  return ports
+  const ports = new Set<number>()
+  while (ports.size < count) {
+    const port = LOWEST_PORT + Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT))
+    if (await isFree(port)) ports.add(port)
+  }
+  return [...ports]
+}
+
+async function isFree (port: number): Promise<boolean> {
+  const server = createServer()
+  return await new Promise((resolve) => {
+    server.once('error', () => { resolve(false) })
+    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+  })
 }
 
 /** Waits until a condition holds; errors count as not yet. */
-export async function waitUntil (condition: () => boolean | Promise<boolean>, timeoutMs: number, what: string): Promise<void> {
+export async function waitUntil (condition: () => boolean | Promise<boolean>, timeoutMs: number, what: string | (() => string)): Promise<void> {
   const until = Date.now() + timeoutMs
   let last = ''
   while (Date.now() < until) {
@@ -216,5 +225,5 @@
     }
     await new Promise((resolve) => setTimeout(resolve, 25))
   }
-  throw new Error(`not within ${timeoutMs} ms: ${what} ${last}`)
+  throw new Error(`not within ${timeoutMs} ms: ${typeof what === 'string' ? what : what()} ${last}`)
 }
