A test no longer shortens the log's retention before its hosts have started

Traced: the test let the log forget after 3 s and then started three hosts; starts that take longer find neither log nor checkpoint, and no host can give the state. Shown: with a pause of 5 s before the start the test fails so every time, with 'no state can be found' in the host's lines. Ruled out: ports taken by outgoing connections (it failed with other ports too). The retention is now shortened after the start; what the test proves is the same.

--- a/test/promises/exactlyOnce.test.ts
+++ b/test/promises/exactlyOnce.test.ts
@@ -118,8 +118,9 @@
    */
   it('for a trainer that stays away longer than the log keeps entries', async () => {
     await cluster.stop()
-    platform.log.log.faults.retainMs = 3000
     cluster = await platform.startCluster(hosts, { log: { payload_refresh: 1000, checkpoint_interval: 800 } })
+    // Only now: hosts that need longer to start than the log keeps entries find no state, which is another matter.
+    platform.log.log.faults.retainMs = 3000
     await waitUntil(async () => (await cluster.host(0).rows('show subscriptions')).length === 1, 5000, 'configuration is there').catch(async () => { await platform.configure(cluster) })
     trainer = new Trainer(cluster.hosts)
     await trainer.submit(4, 4)
