A host reads the end of a step before it answers it

Traced: (1) a host answered an end as soon as the store had it and, some 100 ms behind in its reading, still gave bodies of that step.

--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -85,7 +85,10 @@
     if (found.value.ended) return success(undefined)
     const appended = await this.services.appender.append(() => [endRecord(id)], this.settings.endMs)
     this.services.stateLog.decided('step end asked', { step: id, failed: !appended.ok, outcome: appended.ok ? 'ended' : appended.code })
-    return appended.ok ? success(undefined) : appended
+    if (!appended.ok) return appended
+    // Otherwise this host would still give bodies of the step that it has just said to be ended.
+    await this.services.topic.catchUp()
+    return success(undefined)
   }
 
   private async find (id: string): Promise<FoldedStep | undefined> {
