--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -65,11 +65,6 @@
     return this.offset ?? 0
   }
 
-  /** Monotonic time at which the newest successful call began: all older records are known. */
-  get knownUntil (): number {
-    return this.contact
-  }
-
   /** Monotonic time at which calls succeeded again after a failed one. */
   get regainedAt (): number {
     return this.regained
--- a/src/core/common/routes/routeConfiguration.ts
+++ b/src/core/common/routes/routeConfiguration.ts
@@ -93,11 +93,6 @@
     return this.services.get(name)
   }
 
-  /** Whether a host has any route. */
-  knowsHost (host: string): boolean {
-    return this.byHost.has(host.replace(/:\d+$/, '').toLowerCase())
-  }
-
   /** Services whose targets are model engines. */
   engineServices (): ServiceDefinition[] {
     return this.configuration.services.filter((service) => service.engine !== undefined)
