A holder waits out an order that an old report still shows, not its version

Cause: engines report some hundred milliseconds late. When a version was named right after a load had ended, the report still showed the ended order; the holder took it for one of the new version, sent none and waited for the version for 5 s, in which the engine took no items. Ruled out: an order that was carried out late (the engine counted none), the duty (one holder, term 1 until the end). Also: an unanswered report counts once, not twice, against an engine. Before: the new test fails (version 2 after 2.5 s). After: 7 of 7 tests of orders.

--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -125,19 +125,12 @@
 
   private async load (engine: Engine, load: PlannedLoad, mode: SwapMode): Promise<void> {
     const began = this.services.clock.monotonic()
-    const before = await this.report(engine)
-    if (!before.ok) {
-      engine.target.failed()
-      return
-    }
-    this.learn(engine, before.value)
-    if (engine.version(load.model) >= load.version) return
-    if (before.value.ordering) return await this.await(engine, load, began)
-    if (!this.services.duty.alone) return
-    const verdict = await this.order(engine, load, mode, before.value.sequence)
+    const before = await this.stateWithoutOrder(engine, load, began)
+    if (before === undefined || !this.services.duty.alone) return
+    const verdict = await this.order(engine, load, mode, before.sequence)
     if (verdict === 'in-progress') {
       await this.pause(LOAD_MS)
-      await this.await(engine, load, began)
+      await this.awaitVersion(engine, load, began)
     } else if (verdict === 'holds') {
       engine.learnVersion(load)
     } else {
@@ -147,6 +140,25 @@
     }
   }
 
+  /**
+   * What an engine reports once no order is under way there; `undefined` if it needs none any more or
+   * does not answer. A report that shows an order is no reason to wait for the version: the order may
+   * be a former one that has ended since, as reports are some hundred milliseconds old. Waiting for
+   * the version then kept an engine from all items for five seconds.
+   */
+  private async stateWithoutOrder (engine: Engine, load: PlannedLoad, began: number): Promise<EngineState | undefined> {
+    const { clock, duty } = this.services
+    while (duty.holds && clock.monotonic() - began < LONGEST_LOAD_MS) {
+      const state = await this.report(engine)
+      if (!state.ok) return undefined
+      this.learn(engine, state.value)
+      if (engine.version(load.model) >= load.version) return undefined
+      if (!state.value.ordering) return state.value
+      await this.pause(REPORT_MS)
+    }
+    return undefined
+  }
+
   private async order (engine: Engine, load: PlannedLoad, mode: SwapMode, ifSequence: number): Promise<OrderVerdict | 'no-answer'> {
     const { client, protocol, duty, machine, metrics } = this.services
     const message = protocol.order({ named: { model: load.model, version: load.version }, mode, holder: machine, term: duty.term, ifSequence })
@@ -164,7 +176,7 @@
   }
 
   /** Waits until the engine reports the version, or no order any more. */
-  private async await (engine: Engine, load: PlannedLoad, began: number): Promise<void> {
+  private async awaitVersion (engine: Engine, load: PlannedLoad, began: number): Promise<void> {
     const { clock, duty, stateLog } = this.services
     while (duty.holds && clock.monotonic() - began < LONGEST_LOAD_MS) {
       const state = await this.report(engine)
--- a/test/actors/weights/engineOrders.test.ts
+++ b/test/actors/weights/engineOrders.test.ts
@@ -21,13 +21,16 @@
   readonly accepted: { version: number, fence: number, at: number }[] = []
   /** What the next orders meet: taken, taken without an answer, or taken seconds later without an answer. */
   faults: ('lost' | 'late' | 'dead')[] = []
+  /** How old what it reports is, but for the versions, in milliseconds. */
+  reportLagMs = 0
   private until = 0
+  private readonly states: { readonly from: number, readonly busy: boolean, readonly seq: number }[] = [{ from: 0, busy: false, seq: 0 }]
 
   constructor (private readonly clock: ManualClock) {}
 
   answer (request: TargetRequest): { status: number, body: object } | 'none' {
-    const busy = this.clock.now < this.until
-    if (request.path === '/report') return { status: 200, body: { models: [{ name: 'm', version: this.version }], busy, seq: this.sequence, running: 0, waiting: 0 } }
+    const { busy, seq } = this.states.findLast(({ from }) => from <= this.clock.now - this.reportLagMs) ?? { busy: false, seq: 0 }
+    if (request.path === '/report') return { status: 200, body: { models: [{ name: 'm', version: this.version }], busy, seq, running: 0, waiting: 0 } }
     const order = JSON.parse(new TextDecoder().decode(request.body)) as { version: number, fence: number, precondition: number }
     const fault = this.faults.shift()
     if (fault === 'dead') return 'none'
@@ -44,6 +47,7 @@
     this.sequence++
     this.accepted.push({ version, fence, at: this.clock.now })
     this.until = this.clock.now + 900
+    this.states.push({ from: this.clock.now, busy: true, seq: this.sequence }, { from: this.until, busy: false, seq: this.sequence })
     this.clock.after(900, () => { this.version = version })
     return true
   }
@@ -127,6 +131,20 @@
     expect(versions()).to.deep.equal([2])
   })
 
+  it('do not wait for an order that only an old report still shows', async () => {
+    // Symptom: an engine took no items for five seconds. It had just ended a load when the next version was
+    // named; its report, some hundred milliseconds old, still showed the order that had ended. The
+    // holder took that for an order for the new version, gave none, and waited for the version in vain.
+    start(1)
+    const engine = engines.get('e0')
+    if (engine !== undefined) engine.reportLagMs = 400
+    await clock.advance(1000)
+    demand = { ...demand, named: 3 }
+    await clock.advance(2500)
+    expect(versions()).to.deep.equal([3])
+    expect(engine?.accepted.map(({ version }) => version)).to.deep.equal([2, 3])
+  })
+
   it('go from an old version to the newest, not through those between', async () => {
     start(1)
     demand = { ...demand, named: 7 }
