Progress of running items is saved in records that the store takes

Cause: all progress of one moment went into one record. With 190 items under way it was longer than a record may be (256 KB); the store refused it, what was not saved stayed unsaved, and each next record was longer still. Ruled out: rates of the store (no 429), the reader of progress (it was given none). Now a save is as many records as needed; a part that is longer than a record goes on in the next. The stand-in of the store refuses records and calls that are too long, as the store does.

--- a/src/actors/common/steps/progressKeeper.ts
+++ b/src/actors/common/steps/progressKeeper.ts
@@ -1,7 +1,7 @@
 /** Saves the progress of running items now and then, and finds it again when a host takes over. */
 
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import { encodeProgress, readProgress } from '../../../core/common/steps/progress.ts'
+import { progressRecords, readProgress } from '../../../core/common/steps/progress.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { History } from '../../../ports/common/history.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -13,26 +13,32 @@
   readonly stateLog: StateLog
 }
 
+export interface ProgressSettings {
+  /** Time between two saves, in milliseconds: what a lost host costs each running item at most. */
+  readonly periodMs: number
+  /** Bytes of one record, at most. */
+  readonly recordBytes: number
+}
+
 export class ProgressKeeper {
   private saving = false
   private savedAt = Number.NEGATIVE_INFINITY
 
-  /** @param periodMs time between two saves: what a lost host costs each running item at most */
-  constructor (private readonly services: ProgressServices, private readonly periodMs: number) {}
+  constructor (private readonly services: ProgressServices, private readonly settings: ProgressSettings) {}
 
   /** Whether it is time to save again. */
   get due (): boolean {
-    return !this.saving && this.services.clock.monotonic() - this.savedAt >= this.periodMs
+    return !this.saving && this.services.clock.monotonic() - this.savedAt >= this.settings.periodMs
   }
 
   /** Saves parts; true if the store has them. A save that fails costs nothing but the time that it would have spared. */
   async save (parts: readonly ProgressPart[]): Promise<boolean> {
     this.saving = true
     this.savedAt = this.services.clock.monotonic()
-    const saved = await this.services.history.append(encodeProgress(parts))
+    const saved = await this.append(progressRecords(parts, this.settings.recordBytes))
     this.saving = false
-    this.services.metrics.count(saved.ok ? 'progress.saved' : 'progress.not_saved')
-    return saved.ok
+    this.services.metrics.count(saved ? 'progress.saved' : 'progress.not_saved')
+    return saved
   }
 
   /** Everything that is still kept; empty where it cannot be read, and the items begin anew. */
@@ -42,4 +48,12 @@
     this.services.stateLog.alarm('progress of running items cannot be read', { error: records.message })
     return new Map()
   }
+
+  /** Appends records one after the other; stops at the first that is not taken. */
+  private async append (records: readonly string[]): Promise<boolean> {
+    for (const record of records) {
+      if (!(await this.services.history.append(record)).ok) return false
+    }
+    return true
+  }
 }
--- a/src/core/common/steps/progress.ts
+++ b/src/core/common/steps/progress.ts
@@ -34,6 +34,49 @@
   return JSON.stringify(parts)
 }
 
+/** Bytes that a character of a JavaScript string needs in UTF-8, at most. */
+const CHARACTER_BYTES = 3
+
+/**
+ * Records that together hold these parts, none longer than the store takes. A part whose events do
+ * not fit into one record goes on in the next. An event that no record can hold ends its part: what
+ * is held of that text then stays a beginning of it.
+ */
+export function progressRecords (parts: readonly ProgressPart[], recordBytes: number): string[] {
+  const limit = Math.floor(recordBytes / CHARACTER_BYTES)
+  const records: ProgressPart[][] = []
+  let free = 0
+  const add = (part: ProgressPart, size: number): void => {
+    if (size > free) {
+      records.push([])
+      free = limit
+    }
+    records.at(-1)?.push(part)
+    free -= size
+  }
+  for (const part of parts) for (const piece of splitPart(part, limit)) add(piece, encodeProgress([piece]).length)
+  return records.map(encodeProgress)
+}
+
+/** Pieces of a part that fit into a record each. */
+function splitPart (part: ProgressPart, limit: number): ProgressPart[] {
+  if (encodeProgress([part]).length <= limit) return [part]
+  const room = limit - encodeProgress([{ ...part, events: [] }]).length
+  const pieces: ProgressPart[] = []
+  let begin = 0
+  while (begin < part.events.length) {
+    let end = begin
+    for (let size = 0; end < part.events.length; end++) {
+      size += JSON.stringify(part.events[end]).length + 1
+      if (size > room) break
+    }
+    if (end === begin) break
+    pieces.push({ ...part, from: part.from + begin, events: part.events.slice(begin, end), last: part.last - (part.events.length - end) })
+    begin = end
+  }
+  return pieces
+}
+
 /** Key of an item of a step in the table of saved texts. */
 export function progressKey (step: string, item: string): string {
   return `${step}/${item}`
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -170,7 +170,7 @@
     board,
     appender,
     scorer,
-    progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, settings.steps.progress),
+    progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, { periodMs: settings.steps.progress, recordBytes: store.record_bytes }),
     routes: () => operator.routes,
     version: (model) => operator.version(model),
     follows: (engine) => orders.follows(engine)
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -29,7 +29,8 @@
   long_poll: milliseconds(1000, 'how long a read may wait for records'),
   read_pause: milliseconds(120, 'pause after a read that brought records, while nobody waits for them'),
   registry_pause: milliseconds(300, 'the same for the entries of targets, which come often and may be known this much later'),
-  call_bytes: count(2_000_000, 'bytes of one append, at most')
+  call_bytes: count(2_000_000, 'bytes of one append, at most'),
+  record_bytes: count(262_144, 'bytes of one record, at most')
 })
 
 const dutySchema = z.strictObject({
--- /dev/null
+++ b/test/actors/steps/progressKeeper.test.ts
@@ -0,0 +1,75 @@
+/** Progress of running items against a history that refuses what is too long for it, as stores do. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { ProgressKeeper } from '../../../src/actors/common/steps/progressKeeper.ts'
+import { failure, success } from '../../../src/base/common/resultCode.ts'
+import type { ProgressPart } from '../../../src/core/common/steps/progress.ts'
+import { progressKey } from '../../../src/core/common/steps/progress.ts'
+import type { History } from '../../../src/ports/common/history.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+
+const RECORD_BYTES = 3000
+
+class BoundedHistory implements History {
+  readonly records: string[] = []
+  refused = 0
+
+  async append (text: string) {
+    if (Buffer.byteLength(text) > RECORD_BYTES) {
+      this.refused++
+      return failure('malformed', 'the record is too long')
+    }
+    this.records.push(text)
+    return success(this.records.length - 1)
+  }
+
+  async readAll () {
+    return success(this.records)
+  }
+}
+
+describe('saved progress', () => {
+  const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, from, events: Array.from({ length: count }, (_, index) => `${from + index}:`.padEnd(size, 'é')), last: 100 + from + count - 1, versions: [1] })
+  const keeperOf = (history: History) => new ProgressKeeper({ history, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })
+
+  it('fits the records of the store, however much runs at once', async () => {
+    // Symptom: a host that took the steps over began items anew that had run for seconds. With 190 items
+    // under way one record of all progress was longer than the store takes; it refused each save, and
+    // each next one was longer still.
+    const history = new BoundedHistory()
+    const keeper = keeperOf(history)
+    const parts = Array.from({ length: 40 }, (_, index) => part(`i${index}`, 9, 60))
+    expect(await keeper.save(parts)).to.equal(true)
+    expect(history.refused).to.equal(0)
+    const saved = await keeper.load()
+    for (const { item, events, last } of parts) expect(saved.get(progressKey('s', item))).to.deep.equal({ events, last, versions: [1] })
+  })
+
+  it('is whole or a beginning of each text, for any sizes', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(fc.record({ count: fc.integer({ min: 1, max: 30 }), size: fc.integer({ min: 5, max: 900 }) }), { minLength: 1, maxLength: 12 }), async (shapes) => {
+      const history = new BoundedHistory()
+      const keeper = keeperOf(history)
+      const parts = shapes.map(({ count, size }, index) => part(`i${index}`, count, size))
+      await keeper.save(parts)
+      const saved = await keeper.load()
+      for (const { item, events } of parts) {
+        const found = saved.get(progressKey('s', item))
+        expect(found?.events ?? []).to.deep.equal(events.slice(0, found?.events.length ?? 0))
+        if (found !== undefined) expect(found.last).to.equal(100 + found.events.length - 1)
+      }
+      expect(history.refused).to.equal(0)
+    }), { numRuns: 60, seed: 7 })
+  })
+
+  it('leaves out an event that no record can hold, and what follows it', async () => {
+    const history = new BoundedHistory()
+    const keeper = keeperOf(history)
+    const long = { ...part('i', 3, 10), events: ['a', 'x'.repeat(2 * RECORD_BYTES), 'c'] }
+    expect(await keeper.save([long, part('j', 2, 10)])).to.equal(true)
+    const saved = await keeper.load()
+    expect(saved.get(progressKey('s', 'i'))).to.deep.equal({ events: ['a'], last: 100, versions: [1] })
+    expect(saved.get(progressKey('s', 'j'))?.events).to.have.length(2)
+  })
+})
--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -27,8 +27,11 @@
   loseAnswers: number
 }
 
-/** Shortest poll of a reader that waits, in milliseconds. */
+/** Longest poll of a reader that waits, in milliseconds. */
 const LONGEST_POLL_MS = 30_000
+/** Bytes of one record and of the records of one call, at most. */
+const RECORD_BYTES = 262_144
+const CALL_BYTES = 2_097_152
 
 export class StoreStandIn {
   private readonly topics = new Map<string, Topic>()
@@ -125,6 +128,7 @@
       contents.push(body.subarray(place + 4, place + 4 + length))
       place += 4 + length
     }
+    if (contents.some(({ length }) => length > RECORD_BYTES) || contents.reduce((sum, { length }) => sum + length, 0) > CALL_BYTES) return json(response, 400, { error: 'records are too long' })
     const offset = this.add(name, contents)
     if (door.loseAnswers > 0) {
       door.loseAnswers--
