The longest items run on the fastest engines; runs that last move to them

Cause: the choice weighed an engine's pace only against its load and forgot the pace in the 3 s between steps. Ruled out: load (a full engine makes events some hundredths slower), late starts (all within 0.2 s), loads of weights. Now the pace of whole runs is remembered, long items choose by pace first, and a run that has lasted a second moves where another engine is 1.2 times faster. The placement has a file of its own; StepHome is shorter by it.

--- a/src/actors/common/steps/engineBoard.ts
+++ b/src/actors/common/steps/engineBoard.ts
@@ -1,15 +1,12 @@
 /** The engines of all services as the host that runs the steps knows them: versions, runs, speed. */
 
 import type { EngineLoad } from '../../../core/common/steps/engineChoice.ts'
+import { EnginePace, slownessOf } from '../../../core/common/steps/enginePace.ts'
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ModelVersion } from '../../../core/common/routes/target.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { KnownTarget, TargetTable } from '../routes/targetTable.ts'
 
-/** Weight of the newest event in the moving mean of the time between events. */
-const PACE_WEIGHT = 0.1
-/** How long a pace is believed without another event, in milliseconds: a slow engine that is avoided must get a chance to show that it has recovered. */
-const PACE_VALID_MS = 3000
 /** How long an engine that refused is not asked again, in milliseconds: about the time of an item's shortest run. */
 const REFUSED_MS = 80
 /** Groups whose prompts an engine is taken to have read. */
@@ -23,8 +20,7 @@
 export class Engine {
   running = 0
   order: OrderUnderway | undefined
-  private meanPaceMs: number | undefined
-  private paceAt = Number.NEGATIVE_INFINITY
+  readonly pace = new EnginePace()
   private refusedUntil = Number.NEGATIVE_INFINITY
   private readonly versions = new Map<string, number>()
   private readonly prompts = new Set<string>()
@@ -53,17 +49,6 @@
     this.refusedUntil = this.clock.monotonic() + REFUSED_MS
   }
 
-  /** Moving mean of the time between two events of a stream, in milliseconds; forgotten where none came lately. */
-  get paceMs (): number | undefined {
-    return this.clock.monotonic() - this.paceAt < PACE_VALID_MS ? this.meanPaceMs : undefined
-  }
-
-  notePace (milliseconds: number): void {
-    const known = this.paceMs
-    this.meanPaceMs = known === undefined ? milliseconds : known + (milliseconds - known) * PACE_WEIGHT
-    this.paceAt = this.clock.monotonic()
-  }
-
   notePrompt (group: string): void {
     this.prompts.add(group)
     if (this.prompts.size > REMEMBERED_PROMPTS) this.prompts.delete(this.prompts.values().next().value ?? '')
@@ -95,18 +80,11 @@
     return present.map((target) => this.engine(target))
   }
 
-  /** Whether some engine is this much slower than the usual one. */
-  hasSlower (factor: number): boolean {
-    const paces = this.all().flatMap(({ paceMs }) => paceMs ?? [])
-    const usual = median(paces)
-    return usual !== undefined && paces.some((pace) => pace >= usual * factor)
-  }
-
   /** What the choice of an engine for an item of this model and group needs. */
-  candidates (services: readonly string[], model: string, group: string): EngineCandidate[] {
+  candidates (services: readonly string[], model: string, group: string | undefined): EngineCandidate[] {
     const engines = services.flatMap((service) => this.ofService(service))
-    const usual = median(engines.flatMap(({ paceMs }) => paceMs ?? []))
-    return engines.map((engine) => ({
+    const slowness = slownessOf(engines.map(({ pace }) => pace), this.clock.monotonic())
+    return engines.map((engine, index) => ({
       engine,
       id: engine.id,
       slots: engine.target.definition.slots,
@@ -114,8 +92,8 @@
       version: engine.version(model),
       loading: engine.order?.model === model,
       suspect: engine.suspect,
-      slowness: usual === undefined || engine.paceMs === undefined ? 1 : engine.paceMs / usual,
-      hasPrompt: engine.hasPrompt(group)
+      slowness: slowness[index] ?? 1,
+      hasPrompt: group !== undefined && engine.hasPrompt(group)
     }))
   }
 
@@ -131,8 +109,3 @@
     for (const [id, { target }] of this.engines) if (this.targets.get(id) !== target) this.engines.delete(id)
   }
 }
-
-function median (values: readonly number[]): number | undefined {
-  const sorted = [...values].sort((a, b) => a - b)
-  return sorted[Math.floor(sorted.length / 2)]
-}
--- /dev/null
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -0,0 +1,57 @@
+/** At which engine an item of a step runs, as of now: puts what this host knows of its engines before the pure choice. */
+
+import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import { chooseEngine, shouldMove } from '../../../core/common/steps/engineChoice.ts'
+import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
+import type { ItemWork, StepWork } from './stepWork.ts'
+
+export interface ItemPlacementServices {
+  readonly board: EngineBoard
+  /** Model that an engine follows. */
+  readonly follows: (engine: string) => string | undefined
+}
+
+/** A run that should go on at another engine. */
+export interface PlannedMove {
+  readonly itemWork: ItemWork
+  readonly here: EngineCandidate
+  readonly better: EngineCandidate
+}
+
+export class ItemPlacement {
+  constructor (private readonly services: ItemPlacementServices) {}
+
+  /** The engine for an item that waits; `undefined` where none has a free slot. */
+  choose (work: StepWork, route: Route, itemWork: ItemWork): EngineCandidate | undefined {
+    return this.best(this.candidates(work, route, itemWork.item.group), work, itemWork)
+  }
+
+  /** A run of this step that a faster engine with a free slot should take over. */
+  nextMove (work: StepWork, route: Route, nowMs: number): PlannedMove | undefined {
+    const candidates = this.candidates(work, route, undefined)
+    const fastest = { slowness: Math.min(...candidates.map(({ slowness }) => slowness)) }
+    for (const itemWork of work.items.values()) {
+      if (itemWork.state !== 'running') continue
+      const lastedMs = nowMs - itemWork.startedAt
+      const here = candidates.find(({ engine }) => engine === itemWork.engine)
+      if (here === undefined || !shouldMove(here, fastest, lastedMs)) continue
+      const better = this.best(candidates, work, itemWork)
+      if (better !== undefined && shouldMove(here, better, lastedMs)) return { itemWork, here, better }
+    }
+    return undefined
+  }
+
+  private candidates (work: StepWork, route: Route, group: string | undefined): EngineCandidate[] {
+    const services = route.destinations.filter(({ weight }) => weight > 0).map(({ service }) => service)
+    return this.services.board.candidates(services, work.step.submission.model, group)
+  }
+
+  /** Engines that follow the item's model go first: the others are about to be too old for it. */
+  private best (candidates: readonly EngineCandidate[], work: StepWork, itemWork: ItemWork): EngineCandidate | undefined {
+    const { model, minimumVersion } = work.step.submission
+    // An item that has run before is behind the others of its step, however long it is.
+    const length = itemWork.runs > 0 || itemWork.item.expectedTokens >= work.longFrom ? 'long' : 'short'
+    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? model) === model)
+    return chooseEngine(following, minimumVersion, length) ?? chooseEngine(candidates, minimumVersion, length)
+  }
+}
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -149,7 +149,9 @@
 async function readEvents (services: ItemRunServices, stream: TargetStream, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions, silence: SilenceGuard): Promise<RunEnd> {
   const reader = new EventReader()
   const decoder = new TextDecoder()
+  let firstAt: number | undefined
   let lastAt: number | undefined
+  let count = 0
   for await (const piece of stream.pieces) {
     for (const { fields } of reader.take(decoder.decode(piece, { stream: true }))) {
       const event = services.protocol.event(fields)
@@ -160,11 +162,14 @@
       if (event.version !== undefined) engine.learnVersion({ model: options.model, version: event.version })
       const now = services.clock.monotonic()
       if (lastAt === undefined) engine.notePrompt(item.group)
-      else engine.notePace(now - lastAt)
+      else engine.pace.noteGap(now - lastAt, now)
+      firstAt ??= now
       lastAt = now
+      count++
       silence.heard()
     }
   }
+  if (firstAt !== undefined && lastAt !== undefined) engine.pace.noteRun(lastAt - firstAt, count)
   return reader.rest.trim() !== '' ? { type: 'broken', why: 'the stream ended within an event' } : { type: 'complete' }
 }
 
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -8,13 +8,12 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
-import { chooseEngine, TOO_SLOW } from '../../../core/common/steps/engineChoice.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
 import { progressKey } from '../../../core/common/steps/progress.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
-import type { SampleResult, StepItem } from '../../../core/common/steps/step.ts'
+import type { SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
@@ -23,6 +22,8 @@
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
+import { longFrom } from '../../../core/common/steps/engineChoice.ts'
+import { ItemPlacement } from './itemPlacement.ts'
 import type { ItemRunServices, RunEnd, ItemText } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
@@ -57,10 +58,6 @@
 const LIST_MS = 60_000
 /** Unfinished texts that are kept: those of some steps. */
 const KEPT_UNFINISHED = 500
-/** Shortest time that a run stays at an engine before it is moved, in milliseconds: the engine's pace is known by then. */
-const STAY_MS = 400
-/** An engine must be faster by this factor for a run to move to it. */
-const MOVE_GAIN = 1.5
 /** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
 const LEAST_WORK = 1
 
@@ -71,12 +68,14 @@
   private readonly workOfModels = new Map<string, number>()
   /** Texts of items whose steps ended before them. */
   private readonly unfinished = new Map<string, SavedText>()
+  private readonly placement: ItemPlacement
   private stopping = false
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
   private reading: Disposable | undefined
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
+    this.placement = new ItemPlacement(services)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
   }
@@ -161,7 +160,7 @@
     const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
     const open = order.filter(({ id }) => !step.positions.has(id))
     const waiting = open.map((item) => newWork(item))
-    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), waiting }
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
     for (const itemWork of [...waiting]) {
@@ -214,22 +213,13 @@
     const route = this.routeOf(work.step)
     if (route === undefined) return
     for (const itemWork of [...work.waiting]) {
-      const engine = this.chooseFor(work, route, itemWork.item)
+      const engine = this.placement.choose(work, route, itemWork)
       if (engine === undefined) return
       removeFrom(work.waiting, itemWork)
       this.start(work, route, itemWork, engine)
     }
   }
 
-  /** Engines that follow the item's model go first: the others are about to be too old for it. */
-  private chooseFor (work: StepWork, route: Route, item: StepItem): EngineCandidate | undefined {
-    const { submission } = work.step
-    const services = route.destinations.filter(({ weight }) => weight > 0).map(({ service }) => service)
-    const candidates = this.services.board.candidates(services, submission.model, item.group)
-    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? submission.model) === submission.model)
-    return chooseEngine(following, submission.minimumVersion) ?? chooseEngine(candidates, submission.minimumVersion)
-  }
-
   private start (work: StepWork, route: Route, itemWork: ItemWork, candidate: EngineCandidate): void {
     const { engine } = candidate
     const { submission } = work.step
@@ -350,38 +340,25 @@
   private look (): void {
     if (!this.services.duty.holds || this.works.size === 0) return
     const now = this.services.clock.wall()
-    const someSlow = this.services.board.hasSlower(TOO_SLOW)
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
       if (route !== undefined && now - work.step.submittedAt > route.retentionMs) this.giveUp(work)
-      if (route !== undefined && someSlow) this.moveFromSlow(work, route)
+      if (route !== undefined) this.moveToFaster(work, route)
     }
     this.schedule()
     this.saveProgress().catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
   }
 
-  /**
-   * Moves runs away from engines that are much slower than the others, while those have free slots:
-   * a long item on an engine that takes four times as long would come after the step is due.
-   */
-  private moveFromSlow (work: StepWork, route: Route): void {
-    const { submission } = work.step
+  /** Lets one run go on at a faster engine; a text of one version only would have to begin anew there. */
+  private moveToFaster (work: StepWork, route: Route): void {
     if (route.singleVersion || work.waiting.length > 0) return
     const now = this.services.clock.monotonic()
-    const services = route.destinations.map(({ service }) => service)
-    for (const itemWork of work.items.values()) {
-      const { engine, stopRun } = itemWork
-      if (itemWork.state !== 'running' || engine === undefined || stopRun === undefined || now - itemWork.startedAt < STAY_MS) continue
-      const candidates = this.services.board.candidates(services, submission.model, itemWork.item.group)
-      const here = candidates.find(({ id }) => id === engine.id)
-      const better = chooseEngine(candidates, submission.minimumVersion)
-      if (here === undefined || here.slowness < TOO_SLOW || better === undefined || better.slowness * MOVE_GAIN > here.slowness) continue
-      this.services.stateLog.decided('run moved from a slow engine', { item: itemWork.item.id, step: submission.id, engine: engine.id, slowness: here.slowness, to: better.id, events: itemWork.text.events.length })
-      stopRun.abort()
-      itemWork.state = 'waiting'
-      itemWork.startedAt = now
-      return
-    }
+    const move = this.placement.nextMove(work, route, now)
+    if (move === undefined) return
+    const { itemWork, here, better } = move
+    this.services.stateLog.decided('run moved to a faster engine', { item: itemWork.item.id, step: work.step.submission.id, engine: here.id, slowness: here.slowness, to: better.id, toSlowness: better.slowness, lastedMs: Math.round(now - itemWork.startedAt), events: itemWork.text.events.length })
+    itemWork.state = 'waiting'
+    itemWork.stopRun?.abort()
   }
 
   /** Saves what came since the last time, in one record for all running items. */
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -24,6 +24,8 @@
 export interface StepWork {
   readonly step: FoldedStep
   readonly items: Map<string, ItemWork>
+  /** Expected tokens from which on an item of this step counts as long. */
+  readonly longFrom: number
   /** Items that wait, in the order in which they are started. */
   readonly waiting: ItemWork[]
 }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -75,7 +75,7 @@
     'step dropped': 'a step is no longer run here, and why; with the items still open',
     'step forgotten': 'the records of an old step are dropped from the store',
     'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
-    'run moved from a slow engine': 'a run goes on at another engine; with the slowness that decided it',
+    'run moved to a faster engine': 'a run goes on at another engine; with the slowness of both that decided it',
     'item listed as lost': 'an item was given up, and why',
     'duty claimed': 'the holder was silent, or released the duty; with its silence',
     'engine assigned': 'an engine follows another model',
