Hosts that start load the outlines of steps, and payloads and texts when somebody asks

Cause: a host that starts read every submission with its items' bodies and every result with its text, in pages of base64. Ruled out: parsing (10 MB fold in 25 ms), the start itself (routes and targets are known 50 ms after listening). Now outlines, results' heads, ends and the duty stand in the steps' topic; payloads and texts in a topic of their own, written before the record that names them, followed from the start of a host on, read by prefix of the key otherwise. A submission whose payloads are not written is surely not taken, so an unanswered first append is a rejection now, not an unknown outcome. Before: a host that starts loads all.

--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -3,9 +3,10 @@
  * What has come is kept with the item, so that another run goes on after the last whole event.
  */
 
+import { decodeBase64 } from '../../../base/common/base64.ts'
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StreamEvent, TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetClient, TargetStream } from '../../../ports/common/targetClient.ts'
@@ -90,7 +91,7 @@
   readonly host: string
   readonly model: string
   readonly minimumVersion: number
-  readonly body: Uint8Array
+  readonly payload: ItemPayload
   /** Longest wait for the head of the answer and for the first event, in milliseconds. */
   readonly firstEventMs: number
   /** Longest wait for another event, in milliseconds. */
@@ -112,9 +113,9 @@
     const answer = await services.client.open({
       address,
       method: 'POST',
-      path: item.path,
-      headers: services.protocol.itemHeaders(options.host, item, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }),
-      body: options.body,
+      path: options.payload.path,
+      headers: services.protocol.itemHeaders(options.host, item.id, options.payload, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }),
+      body: decodeBase64(options.payload.body),
       ownConnection: false,
       signal
     })
--- a/src/actors/common/steps/stepCleaner.ts
+++ b/src/actors/common/steps/stepCleaner.ts
@@ -12,10 +12,12 @@
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
+import type { StepContents } from './stepContents.ts'
 
 export interface StepCleanerServices {
   readonly topic: StepTopic
   readonly appender: GroupAppender
+  readonly contents: StepContents
   readonly duty: DutyKeeper
   readonly clock: Clock
   readonly stateLog: StateLog
@@ -48,9 +50,11 @@
   }
 
   private drop (step: string): void {
-    const records = this.services.topic.keysOf(step).map(dropRecord)
-    this.services.appender.append(() => records, LOOK_MS).then((dropped) => {
-      this.services.stateLog.decided('step forgotten', { step, records: records.length, failed: !dropped.ok })
-    }).catch((error: unknown) => { this.services.stateLog.alarm('step not forgotten', { step, error: String(error) }) })
+    const { topic, contents, appender, stateLog } = this.services
+    const records = topic.keysOf(step).map(dropRecord)
+    // The step's own records go last: they name the others, and a holder that is lost in between leaves none behind.
+    contents.drop(topic.contentKeysOf(step)).then(async (gone) => gone.ok ? await appender.append(() => records, LOOK_MS) : gone).then((dropped) => {
+      stateLog.decided('step forgotten', { step, records: records.length, failed: !dropped.ok })
+    }).catch((error: unknown) => { stateLog.alarm('step not forgotten', { step, error: String(error) }) })
   }
 }
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -3,16 +3,19 @@
 import type { Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import type { SubmissionRecords } from '../../../core/common/steps/stepRecords.ts'
 import { endRecord, submissionRecords } from '../../../core/common/steps/stepRecords.ts'
-import type { SampleResult, StepSubmission } from '../../../core/common/steps/step.ts'
+import type { SampleResult, TrainerSubmission } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
+import type { StepContents } from './stepContents.ts'
 
 export interface StepDeskServices {
   readonly topic: StepTopic
   readonly appender: GroupAppender
+  readonly contents: StepContents
   readonly clock: Clock
   readonly metrics: Metrics
   readonly stateLog: StateLog
@@ -34,6 +37,11 @@
   readonly results: readonly SampleResult[]
 }
 
+/** When to come back after the store took nothing, in milliseconds: outages last for seconds. */
+const RETRY_AFTER_MS = 1000
+/** When to come back to a host that is behind the store, in milliseconds. */
+const STALE_RETRY_MS = 200
+
 export class StepDesk {
   constructor (private readonly services: StepDeskServices, private readonly settings: StepDeskSettings) {}
 
@@ -41,32 +49,61 @@
    * Takes a step. `logUnavailable` and `tooLarge`: surely not taken, none of it will run;
    * `commandUnknown`: it may be taken, the same submission may be sent again anywhere.
    */
-  async submit (submission: StepSubmission): Promise<Result<void>> {
-    const { topic, appender, clock, stateLog } = this.services
+  async submit (submission: TrainerSubmission): Promise<Result<void>> {
+    const { topic, contents, clock, stateLog } = this.services
     if (topic.step(submission.id) !== undefined) return success(undefined)
-    const records = submissionRecords({ submission, at: clock.wall() })
-    const characters = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0)
+    const records = submissionRecords(submission, clock.wall(), contents.nonce())
+    const characters = [...records.payloads, ...records.outline].reduce((sum, { value }) => sum + (value?.length ?? 0), 0)
     if (characters > this.settings.submissionCharacters) return failure('tooLarge', `a submission may have ${this.settings.submissionCharacters} characters, this one has ${characters}`)
     const began = clock.monotonic()
-    const appended = await appender.append(() => records, this.settings.acceptMs)
+    const appended = await this.append(records)
     const taken = appended.ok || (appended.code === 'commandUnknown' && await this.find(submission.id) !== undefined)
     this.services.metrics.timing('steps.accept', clock.monotonic() - began)
     stateLog.decided('step submitted', { step: submission.id, failed: !taken, number: submission.number, model: submission.model, items: submission.items.length, outcome: taken ? 'accepted' : appended.ok ? '' : appended.code, tookMs: Math.round(clock.monotonic() - began), offset: appended.ok ? appended.value : topic.position })
     return taken ? success(undefined) : appended as Result<void>
   }
 
+  /** The payloads go first: a step that hosts know, and whose items nobody can run, would be lost. */
+  private async append ({ payloads, outline }: SubmissionRecords): Promise<Result<number>> {
+    const { appender, contents, clock } = this.services
+    const began = clock.monotonic()
+    const saved = await contents.save(payloads, this.settings.acceptMs)
+    // Payloads alone are no step, whether or not they are written yet.
+    if (!saved.ok) return failure('logUnavailable', saved.message, { retryAfterMs: RETRY_AFTER_MS })
+    const appended = await appender.append(() => outline, Math.max(0, this.settings.acceptMs - (clock.monotonic() - began)))
+    if (!appended.ok && appended.code === 'logUnavailable') {
+      contents.drop(payloads.map(({ key }) => key)).catch((error: unknown) => { this.services.stateLog.alarm('step not forgotten', { step: payloads[0]?.key ?? '', error: String(error) }) })
+    }
+    return appended
+  }
+
   /** Reads results from a position on; waits for one up to `waitMs`. */
   async results (id: string, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
     const found = await this.known(id)
     if (!found.ok) return found
     const step = found.value
     if (after > step.results.length && !await this.services.topic.catchUp()) {
-      return failure('stale', 'this host is behind the store', { retryAfterMs: 200 })
+      return failure('stale', 'this host is behind the store', { retryAfterMs: STALE_RETRY_MS })
     }
     if (after >= step.results.length && after < step.items.size && waitMs > 0) {
       await this.waitForResult(id, Math.min(waitMs, this.settings.longestWaitMs), gone)
     }
-    return success({ total: step.items.size, results: step.results.slice(after) })
+    return await this.page(step, after)
+  }
+
+  /** Listed results with their texts, up to the first text that cannot be had now. */
+  private async page (step: FoldedStep, after: number): Promise<Result<ResultPage>> {
+    const listed = step.results.slice(after)
+    const keys = listed.flatMap(({ textKey }) => textKey ?? [])
+    const texts = new Map((await this.services.contents.texts(step.submission.id, keys)).map((text, index) => [keys[index], text]))
+    const results: SampleResult[] = []
+    for (const { textKey, ...result } of listed) {
+      const text = textKey === undefined ? '' : texts.get(textKey)
+      if (text === undefined) break
+      results.push({ ...result, text })
+    }
+    if (results.length === 0 && listed.length > 0) return failure('stale', 'the store does not give the texts now', { retryAfterMs: STALE_RETRY_MS })
+    return success({ total: step.items.size, results })
   }
 
   /** Body of an item, in base64, while the item is not listed and its step not ended. */
@@ -75,7 +112,8 @@
     if (!found.ok) return found
     const known = found.value.items.get(item)
     if (known === undefined || found.value.ended || found.value.positions.has(item)) return failure('notFound', `item ${item} of step ${id} is not open`)
-    return success(known.body)
+    const payload = (await this.services.contents.payloads(found.value))?.get(item)
+    return payload === undefined ? failure('stale', 'the store does not give the bodies now', { retryAfterMs: STALE_RETRY_MS }) : success(payload.body)
   }
 
   /** Ends a step; it is done once the store has it. */
@@ -103,7 +141,7 @@
     const { topic } = this.services
     const step = topic.step(id)
     if (step !== undefined) return success(step)
-    if (!await topic.catchUp()) return failure('stale', 'this host may be behind the store', { retryAfterMs: 200 })
+    if (!await topic.catchUp()) return failure('stale', 'this host may be behind the store', { retryAfterMs: STALE_RETRY_MS })
     const found = topic.step(id)
     return found === undefined ? failure('notFound', `there is no step ${id}`) : success(found)
   }
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -4,16 +4,17 @@
  * host that takes the duty over starts from there, and what two hosts finish twice the topic decides.
  */
 
-import { decodeBase64 } from '../../../base/common/base64.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { Result } from '../../../base/common/resultCode.ts'
+import { success } from '../../../base/common/resultCode.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
 import { progressKey } from '../../../core/common/steps/progress.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
-import type { SampleResult } from '../../../core/common/steps/step.ts'
+import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
@@ -28,6 +29,7 @@
 import { runItem } from './itemRun.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { SampleScorer } from './sampleScorer.ts'
+import type { StepContents } from './stepContents.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 import { newWork, removeFrom } from './stepWork.ts'
 
@@ -36,6 +38,7 @@
   readonly duty: DutyKeeper
   readonly board: EngineBoard
   readonly appender: GroupAppender
+  readonly contents: StepContents
   readonly scorer: SampleScorer
   readonly progress: ProgressKeeper
   readonly clock: Clock
@@ -56,6 +59,8 @@
 const LOOK_MS = 50
 /** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
 const LIST_MS = 60_000
+/** Pause before payloads that the store did not give are asked for again, in milliseconds. */
+const PAYLOADS_RETRY_MS = 200
 /** Unfinished texts that are kept: those of some steps. */
 const KEPT_UNFINISHED = 500
 /** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
@@ -160,13 +165,27 @@
     const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
     const open = order.filter(({ id }) => !step.positions.has(id))
     const waiting = open.map((item) => newWork(item))
-    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), waiting }
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
-    for (const itemWork of [...waiting]) {
-      this.useEarlier(work, itemWork)
-      this.restore(work, itemWork, saved.get(progressKey(submission.id, itemWork.item.id)) ?? this.unfinished.get(itemWork.item.id))
-    }
+    for (const itemWork of waiting) this.restore(work, itemWork, saved.get(progressKey(submission.id, itemWork.item.id)) ?? this.unfinished.get(itemWork.item.id))
+    this.readPayloads(work)
+  }
+
+  /** Reads what the runs of a step's items need; they start then. */
+  private readPayloads (work: StepWork): void {
+    const id = work.step.submission.id
+    this.services.contents.payloads(work.step).then((payloads) => {
+      if (this.works.get(id) !== work) return
+      if (payloads === undefined) {
+        this.services.stateLog.alarm('items of a step cannot be read', { step: id, keys: work.step.payloadKeys.length })
+        this.services.clock.after(PAYLOADS_RETRY_MS, () => { if (this.works.get(id) === work) this.readPayloads(work) })
+        return
+      }
+      work.payloads = payloads
+      for (const itemWork of [...work.waiting]) this.useEarlier(work, itemWork)
+      this.schedule()
+    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { step: id, error: String(error) }) })
   }
 
   private isCarried (group: string, step: string): boolean {
@@ -182,10 +201,20 @@
     const earlier = this.services.topic.earlierResult(itemWork.item.id, submission.id, submission.minimumVersion)
     if (earlier === undefined) return
     if (this.routeOf(work.step)?.singleVersion === true && earlier.result.versions.length > 1) return
+    const { textKey, ...result } = earlier.result
+    if (textKey === undefined) return
     removeFrom(work.waiting, itemWork)
-    this.services.metrics.count('steps.reused')
-    if (earlier.item.scorer?.requestId === itemWork.item.scorer?.requestId) this.list(work, itemWork, earlier.result)
-    else this.score(work, itemWork, { ...earlier.result, score: undefined })
+    itemWork.state = 'scoring'
+    this.services.contents.texts(earlier.step, [textKey]).then(([text]) => {
+      if (itemWork.cancel.signal.aborted) return
+      if (text === undefined) {
+        this.again(work, itemWork, false)
+        return this.schedule()
+      }
+      this.services.metrics.count('steps.reused')
+      if (earlier.item.scoredBy === itemWork.item.scoredBy) this.list(work, itemWork, { ...result, text })
+      else this.score(work, itemWork, { ...result, text, score: undefined })
+    }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
 
   /** Goes on from what is held of an item's text, if its versions fit. */
@@ -211,16 +240,17 @@
 
   private startItems (work: StepWork): void {
     const route = this.routeOf(work.step)
-    if (route === undefined) return
+    if (route === undefined || work.payloads === undefined) return
     for (const itemWork of [...work.waiting]) {
+      const payload = work.payloads.get(itemWork.item.id)
       const engine = this.placement.choose(work, route, itemWork)
-      if (engine === undefined) return
+      if (engine === undefined || payload === undefined) return
       removeFrom(work.waiting, itemWork)
-      this.start(work, route, itemWork, engine)
+      this.start(work, route, itemWork, payload, engine)
     }
   }
 
-  private start (work: StepWork, route: Route, itemWork: ItemWork, candidate: EngineCandidate): void {
+  private start (work: StepWork, route: Route, itemWork: ItemWork, payload: ItemPayload, candidate: EngineCandidate): void {
     const { engine } = candidate
     const { submission } = work.step
     const stopRun = new AbortController()
@@ -235,7 +265,7 @@
       host: submission.host,
       model: submission.model,
       minimumVersion: submission.minimumVersion,
-      body: decodeBase64(itemWork.item.body),
+      payload,
       firstEventMs: this.settings.firstEventMs,
       silenceMs: this.settings.silenceMs,
       cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal])
@@ -283,7 +313,7 @@
   }
 
   private score (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
-    const { scorer } = itemWork.item
+    const scorer = work.payloads?.get(itemWork.item.id)?.scorer
     if (scorer === undefined) return this.list(work, itemWork, result)
     itemWork.state = 'scoring'
     this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
@@ -300,16 +330,24 @@
     this.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
   }
 
+  /** Writes a result: its text first, so that whoever reads of the result finds the text. */
   private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
     const step = work.step.submission.id
     itemWork.state = 'listing'
-    this.services.appender.append((nonce) => [resultRecord(step, result, nonce)], LIST_MS).then((appended) => {
-      if (appended.ok || itemWork.cancel.signal.aborted) return
-      this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: appended.message })
+    this.write(step, result, itemWork.cancel.signal).then((written) => {
+      if (written.ok || itemWork.cancel.signal.aborted) return
+      this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: written.message })
       this.list(work, itemWork, result)
     }).catch((error: unknown) => { this.services.stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
   }
 
+  private async write (step: string, { text, ...result }: SampleResult, cancelled: AbortSignal): Promise<Result<unknown>> {
+    const { contents, appender } = this.services
+    const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
+    if (saved?.ok === false || cancelled.aborted) return saved ?? success(undefined)
+    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value }, nonce)], LIST_MS)
+  }
+
   private dropItem (step: string, item: string): void {
     const work = this.works.get(step)
     const itemWork = work?.items.get(item)
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -1,7 +1,7 @@
 /** What the holder of the steps' duty keeps of a step and of each of its items. */
 
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
-import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Engine } from './engineBoard.ts'
 import { ItemText } from './itemRun.ts'
 
@@ -24,6 +24,8 @@
 export interface StepWork {
   readonly step: FoldedStep
   readonly items: Map<string, ItemWork>
+  /** What the items' runs need; absent until it was read, and nothing starts before. */
+  payloads: ReadonlyMap<string, ItemPayload> | undefined
   /** Expected tokens from which on an item of this step counts as long. */
   readonly longFrom: number
   /** Items that wait, in the order in which they are started. */
--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -46,6 +46,7 @@
     this.tail.start()
   }
 
+  /** Waits until all records have been read once; false if that takes longer. */
   async whenLoaded (limitMs: number): Promise<boolean> {
     return await this.tail.whenLoaded(limitMs)
   }
@@ -73,6 +74,10 @@
     return this.fold.keysOf(step)
   }
 
+  contentKeysOf (step: string): string[] {
+    return this.fold.contentKeysOf(step)
+  }
+
   duty (name: string): FoldedDuty | undefined {
     return this.fold.duty(name)
   }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -52,6 +52,8 @@
     'request failed': 'a fault of this program; the caller got 502',
     'call to a scorer failed': 'a fault of this program',
     'claim failed': 'the store did not take a claim of the duty',
+    'contents of a step are missing': 'payloads or texts that a step names are not in the store',
+    'items of a step cannot be read': 'the store does not give the payloads now; they are asked for again',
     'listing failed': 'a fault of this program',
     'load failed': 'a fault of this program',
     'progress not saved': 'a fault of this program',
--- a/src/core/common/steps/step.ts
+++ b/src/core/common/steps/step.ts
@@ -9,20 +9,30 @@
   readonly body: string
 }
 
+/** What every host keeps of an item. */
 export interface StepItem {
   readonly id: string
-  readonly path: string
-  readonly headers: Readonly<Record<string, string>>
-  /** Base64. */
-  readonly body: string
   /** Prompt tokens and most output tokens together. */
   readonly tokens: number
   /** Output tokens that the trainer expects. */
   readonly expectedTokens: number
   readonly group: string
+  /** Id of the scorer's request; `undefined` where nothing is scored. */
+  readonly scoredBy: string | undefined
+}
+
+/** What only the run of an item needs. It is most of a submission, so hosts read it when they need it. */
+export interface ItemPayload {
+  readonly path: string
+  readonly headers: Readonly<Record<string, string>>
+  /** Base64. */
+  readonly body: string
   readonly scorer: ScorerCall | undefined
 }
 
+/** An item as its trainer submits it. */
+export interface SubmittedItem extends StepItem, ItemPayload {}
+
 export interface StepSubmission {
   readonly id: string
   readonly host: string
@@ -36,12 +46,24 @@
   readonly items: readonly StepItem[]
 }
 
-export interface SampleResult {
+/** A submission as its trainer sends it. */
+export interface TrainerSubmission extends StepSubmission {
+  readonly items: readonly SubmittedItem[]
+}
+
+/** A result as every host keeps it. */
+export interface ListedResult {
   readonly item: string
   readonly state: 'complete' | 'lost'
-  readonly text: string
   /** Versions that generated some part of the text. */
   readonly versions: readonly number[]
   /** Signature of the scorer's answer. */
   readonly score: string | undefined
+  /** Key under which the text is kept; `undefined` where there is none. */
+  readonly textKey: string | undefined
+}
+
+/** A result as its trainer reads it. */
+export interface SampleResult extends Omit<ListedResult, 'textKey'> {
+  readonly text: string
 }
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -6,23 +6,25 @@
  */
 
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
-import type { SampleResult, StepItem, StepSubmission } from './step.ts'
+import type { ListedResult, StepItem, StepSubmission } from './step.ts'
 import type { DutyClaim, StepRecord } from './stepRecords.ts'
-import { readRecord, readSubmission } from './stepRecords.ts'
+import { payloadKeysOf, readRecord, readSubmission } from './stepRecords.ts'
 
 export interface FoldedStep {
   readonly submission: StepSubmission
   /** Author's wall clock when the step came, in milliseconds since the epoch. */
   readonly submittedAt: number
   readonly items: ReadonlyMap<string, StepItem>
-  readonly results: readonly SampleResult[]
+  readonly results: readonly ListedResult[]
   /** Position of each listed item. */
   readonly positions: ReadonlyMap<string, number>
   readonly ended: boolean
+  /** Keys of the records that hold its items' payloads. */
+  readonly payloadKeys: readonly string[]
 }
 
 interface MutableStep extends FoldedStep {
-  readonly results: SampleResult[]
+  readonly results: ListedResult[]
   readonly positions: Map<string, number>
   ended: boolean
 }
@@ -35,9 +37,16 @@
   readonly released: boolean
 }
 
+/** A result of an item in an earlier step. */
+export interface EarlierResult {
+  readonly step: string
+  readonly result: ListedResult
+  readonly item: StepItem
+}
+
 export type StepChange =
   | { readonly type: 'accepted', readonly step: FoldedStep }
-  | { readonly type: 'listed', readonly step: FoldedStep, readonly result: SampleResult }
+  | { readonly type: 'listed', readonly step: FoldedStep, readonly result: ListedResult }
   | { readonly type: 'ended', readonly step: FoldedStep }
   | { readonly type: 'duty', readonly duty: FoldedDuty }
   | { readonly type: 'forgotten', readonly step: string }
@@ -50,11 +59,13 @@
   private readonly dutyStates = new Map<string, FoldedDuty>()
   /** Keys of all records of each step. */
   private readonly stepKeys = new Map<string, Set<string>>()
+  /** Keys of payloads and texts of each step, those of repeated submissions and results among them. */
+  private readonly contentKeys = new Map<string, Set<string>>()
   private readonly claimKeys = new Map<string, { readonly key: string, readonly term: number }[]>()
 
   /** Starts over with all newest records, in their order. */
   reset (entries: readonly KeyedEntry[]): StepChange[] {
-    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys, this.stepKeys]) map.clear()
+    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys, this.stepKeys, this.contentKeys]) map.clear()
     return this.apply(entries)
   }
 
@@ -63,6 +74,7 @@
     return entries.flatMap((entry) => {
       const record = readRecord(entry)
       if ('step' in record) this.noteKey(record.step, entry)
+      if (record.kind === 'result' && record.result.textKey !== undefined) this.noteContents(record.step, [record.result.textKey])
       return this.fold(record)
     })
   }
@@ -72,6 +84,11 @@
     return [...this.stepKeys.get(step) ?? []]
   }
 
+  /** Keys of the records that hold payloads and texts of a step. */
+  contentKeysOf (step: string): string[] {
+    return [...this.contentKeys.get(step) ?? []]
+  }
+
   step (id: string): FoldedStep | undefined {
     return this.folded.get(id)
   }
@@ -91,13 +108,13 @@
   }
 
   /** A complete result of the item in another step, if all its versions may be used. */
-  earlierResult (item: string, exceptStep: string, minimumVersion: number): { readonly result: SampleResult, readonly item: StepItem } | undefined {
+  earlierResult (item: string, exceptStep: string, minimumVersion: number): EarlierResult | undefined {
     for (const step of this.folded.values()) {
       if (step.submission.id === exceptStep) continue
       const position = step.positions.get(item)
       const result = position === undefined ? undefined : step.results[position]
       const source = step.items.get(item)
-      if (result?.state === 'complete' && source !== undefined && result.versions.every((version) => version >= minimumVersion)) return { result, item: source }
+      if (result?.state === 'complete' && source !== undefined && result.versions.every((version) => version >= minimumVersion)) return { step: step.submission.id, result, item: source }
     }
     return undefined
   }
@@ -110,6 +127,12 @@
     else this.stepKeys.set(step, keys)
   }
 
+  private noteContents (step: string, keys: readonly string[]): void {
+    const known = this.contentKeys.get(step) ?? new Set()
+    for (const key of keys) known.add(key)
+    this.contentKeys.set(step, known)
+  }
+
   private fold (record: StepRecord): StepChange[] {
     switch (record.kind) {
       case 'part': return this.foldPart(record)
@@ -125,7 +148,6 @@
   }
 
   private foldPart ({ step: id, index, count, text }: Extract<StepRecord, { kind: 'part' }>): StepChange[] {
-    if (this.folded.has(id)) return []
     const parts = this.parts.get(id) ?? []
     parts[index] = text
     this.parts.set(id, parts)
@@ -133,13 +155,16 @@
     this.parts.delete(id)
     const submitted = readSubmission(parts)
     if (submitted === undefined) return []
+    this.noteContents(id, payloadKeysOf(submitted))
+    if (this.folded.has(id)) return []
     const step: MutableStep = {
       submission: submitted.submission,
       submittedAt: submitted.at,
       items: new Map(submitted.submission.items.map((item) => [item.id, item])),
       results: [],
       positions: new Map(),
-      ended: false
+      ended: false,
+      payloadKeys: payloadKeysOf(submitted)
     }
     this.folded.set(id, step)
     const early = this.early.get(id) ?? []
@@ -197,6 +222,7 @@
   private forget (id: string): StepChange[] {
     this.parts.delete(id)
     this.early.delete(id)
+    this.contentKeys.delete(id)
     return this.folded.delete(id) ? [{ type: 'forgotten', step: id }] : []
   }
 }
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -6,10 +6,8 @@
 
 import { z } from 'zod'
 import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
-import type { SampleResult, StepSubmission } from './step.ts'
-
-/** Characters of one part of a submission: with four bytes a character it stays under 256 KiB, the least size of a record. */
-const PART_CHARACTERS = 60_000
+import { payloadKeys, payloadRecords, splitText } from './contentRecords.ts'
+import type { ListedResult, StepSubmission, TrainerSubmission } from './step.ts'
 
 export interface DutyClaim {
   readonly duty: string
@@ -20,7 +18,7 @@
 
 export type StepRecord =
   | { readonly kind: 'part', readonly step: string, readonly index: number, readonly count: number, readonly text: string }
-  | { readonly kind: 'result', readonly step: string, readonly result: SampleResult }
+  | { readonly kind: 'result', readonly step: string, readonly result: ListedResult }
   | { readonly kind: 'end', readonly step: string }
   | { readonly kind: 'claim', readonly claim: DutyClaim, readonly key: string }
   | { readonly kind: 'renewal', readonly claim: DutyClaim, readonly count: number }
@@ -30,18 +28,21 @@
   | { readonly kind: 'dropped', readonly step: string }
   | { readonly kind: 'none' }
 
-/** A submission with the wall-clock time at which it came. */
+/** A submission as every host keeps it. */
 export interface SubmittedStep {
   readonly submission: StepSubmission
+  /** Wall-clock time at which it came, in milliseconds since the epoch. */
   readonly at: number
+  /** Under which keys the items' payloads are kept: their nonce, and into how many parts they are split. */
+  readonly payload: { readonly nonce: string, readonly parts: number }
 }
 
 const resultSchema = z.object({
   item: z.string(),
   state: z.enum(['complete', 'lost']),
-  text: z.string(),
   versions: z.array(z.number()),
-  score: z.string().optional()
+  score: z.string().optional(),
+  textKey: z.string().optional()
 })
 const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number() })
 const renewalSchema = claimSchema.extend({ count: z.number() })
@@ -49,14 +50,23 @@
 const encode = encodeURIComponent
 const decode = decodeURIComponent
 
-/** Records of a submission; they must be appended in one piece. */
-export function submissionRecords (submitted: SubmittedStep): KeyedRecord[] {
-  const text = JSON.stringify(submitted)
-  const count = Math.max(1, Math.ceil(text.length / PART_CHARACTERS))
-  return Array.from({ length: count }, (_, index) => ({
-    key: `step/${encode(submitted.submission.id)}/${index}`,
-    value: `${index}/${count}:${text.slice(index * PART_CHARACTERS, (index + 1) * PART_CHARACTERS)}`
-  }))
+/** Records of a submission: what every host keeps, to be appended in one piece after the payloads. */
+export interface SubmissionRecords {
+  readonly payloads: readonly KeyedRecord[]
+  readonly outline: readonly KeyedRecord[]
+}
+
+export function submissionRecords (submission: TrainerSubmission, at: number, nonce: string): SubmissionRecords {
+  const payloads = payloadRecords(submission.id, submission.items, nonce)
+  const items = submission.items.map(({ id, tokens, expectedTokens, group, scoredBy }) => ({ id, tokens, expectedTokens, group, scoredBy }))
+  const submitted: SubmittedStep = { submission: { ...submission, items }, at, payload: { nonce, parts: payloads.length } }
+  const parts = splitText(JSON.stringify(submitted))
+  return { payloads, outline: parts.map((part, index) => ({ key: `step/${encode(submission.id)}/${index}`, value: `${index}/${parts.length}:${part}` })) }
+}
+
+/** Keys of the records that hold the payloads of a submission. */
+export function payloadKeysOf ({ submission, payload }: SubmittedStep): string[] {
+  return payloadKeys(submission.id, payload.nonce, payload.parts)
 }
 
 /** Reads a submission from its parts; `undefined` where it is not one. */
@@ -68,7 +78,7 @@
   }
 }
 
-export function resultRecord (step: string, result: SampleResult, nonce: string): KeyedRecord {
+export function resultRecord (step: string, result: ListedResult, nonce: string): KeyedRecord {
   return { key: `result/${encode(step)}/${encode(result.item)}/${nonce}`, value: JSON.stringify(result) }
 }
 
@@ -99,7 +109,7 @@
   if (entry.value === undefined) return readDropped(kind, decode(first))
   switch (kind) {
     case 'step': return readPart(decode(first), entry.value)
-    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score } }))
+    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score, textKey: result.textKey } }))
     case 'end': return { kind, step: decode(first) }
     case 'claim': return read(claimSchema, entry.value, (claim) => ({ kind, claim, key: entry.key }))
     case 'renewal': return read(renewalSchema, entry.value, ({ count, ...claim }) => ({ kind, claim, count }))
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -18,10 +18,12 @@
 import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
 import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
 import { StepCleaner } from '../../actors/common/steps/stepCleaner.ts'
+import { StepContents } from '../../actors/common/steps/stepContents.ts'
 import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
 import { StepHome } from '../../actors/common/steps/stepHome.ts'
 import { GroupAppender } from '../../actors/common/store/groupAppender.ts'
 import { RelayedKeyedLog, serveRelays } from '../../actors/common/store/relayedKeyedLog.ts'
+import { LAST_KEY } from '../../actors/common/store/keyedTail.ts'
 import { StoreReach } from '../../actors/common/store/storeReach.ts'
 import { StepTopic } from '../../actors/common/store/stepTopic.ts'
 import { EngineOrders } from '../../actors/common/weights/engineOrders.ts'
@@ -75,8 +77,6 @@
 const LOOK_MS = 50
 /** Longest wait for the answer to a probe of the store, in milliseconds: longer than a slow store takes, shorter than an outage. */
 const STORE_PROBE_MS = 500
-/** A key after all others: the page of newest records after it is empty, which makes it the cheapest call. */
-const LAST_KEY = '~'
 /** Longest wait at the end for a reader of the log lines, in milliseconds. */
 const OUTPUT_DRAIN_MS = 200
 /** Time between two looks at the settings file, which may change without a signal, in milliseconds. */
@@ -135,6 +135,10 @@
   const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...base, onRegained }, tail(registryProtocol.targetTopic, store.registry_pause), registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
   const topic = disposables.add(new StepTopic({ log: stepLog, ...base, onRegained }, tail(store.topic, store.read_pause)))
+  const contentsLog = keyedLog(store.contents_topic)
+  const contentsAppender = new GroupAppender({ ...base, log: contentsLog }, { callCharacters: store.call_bytes / 2 })
+  const contents = disposables.add(new StepContents({ log: contentsLog, appender: contentsAppender, ...base, onRegained }, tail(store.contents_topic, store.contents_pause)))
+  disposables.add(topic.onChange((change) => { if (change.type === 'forgotten') contents.forget(change.step) }))
   serveRelays(handlers, direct)
 
   const client = new HttpTargetClient(targetConnections, { connectTimeoutMs: limits.connect_timeout, maximumAnswerBytes: limits.answer_bytes })
@@ -169,6 +173,7 @@
     duty,
     board,
     appender,
+    contents,
     scorer,
     progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, { periodMs: settings.steps.progress, recordBytes: store.record_bytes }),
     routes: () => operator.routes,
@@ -185,14 +190,16 @@
     demands: () => home.demands(),
     onReady: () => { home.schedule() }
   }))
-  disposables.add(new StepCleaner({ topic, appender, duty, clock, stateLog }, settings.steps.status))
-  const desk = new StepDesk({ topic, appender, clock, metrics, stateLog }, {
+  disposables.add(new StepCleaner({ topic, appender, contents, duty, clock, stateLog }, settings.steps.status))
+  const desk = new StepDesk({ topic, appender, contents, clock, metrics, stateLog }, {
     acceptMs: settings.steps.accept,
     endMs: settings.steps.end,
     longestWaitMs: store.long_poll,
     submissionCharacters: store.call_bytes / 2
   })
 
+  const backlog = (): number => appender.backlog + contentsAppender.backlog
+
   let stopping = false
   const isReady = (): boolean => !stopping && operator.routes !== undefined && targetTopic.loaded && topic.loaded
   const front = disposables.add(new FrontServer({
@@ -232,24 +239,24 @@
       metrics.gauge('duty.term', duty.term)
       metrics.gauge('front.requests', front.requests)
       metrics.gauge('steps.items', home.underway)
-      metrics.gauge('store.backlog', appender.backlog)
+      metrics.gauge('store.backlog', backlog())
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
   await Promise.all([peerServer.listen(), front.listen(), directory.listen(listen.directory), readiness.listen(listen.readiness)])
-  for (const followed of [operator, targetTopic, topic]) followed.start()
+  for (const followed of [operator, targetTopic, topic, contents]) followed.start()
   stateLog.changed('listening', { callers: listen.callers, directory: listen.directory, peers: listen.peers })
 
   const pause = async (milliseconds: number): Promise<void> => { await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) }) }
   const stop = async (): Promise<void> => {
     const began = clock.monotonic()
     stopping = true
-    stateLog.changed('stop begins', { requests: front.requests, items: home.underway, records: appender.backlog })
+    stateLog.changed('stop begins', { requests: front.requests, items: home.underway, records: backlog() })
     membership.leave()
     await Promise.all([pause(limits.stop_serving), home.handOver().then(async () => { await duty.release() })])
     front.closeIdle()
-    while ((front.requests > 0 || appender.backlog > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(LOOK_MS)
-    stateLog.changed('stop ends', { requests: front.requests, records: appender.backlog, tookMs: Math.round(clock.monotonic() - began) })
+    while ((front.requests > 0 || backlog() > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(LOOK_MS)
+    stateLog.changed('stop ends', { requests: front.requests, records: backlog(), tookMs: Math.round(clock.monotonic() - began) })
     disposables.dispose()
     await output.drained(OUTPUT_DRAIN_MS)
   }
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -5,7 +5,7 @@
 
 import type { Result } from '../../base/common/resultCode.ts'
 import type { RouteConfiguration } from '../../core/common/routes/routeConfiguration.ts'
-import type { SampleResult, StepItem, StepSubmission } from '../../core/common/steps/step.ts'
+import type { ItemPayload, SampleResult, TrainerSubmission } from '../../core/common/steps/step.ts'
 import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
 import type { LoadReport, ModelVersion, TargetDefinition } from '../../core/common/routes/target.ts'
 
@@ -83,7 +83,7 @@
   directoryRequest (method: string, path: string, query: URLSearchParams): DirectoryRequest | undefined
   request (method: string, path: string, query: URLSearchParams, headers: Readonly<Record<string, string | undefined>>): Result<FrontRequest>
   /** Reads the body of a submitted step. */
-  submission (stepId: string, body: string): Result<StepSubmission>
+  submission (stepId: string, body: string): Result<TrainerSubmission>
   results (total: number, results: readonly SampleResult[], after: number): FrontAnswer
   addresses (addresses: readonly string[], validForMs: number): FrontAnswer
   /** Headers that a request failed by this host gets. */
@@ -150,7 +150,7 @@
   /** Headers of a caller's request as they go on to a target. */
   forwardHeaders (received: HeaderPairs, options: OutgoingOptions): string[]
   /** Headers of an item's run. */
-  itemHeaders (host: string, item: StepItem, options: OutgoingOptions): string[]
+  itemHeaders (host: string, item: string, payload: ItemPayload, options: OutgoingOptions): string[]
   /** Headers of a call to a scorer. */
   scorerHeaders (host: string, requestId: string, options: OutgoingOptions): string[]
   answerHead (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): TargetAnswerHead
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -31,7 +31,7 @@
   if (Number.isFinite(cancelAfterMs)) clock.after(cancelAfterMs, () => { cancel.abort() })
   let tookMs = Number.POSITIVE_INFINITY
   const began = clock.now
-  const ended = runItem({ client, protocol: targetProtocol, clock }, engine, item('i', 'g'), text, { host: 'h', model: 'm', minimumVersion, body: new Uint8Array(), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal })
+  const ended = runItem({ client, protocol: targetProtocol, clock }, engine, item('i', 'g'), text, { host: 'h', model: 'm', minimumVersion, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal })
   ended.then(() => { tookMs = clock.now - began }).catch(() => undefined)
   await clock.advance(5000)
   return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs }
--- /dev/null
+++ b/test/actors/steps/stepContents.test.ts
@@ -0,0 +1,136 @@
+/** Payloads and texts of steps: held by hosts that ran when they were written, read from the store by others. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
+import { StepContents } from '../../../src/actors/common/steps/stepContents.ts'
+import { Emitter } from '../../../src/base/common/lifecycle.ts'
+import { payloadRecords, readPayloads, readText, textRecord } from '../../../src/core/common/steps/contentRecords.ts'
+import { StepFold } from '../../../src/core/common/steps/stepFold.ts'
+import type { FoldedStep } from '../../../src/core/common/steps/stepFold.ts'
+import { submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
+import type { KeyedLog, NewestPage } from '../../../src/ports/common/keyedLog.ts'
+import type { Result } from '../../../src/base/common/resultCode.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
+import { item, submission } from '../../support/steps.ts'
+
+describe('the contents of steps', () => {
+  let clock: ManualClock
+  let log: MemoryKeyedLog
+  let started: StepContents[]
+  let pages: number
+  beforeEach(() => {
+    clock = new ManualClock()
+    log = new MemoryKeyedLog()
+    started = []
+    pages = 0
+  })
+  afterEach(() => { for (const contents of started) contents.dispose() })
+
+  function counted (): KeyedLog {
+    return {
+      append: async (records) => await log.append(records),
+      read: async (from) => {
+        // A long poll ends without records after a while; the memory log answers at once.
+        await new Promise<void>((resolve) => { clock.after(5, resolve) })
+        return await log.read(from)
+      },
+      newest: async (after): Promise<Result<NewestPage>> => {
+        pages++
+        return await log.newest(after)
+      }
+    }
+  }
+
+  async function host (): Promise<StepContents> {
+    let drawn = 0
+    const own = started.length
+    const id = (): string => {
+      drawn++
+      return `${own}-nonce-${drawn}`
+    }
+    const services = { log: counted(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog, onRegained: new Emitter<void>().event }
+    const contents = new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) }, { name: 't', longPollMs: 10, pauseMs: 50 })
+    started.push(contents)
+    contents.start()
+    await clock.advance(100)
+    return contents
+  }
+
+  async function soon<T> (asked: Promise<T>): Promise<T> {
+    await clock.advance(500)
+    return await asked
+  }
+
+  function stepOf (id: string): { readonly step: FoldedStep, readonly payloads: ReturnType<typeof submissionRecords>['payloads'] } {
+    const records = submissionRecords(submission(id, [item('a', 'g', 10, 'score-a'), item('b', 'g')]), 1, 'n')
+    const fold = new StepFold()
+    fold.apply(records.outline.map((record, offset) => ({ ...record, offset })))
+    const step = fold.step(id)
+    if (step === undefined) throw new Error('the step is not folded')
+    return { step, payloads: records.payloads }
+  }
+
+  it('are not loaded by a host that starts, and found when somebody asks', async () => {
+    // Symptom: after all hosts had been killed each read everything that was kept, ten of them for a second and 84 for
+    // six, before the steps went on.
+    for (let number = 0; number < 30; number++) log.write(stepOf(`other${number}`).payloads)
+    const { step, payloads } = stepOf('s')
+    log.write(payloads)
+    log.write([textRecord('s', 'a', 'text of a', 'x')])
+    const contents = await host()
+    expect(pages).to.equal(1)
+    const found = await soon(contents.payloads(step))
+    expect(found?.get('a')).to.deep.include({ path: '/items/a', scorer: { requestId: 'score-a', host: 'calls.example', path: '/score', body: '' } })
+    expect(found?.get('b')?.body).to.equal(btoa('prompt of b'))
+    expect(await soon(contents.texts('s', [textRecord('s', 'a', '', 'x').key]))).to.deep.equal(['text of a'])
+    // One page each: those of other steps are passed over.
+    expect(pages).to.equal(3)
+  })
+
+  it('are known to hosts that run when they are written, without a question to the store', async () => {
+    const [writer, reader] = [await host(), await host()]
+    const before = pages
+    const saved = await soon(writer.saveText('s', 'a', 'text of a', 1000))
+    const key = saved.ok ? saved.value : ''
+    expect(await soon(reader.texts('s', [key]))).to.deep.equal(['text of a'])
+    expect(await soon(writer.texts('s', [key]))).to.deep.equal(['text of a'])
+    expect(pages).to.equal(before)
+  })
+
+  it('are absent, not wrong, while the store is away', async () => {
+    const { step, payloads } = stepOf('s')
+    log.write(payloads)
+    const contents = await host()
+    log.down = true
+    expect(await soon(contents.payloads(step))).to.equal(undefined)
+    log.down = false
+    expect((await soon(contents.payloads(step)))?.size).to.equal(2)
+  })
+
+  it('are gone from the store once they are dropped', async () => {
+    const contents = await host()
+    const { step, payloads } = stepOf('s')
+    await soon(contents.save(payloads, 1000))
+    await soon(contents.drop(step.payloadKeys))
+    expect(log.newestEntries()).to.deep.equal([])
+  })
+
+  it('are what was written, of any size and with any characters', () => {
+    const text = fc.oneof(fc.string({ unit: 'grapheme', maxLength: 50 }), fc.constant(''), fc.constant('é"\\\n'.repeat(40_000)))
+    fc.assert(fc.property(fc.array(text, { minLength: 1, maxLength: 4 }), (bodies) => {
+      const items = bodies.map((body, index) => ({ ...item(`i${index}`, 'g'), body }))
+      const records = payloadRecords('a/b c', items, 'n')
+      for (const { value } of records) expect(Buffer.byteLength(value ?? '')).to.be.lessThan(262_000)
+      const read = readPayloads(records.map(({ value }) => value ?? ''))
+      expect(items.map(({ id }) => read?.get(id)?.body)).to.deep.equal(bodies)
+      for (const body of bodies) {
+        const record = textRecord('s', 'i', body, 'n')
+        expect([record.value === '', readText(record.value ?? '')]).to.deep.equal([false, body])
+      }
+    }), { numRuns: 40, seed: 5 })
+    expect([readText('{'), readText('3'), readPayloads(['['])]).to.deep.equal([undefined, undefined, undefined])
+  })
+})
--- a/test/core/steps/stepFold.test.ts
+++ b/test/core/steps/stepFold.test.ts
@@ -4,13 +4,13 @@
 import fc from 'fast-check'
 import { StepFold } from '../../../src/core/common/steps/stepFold.ts'
 import { claimRecord, dropRecord, endRecord, releaseRecord, renewalRecord, resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
-import type { SampleResult } from '../../../src/core/common/steps/step.ts'
+import type { ListedResult } from '../../../src/core/common/steps/step.ts'
 import type { KeyedRecord } from '../../../src/ports/common/keyedLog.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
 import { item, submission } from '../../support/steps.ts'
 
-const result = (id: string, text = id, versions = [1]): SampleResult => ({ item: id, state: 'complete', text, versions, score: `score of ${text}` })
-const accepted = (id: string) => submissionRecords({ submission: submission(id, [item('a', 'g'), item('b', 'g'), item('c', 'h')]), at: 1 })
+const result = (id: string, text = id, versions = [1]): ListedResult => ({ item: id, state: 'complete', versions, score: `score of ${text}`, textKey: text })
+const accepted = (id: string, nonce = 'n') => submissionRecords(submission(id, [item('a', 'g'), item('b', 'g'), item('c', 'h')]), 1, nonce).outline
 
 function foldOf (records: readonly KeyedRecord[]): { live: StepFold, log: MemoryKeyedLog } {
   const log = new MemoryKeyedLog()
@@ -32,7 +32,7 @@
   it('lists the first result of an item and passes over later ones', () => {
     // Two hosts ran the same item after a takeover; both append, and every host must list the same one.
     const { live } = foldOf([...accepted('s'), resultRecord('s', result('a', 'first'), 'n1'), resultRecord('s', result('a', 'second'), 'n2')])
-    expect(live.step('s')?.results.map(({ text }) => text)).to.deep.equal(['first'])
+    expect(live.step('s')?.results.map(({ textKey }) => textKey)).to.deep.equal(['first'])
   })
 
   it('passes over results of items that the step does not have', () => {
@@ -41,16 +41,25 @@
   })
 
   it('takes a long submission from its parts', () => {
-    const long = submission('long', [{ ...item('a', 'g'), body: 'x'.repeat(150_000) }])
-    const records = submissionRecords({ submission: long, at: 5 })
-    expect(records.length).to.equal(3)
-    const { live } = foldOf(records)
-    expect(live.step('long')?.submission).to.deep.equal(JSON.parse(JSON.stringify(long)))
+    const long = submission('long', Array.from({ length: 1500 }, (_, index) => item(`i${index}`, `g${index}`, 100, `s${index}`)))
+    const { outline } = submissionRecords(long, 5, 'n')
+    expect(outline.length).to.equal(3)
+    const { live } = foldOf(outline)
+    const items = long.items.map(({ id, tokens, expectedTokens, group, scoredBy }) => ({ id, tokens, expectedTokens, group, scoredBy }))
+    expect(live.step('long')?.submission).to.deep.equal({ ...long, items })
   })
 
   it('does not accept a submission of which a part is missing', () => {
-    const records = submissionRecords({ submission: submission('long', [{ ...item('a', 'g'), body: 'x'.repeat(150_000) }]), at: 5 })
-    expect(foldOf(records.slice(1)).live.step('long')).to.equal(undefined)
+    const { outline } = submissionRecords(submission('long', Array.from({ length: 1500 }, (_, index) => item(`i${index}`, 'g'))), 5, 'n')
+    expect(foldOf(outline.slice(1)).live.step('long')).to.equal(undefined)
+  })
+
+  it('names the payloads and texts of everything that was written for a step', () => {
+    // Without those of repeated submissions and results the store would fill up with records that nobody drops.
+    const { live, log } = foldOf([...accepted('s', 'n1'), ...accepted('s', 'n2'), resultRecord('s', result('a', 'first'), 'x'), resultRecord('s', result('a', 'second'), 'y')])
+    expect(live.step('s')?.payloadKeys).to.deep.equal(['payload/s/n1/0'])
+    expect(live.contentKeysOf('s')).to.deep.equal(['payload/s/n1/0', 'payload/s/n2/0', 'first', 'second'])
+    expect(anew(log).contentKeysOf('s')).to.include.members(['payload/s/n2/0', 'first', 'second'])
   })
 
   it('counts an end that lies before its submission', () => {
@@ -102,7 +111,7 @@
 
   it('finds an earlier result whose versions fit', () => {
     const { live } = foldOf([...accepted('s'), ...accepted('t'), resultRecord('s', result('a', 'old', [3, 4]), 'n1')])
-    expect(live.earlierResult('a', 't', 3)?.result.text).to.equal('old')
+    expect(live.earlierResult('a', 't', 3)?.result.textKey).to.equal('old')
     expect(live.earlierResult('a', 't', 4)).to.equal(undefined)
     expect(live.earlierResult('a', 's', 3)).to.equal(undefined)
   })
