A randomized soak: real hosts, faults from outside, promises checked by what callers and targets see

Hosts as processes over the stand-ins; loopback links that delay, reset, silence or lose one way; signals; a store that is away, slow of answers or forgetful; targets that misbehave, die or drain; all drawn from a seed and overlapping.

--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -35,7 +35,7 @@
   readonly body?: string
 }
 
-const CALLS_HOST = 'calls.example'
+export const CALLS_HOST = 'calls.example'
 
 /** The configuration that an operator writes; `details` of a route go over it by name. */
 export function configuration (version: number, details: Record<string, object> = {}): object {
@@ -54,6 +54,11 @@
   }
 }
 
+export interface FleetOptions {
+  /** Gives the address under which a host reaches its door of the store, in place of the door's own. */
+  readonly wayToStore?: (door: string, host: number) => Promise<string>
+}
+
 export class Fleet {
   readonly targets: TargetStandIn[] = []
   private next = 0
@@ -61,7 +66,7 @@
   private constructor (readonly store: StoreStandIn, readonly hosts: readonly FleetHost[], private readonly folder: string) {}
 
   /** Starts hosts and waits until all are ready. */
-  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}): Promise<Fleet> {
+  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { wayToStore }: FleetOptions = {}): Promise<Fleet> {
     const store = new StoreStandIn()
     const folder = mkdtempSync(join(tmpdir(), 'fleet-'))
     const [callers = 0, readiness = 0, peers = 0, directory = 0] = await freePorts(4)
@@ -69,11 +74,12 @@
     const hosts = await Promise.all(Array.from({ length: count }, async (_, index): Promise<FleetHost> => {
       const name = `host-${index}`
       const door = await store.open()
+      const storeAddress = wayToStore === undefined ? door.address : await wayToStore(door.address, index)
       const settingsPath = join(folder, `${name}.toml`)
       writeFileSync(settingsPath, stringify({
         host: { name, place: `place-${index % 3}`, ...settings.host },
         listen: { callers: `${ip(index)}:${callers}`, readiness: `${ip(index)}:${readiness}`, peers: `${ip(index)}:${peers}`, directory: `${ip(index)}:${directory}` },
-        store: { address: door.address, ...settings.store },
+        store: { address: storeAddress, ...settings.store },
         peers: { key: 'between-the-hosts' },
         membership: { seeds: [`http://${ip(0)}:${peers}`, `http://${ip(1)}:${peers}`], probe_period: 200, ...settings.membership },
         limits: { stop_serving: 700, ...settings.limits },
--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -17,7 +17,10 @@
   readonly method: string
   readonly body: string
   readonly headers: IncomingMessage['headers']
+  readonly at: number
   ended: 'open' | 'answered' | 'dropped'
+  /** The whole answer, once it was given. */
+  answer?: { readonly status: number, readonly body: string }
 }
 
 export interface OrderRecord {
@@ -127,7 +130,7 @@
     const fault = this.takeFault()
     const model = String(request.headers['bulrushvalve-model'] ?? '')
     if (fault === 'full' || (this.loading !== undefined && this.loading === model)) return answer(response, 503, { 'bulrushvalve-not-run': '1', 'bulrushvalve-request-id': id }, '')
-    const record: RunRecord = { id, path: request.url ?? '', method: request.method ?? '', body, headers: request.headers, ended: 'open' }
+    const record: RunRecord = { id, path: request.url ?? '', method: request.method ?? '', body, headers: request.headers, at: Date.now(), ended: 'open' }
     this.runs.push(record)
     response.once('close', () => { if (record.ended === 'open') record.ended = 'dropped' })
     const seal = `seal-of-${id}`
@@ -191,6 +194,7 @@
 
 function finish (record: RunRecord, response: ServerResponse, status: number, headers: Record<string, string>, body: string): void {
   record.ended = 'answered'
+  record.answer = { status, body }
   answer(response, status, headers, body)
 }
 
--- /dev/null
+++ b/test/soak/soak.ts
@@ -0,0 +1,118 @@
+/**
+ * A randomized soak: hosts as real processes over the stand-ins, faults from outside them, and the
+ * promises checked by what callers and targets see. One seed decides faults and load; the processes'
+ * own timing is real, so a seed that failed may need several plays to fail again.
+ */
+
+import { mkdirSync, writeFileSync } from 'node:fs'
+import { Fleet } from '../platform/support/fleet.ts'
+import type { TargetOptions } from '../platform/support/targetStandIn.ts'
+import { Draw } from './chance.ts'
+import { planFaults } from './faults.ts'
+import { Link } from './link.ts'
+import { Load } from './load.ts'
+
+export interface SoakOptions {
+  readonly seed: number
+  readonly hosts: number
+  /** Time in which faults begin, in milliseconds. */
+  readonly lengthMs: number
+  readonly faults: number
+}
+
+export interface SoakReport {
+  readonly violations: readonly string[]
+  readonly faults: readonly string[]
+  readonly answered: number
+  readonly steps: number
+}
+
+/** Longest time after the last fault in which all that was accepted must be listed, in milliseconds. */
+const HEAL_MS = 30_000
+/** Pause of each caller between two requests, and of the trainer between two steps, in milliseconds. */
+const CALL_MS = 60
+const STEP_MS = 900
+const READ_MS = 150
+/** Share of steps that their trainer ends before they are whole. */
+const ENDED_SHARE = 0.2
+
+const engine = (index: number): TargetOptions => ({ id: `e-${index}`, service: 'engines', place: `place-${index % 3}`, engine: { models: ['m'], eventMs: 10, loadMs: 200 } })
+const worker = (index: number): TargetOptions => ({ id: `w-${index}`, service: 'app', place: `place-${index % 3}`, answerMs: 10 })
+
+const pause = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
+
+/** Plays one seed. */
+export async function soak ({ seed, hosts, lengthMs, faults: count }: SoakOptions): Promise<SoakReport> {
+  const draw = new Draw(seed)
+  const storeLinks: Link[] = []
+  const wayToStore = async (door: string, host: number): Promise<string> => {
+    const link = await Link.to(door)
+    storeLinks[host] = link
+    return link.address
+  }
+  const fleet = await Fleet.start(hosts, [0, 1, 2].flatMap((index) => [engine(index), worker(index)]), {}, { wayToStore })
+  const callerLinks = await Promise.all(fleet.hosts.map(async ({ address }) => await Link.to(address)))
+  const load = new Load(fleet, callerLinks, new Draw(seed + 1))
+  const planned = planFaults(draw, { fleet, callerLinks, storeLinks }, lengthMs, count)
+  const told: string[] = []
+  const stop = new AbortController()
+  const repeat = async (everyMs: number, work: () => Promise<void>): Promise<void> => {
+    while (!stop.signal.aborted) {
+      await work()
+      await pause(everyMs)
+    }
+  }
+  try {
+    const began = Date.now()
+    const loops = [
+      ...Array.from({ length: 3 }, async () => { await repeat(CALL_MS, async () => { await load.callOnce() }) }),
+      repeat(STEP_MS, async () => { await load.submit() }),
+      repeat(READ_MS, async () => { await readSteps(load, draw) })
+    ]
+    for (const { atMs, name, begin, forMs } of planned) {
+      await pause(atMs - (Date.now() - began))
+      told.push(`${atMs} ms ${name} for ${forMs} ms`)
+      const end = begin()
+      if (end !== undefined) setTimeout(end, forMs)
+    }
+    await pause(Math.max(...planned.map(({ forMs }) => forMs)) + 500)
+    for (const link of [...callerLinks, ...storeLinks]) if (link.state !== 'open') link.set('open')
+    for (const { process } of fleet.hosts) if (!process.running) process.start()
+    stop.abort()
+    await Promise.all(loops)
+    await heal(load)
+    load.checkRuns()
+    return { violations: load.violations, faults: told, answered: load.answered, steps: load.steps.length }
+  } finally {
+    stop.abort()
+    if (load.violations.length > 0) keepLogs(seed, fleet, [...load.violations, ...told])
+    await fleet.stop()
+    await Promise.all([...callerLinks, ...storeLinks].map(async (link) => { await link.close() }))
+  }
+}
+
+/** Reads all open steps once, and ends some. */
+async function readSteps (load: Load, draw: Draw): Promise<void> {
+  for (const step of load.steps) {
+    if (step.state !== 'accepted' || step.results.length === step.items.size) continue
+    if (draw.chance(ENDED_SHARE / 10)) await load.end(step)
+    else await load.read(step)
+  }
+}
+
+/** Waits until all that was accepted is listed. */
+async function heal (load: Load): Promise<void> {
+  const until = Date.now() + HEAL_MS
+  while (!load.whole && Date.now() < until) {
+    for (const step of load.steps) if (step.state === 'accepted' && step.results.length < step.items.size) await load.read(step)
+    await pause(READ_MS)
+  }
+  for (const { id, state, items, results } of load.steps) if (state === 'accepted' && results.length < items.size) load.violations.push(`${id} was accepted, and ${items.size - results.length} of its items are not listed ${HEAL_MS / 1000} s after the last fault`)
+}
+
+function keepLogs (seed: number, fleet: Fleet, story: readonly string[]): void {
+  const folder = `reports/soak-${seed}`
+  mkdirSync(folder, { recursive: true })
+  writeFileSync(`${folder}/story.txt`, `${story.join('\n')}\n`)
+  for (const { name, process } of fleet.hosts) writeFileSync(`${folder}/${name}.log`, process.output)
+}
