Hosts read in larger batches what nobody waits for

Ruled out: a hot spot (none over 10%). Pauses: steps 120 to 200 ms, targets 300 to 500, contents 300 to 1000. Whoever waits for a step's records reads without pauses, and texts are read at once when asked for, so no answer is later by it.

--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -25,12 +25,12 @@
   address: origin.describe('the store of keyed topics'),
   topic: z.string().min(1).default('keyed.bulrushvalve').describe("the steps' topic"),
   contents_topic: z.string().min(1).default('keyed.bulrushvalve.contents').describe("the topic of items' payloads and results' texts, which hosts read when somebody asks for them"),
-  contents_pause: milliseconds(300, 'pause after a read of that topic; who needs a record before reads at once'),
+  contents_pause: milliseconds(1000, 'pause after a read of that topic; who needs a record before reads at once'),
   progress_topic: z.string().min(1).default('bulrushvalve.progress').describe('the topic of the progress of running items, which need not be kept'),
   timeout: milliseconds(1200, 'longest wait for an answer'),
   long_poll: milliseconds(1000, 'how long a read may wait for records'),
-  read_pause: milliseconds(120, 'pause after a read that brought records, while nobody waits for them'),
-  registry_pause: milliseconds(300, 'the same for the entries of targets, which come often and may be known this much later'),
+  read_pause: milliseconds(200, 'pause after a read that brought records, while nobody waits for them'),
+  registry_pause: milliseconds(500, 'the same for the entries of targets, which come often and may be known this much later'),
   call_bytes: count(2_000_000, 'bytes of one append, at most'),
   record_bytes: count(262_144, 'bytes of one record, at most')
 })
