--- a/src/actors/common/steps/stepContents.ts
+++ b/src/actors/common/steps/stepContents.ts
@@ -13,6 +13,7 @@
 import type { Chance } from '../../../ports/common/clock.ts'
 import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
+import { keyNonce } from '../store/groupAppender.ts'
 import type { TailServices, TailSettings } from '../store/keyedTail.ts'
 import { KeyedTail } from '../store/keyedTail.ts'
 
@@ -23,8 +24,6 @@
 
 /** How long the removal of records that nobody names is offered to the store, in milliseconds. */
 const DROP_MS = 10_000
-/** Characters of a key's random part: 36^10 values. */
-const NONCE_LENGTH = 10
 
 export class StepContents implements Disposable {
   private readonly tail: KeyedTail
@@ -48,7 +47,7 @@
 
   /** A random part for keys. */
   nonce (): string {
-    return this.services.chance.id().replaceAll('-', '').slice(0, NONCE_LENGTH)
+    return keyNonce(this.services.chance)
   }
 
   /** Writes records; what they hold is known here at once. */
@@ -65,6 +64,11 @@
     return saved.ok ? { ok: true, value: record.key } : saved
   }
 
+  /** Reads what a step's items need, so that it is held when somebody asks. */
+  async prepare (step: FoldedStep): Promise<void> {
+    await this.values(step.submission.id, step.payloadKeys)
+  }
+
   /** Payloads of a step's items; `undefined` while the store does not give them. */
   async payloads (step: FoldedStep): Promise<ReadonlyMap<string, ItemPayload> | undefined> {
     const values = await this.values(step.submission.id, step.payloadKeys)
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -166,7 +166,7 @@
   private prepare (): void {
     this.saved = this.readProgress()
     for (const step of this.openSteps()) {
-      this.services.contents.payloads(step).catch((error: unknown) => { this.services.stateLog.alarm('items of a step cannot be read', { step: step.submission.id, error: String(error) }) })
+      this.services.contents.prepare(step).catch((error: unknown) => { this.services.stateLog.alarm('items of a step cannot be read', { step: step.submission.id, error: String(error) }) })
     }
   }
 
--- a/src/actors/common/store/groupAppender.ts
+++ b/src/actors/common/store/groupAppender.ts
@@ -39,6 +39,11 @@
 /** Characters of a key's random part: 36^10 values. */
 const NONCE_LENGTH = 10
 
+/** A random part for keys, so that a record never replaces another by chance. */
+export function keyNonce (chance: Chance): string {
+  return chance.id().replaceAll('-', '').slice(0, NONCE_LENGTH)
+}
+
 export class GroupAppender {
   private waiting: Waiting[] = []
   private busy = false
@@ -75,7 +80,7 @@
     let characters = 0
     let taken = 0
     for (const item of this.waiting) {
-      const made = item.make(this.services.chance.id().replaceAll('-', '').slice(0, NONCE_LENGTH))
+      const made = item.make(keyNonce(this.services.chance))
       const size = made.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0)
       if (taken > 0 && characters + size > this.settings.callCharacters) break
       characters += size
--- a/src/core/common/steps/enginePace.ts
+++ b/src/core/common/steps/enginePace.ts
@@ -20,6 +20,7 @@
   private mean: number | undefined
   private noted = Number.NEGATIVE_INFINITY
   private readonly runs: number[] = []
+  private ownPace: number | undefined
 
   /** Notes the time between two events of a stream, in milliseconds. */
   noteGap (gapMs: number, nowMs: number): void {
@@ -33,6 +34,9 @@
     if (events < LEAST_EVENTS) return
     this.runs.push(tookMs / (events - 1))
     if (this.runs.length > KEPT_RUNS) this.runs.shift()
+    // Sorted once a run, not at each choice of an engine: every item placed and every look for moves asks all of them.
+    const sorted = [...this.runs].sort((a, b) => a - b)
+    this.ownPace = sorted[Math.floor(sorted.length * OWN_PACE_RANK)]
   }
 
   /** Time between two events as of now, in milliseconds; `undefined` where none came lately. */
@@ -42,8 +46,7 @@
 
   /** Time between two events while the engine is not slowed, in milliseconds. */
   get own (): number | undefined {
-    const sorted = [...this.runs].sort((a, b) => a - b)
-    return sorted[Math.floor(sorted.length * OWN_PACE_RANK)]
+    return this.ownPace
   }
 }
 
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -155,7 +155,8 @@
     this.parts.delete(id)
     const submitted = readSubmission(parts)
     if (submitted === undefined) return []
-    this.noteContents(id, payloadKeysOf(submitted))
+    const payloadKeys = payloadKeysOf(submitted)
+    this.noteContents(id, payloadKeys)
     if (this.folded.has(id)) return []
     const step: MutableStep = {
       submission: submitted.submission,
@@ -164,7 +165,7 @@
       results: [],
       positions: new Map(),
       ended: false,
-      payloadKeys: payloadKeysOf(submitted)
+      payloadKeys
     }
     this.folded.set(id, step)
     const early = this.early.get(id) ?? []
