Contents of steps are read where they stand, by whoever is asked for them

Cause: every host followed the topic of all payloads and texts, so a site's hosts read each text as often as there are hosts; at 84 hosts that was all that the store gives (80 MB a second from the third second on), and reads for callers waited behind it, ran into their limit and were repeated. Change: results and outlines name the offset and size of their contents; a host reads that stretch of the topic when it is asked, searches the newest records only where the history is gone, asks for what is missing once a second, and holds 16 million characters at most. A page of results reads no more texts than it can hold. Ruled out: texts from the holder's memory (gone with it); a search among newest records for each read (up to 1 MB a page). Tests: stepContents.test.ts keeps its assertions over the new way; two counts of pages are lower by the one of the start.

--- a/src/actors/common/steps/stepContents.ts
+++ b/src/actors/common/steps/stepContents.ts
@@ -1,87 +1,98 @@
 /**
- * What is large in steps: payloads of items and texts of results. Every host follows their topic from
- * the moment of its start, so that it holds what is written while it runs; what is older it reads from
- * the store when somebody asks for it. A record here is written before the one that names it, and never changes.
+ * What is large in steps: payloads of items and texts of results. A host holds what it wrote or read
+ * lately. The rest it reads when somebody asks: at the place that the step or the result names, and where the store has no
+ * history of it any more, among the newest records. A record here is written before the one that
+ * names it, and never changes.
  */
 
 import type { Result } from '../../../base/common/resultCode.ts'
-import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { success } from '../../../base/common/resultCode.ts'
+import { stretchesOf } from '../../../core/common/steps/contentPlaces.ts'
 import { keyPrefix, readPayloads, readText, textRecord } from '../../../core/common/steps/contentRecords.ts'
-import type { ItemPayload } from '../../../core/common/steps/step.ts'
+import type { ContentPlace, ItemPayload } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
-import type { Chance } from '../../../ports/common/clock.ts'
-import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
+import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import type { KeyedEntry, KeyedLog, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import { keyNonce } from '../store/groupAppender.ts'
-import type { TailServices, TailSettings } from '../store/keyedTail.ts'
-import { KeyedTail } from '../store/keyedTail.ts'
 
-export interface StepContentsServices extends TailServices {
+export interface StepContentsServices {
+  readonly log: KeyedLog
   readonly appender: GroupAppender
+  readonly clock: Clock
   readonly chance: Chance
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+}
+
+/** A record of contents, as steps and results name it. */
+export interface ContentReference {
+  readonly key: string
+  /** Its place, if that is known. */
+  readonly at: ContentPlace | undefined
 }
 
 /** How long the removal of records that nobody names is offered to the store, in milliseconds. */
 const DROP_MS = 10_000
+/** Characters that are held of all steps, at most: some twenty steps, a tenth of a small host's memory. */
+const HELD_CHARACTERS = 16_000_000
+/**
+ * How long a record that the store does not have is taken to be missing without another question, in milliseconds. A
+ * page of newest records is up to a megabyte; whoever waits for a record asks several times a second.
+ */
+const MISSING_MS = 1000
 
-export class StepContents implements Disposable {
-  private readonly tail: KeyedTail
-  /** Values held, by step and key. */
+export class StepContents {
+  /** Values held, by step and key; the steps in the order in which they came. */
   private readonly held = new Map<string, Map<string, string>>()
+  private heldCharacters = 0
   /** Steps whose records are being read from the store. */
   private readonly reading = new Map<string, Promise<void>>()
+  /** Keys that the store did not have, with the monotonic time until which they count as missing. */
+  private readonly missing = new Map<string, number>()
 
-  constructor (private readonly services: StepContentsServices, settings: TailSettings) {
-    const take = (entries: readonly KeyedEntry[]): void => { for (const entry of entries) this.take(entry) }
-    this.tail = new KeyedTail(services, { ...settings, fromEnd: true }, { reset: take, apply: take })
-  }
-
-  start (): void {
-    this.tail.start()
-  }
-
-  dispose (): void {
-    this.tail.dispose()
-  }
+  constructor (private readonly services: StepContentsServices) {}
 
   /** A random part for keys. */
   nonce (): string {
     return keyNonce(this.services.chance)
   }
 
-  /** Writes records; what they hold is known here at once. */
+  /** Writes records and gives the offset of the first; what they hold is known here at once. */
   async save (records: readonly KeyedRecord[], timeoutMs: number): Promise<Result<number>> {
     const saved = await this.services.appender.append(() => records, timeoutMs)
-    if (saved.ok) for (const record of records) this.take({ ...record, offset: saved.value })
+    if (saved.ok) for (const { key, value } of records) this.hold(stepOf(key), key, value)
     return saved
   }
 
-  /** Writes the text of a result and gives its key; offers it to the store for so long. */
-  async saveText (step: string, item: string, text: string, timeoutMs: number): Promise<Result<string>> {
+  /** Writes the text of a result and tells where it stands; offers it to the store for so long. */
+  async saveText (step: string, item: string, text: string, timeoutMs: number): Promise<Result<ContentReference>> {
     const record = textRecord(step, item, text, this.nonce())
     const saved = await this.save([record], timeoutMs)
-    return saved.ok ? { ok: true, value: record.key } : saved
+    return saved.ok ? success({ key: record.key, at: { offset: saved.value, characters: record.value?.length ?? 0 } }) : saved
   }
 
   /** Reads what a step's items need, so that it is held when somebody asks. */
   async prepare (step: FoldedStep): Promise<void> {
-    await this.values(step.submission.id, step.payloadKeys)
+    await this.payloadValues(step)
   }
 
   /** Payloads of a step's items; `undefined` while the store does not give them. */
   async payloads (step: FoldedStep): Promise<ReadonlyMap<string, ItemPayload> | undefined> {
-    const values = await this.values(step.submission.id, step.payloadKeys)
+    const values = await this.payloadValues(step)
     return values.includes(undefined) ? undefined : readPayloads(values as string[])
   }
 
-  /** Texts under these keys of a step, in order; those that the store does not give now are absent. */
-  async texts (step: string, keys: readonly string[]): Promise<(string | undefined)[]> {
-    return (await this.values(step, keys)).map((value) => value === undefined ? undefined : readText(value))
+  /** Texts of a step at these places, in order; those that the store does not give now are absent. */
+  async texts (step: string, references: readonly ContentReference[]): Promise<(string | undefined)[]> {
+    return (await this.values(step, references.map(({ key }) => key), references.flatMap(({ at }) => at ?? []))).map((value) => value === undefined ? undefined : readText(value))
   }
 
   /** Forgets a step here. */
   forget (step: string): void {
+    for (const value of this.held.get(step)?.values() ?? []) this.heldCharacters -= value.length
     this.held.delete(step)
   }
 
@@ -90,10 +101,12 @@
     return await this.services.appender.append(() => keys.map(dropRecord), DROP_MS)
   }
 
-  private async values (step: string, keys: readonly string[]): Promise<(string | undefined)[]> {
-    // This host may be some records behind the one that wrote them.
-    if (!this.holds(step, keys)) await this.tail.catchUp()
-    if (!this.holds(step, keys)) await this.readOnce(step, keys)
+  private async payloadValues ({ submission, payloadKeys, payloadsAt }: FoldedStep): Promise<(string | undefined)[]> {
+    return await this.values(submission.id, payloadKeys, payloadsAt === undefined ? [] : [payloadsAt])
+  }
+
+  private async values (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<(string | undefined)[]> {
+    if (!this.holds(step, keys)) await this.readOnce(step, keys, places)
     const held = this.held.get(step)
     return keys.map((key) => held?.get(key))
   }
@@ -104,40 +117,86 @@
   }
 
   /** One reader at a time for a step: a trainer that starts over and a holder that takes over ask for the same. */
-  private async readOnce (step: string, keys: readonly string[]): Promise<void> {
-    const underway = this.reading.get(step)
-    if (underway !== undefined) {
+  private async readOnce (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+    for (let underway = this.reading.get(step); underway !== undefined; underway = this.reading.get(step)) {
       await underway
       if (this.holds(step, keys)) return
     }
-    const reading = this.read(step, keys).finally(() => { this.reading.delete(step) })
+    const reading = this.read(step, keys, places).finally(() => { this.reading.delete(step) })
     this.reading.set(step, reading)
     await reading
   }
 
-  /** Reads from where the step's keys stand if the store orders them, else from the beginning. */
-  private async read (step: string, keys: readonly string[]): Promise<void> {
-    this.services.metrics.count('steps.contents_read')
+  private async read (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+    const { clock, metrics, stateLog } = this.services
+    const now = clock.monotonic()
+    if (keys.some((key) => (this.missing.get(key) ?? now) > now)) return
+    metrics.count('steps.contents_read')
+    await this.readPlaces(step, keys, places)
+    if (this.holds(step, keys)) return
+    metrics.count('steps.contents_searched')
+    const searched = await this.search(step, keys)
+    if (searched !== 'absent') return
+    for (const key of keys) if (this.held.get(step)?.has(key) !== true) this.missing.set(key, clock.monotonic() + MISSING_MS)
+    this.forgetMissing()
+    stateLog.alarm('contents of a step are missing', { step, wanted: keys.length, held: this.held.get(step)?.size ?? 0 })
+  }
+
+  /** Reads the stretches of the topic in which the records stand. */
+  private async readPlaces (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+    const wanted = new Set(keys)
+    for (const { from, kilobytes } of stretchesOf(places)) {
+      const page = await this.services.log.readSome(from, kilobytes)
+      if (!page.ok || page.value.type === 'forgotten') return
+      this.takeWanted(step, wanted, page.value.entries)
+    }
+  }
+
+  /** Looks for keys among the newest records, of which those of a step stand together. */
+  private async search (step: string, keys: readonly string[]): Promise<'found' | 'absent' | 'not-answered'> {
+    const wanted = new Set(keys)
     const prefix = keyPrefix(keys[0] ?? '')
-    for (const start of [prefix, undefined]) {
-      let after: string | undefined = start
-      do {
-        const page = await this.services.log.newest(after)
-        if (!page.ok) return
-        for (const entry of page.value.entries) if (entry.key.startsWith(prefix)) this.take(entry)
-        if (this.holds(step, keys)) return
-        after = page.value.next
-      } while (after !== undefined)
+    let after = prefix
+    for (;;) {
+      const page = await this.services.log.newest(after)
+      if (!page.ok) return 'not-answered'
+      this.takeWanted(step, wanted, page.value.entries)
+      if (this.holds(step, keys)) return 'found'
+      if (page.value.next === undefined || isPast(page.value, prefix)) return 'absent'
+      after = page.value.next
     }
-    this.services.stateLog.alarm('contents of a step are missing', { step, wanted: keys.length, held: this.held.get(step)?.size ?? 0, offset: this.tail.position })
   }
 
-  private take ({ key, value }: KeyedEntry): void {
-    const step = decodeURIComponent(key.split('/')[1] ?? '')
+  private takeWanted (step: string, wanted: ReadonlySet<string>, entries: readonly KeyedEntry[]): void {
+    for (const { key, value } of entries) if (wanted.has(key)) this.hold(step, key, value)
+  }
+
+  private hold (step: string, key: string, value: string | undefined): void {
+    if (value === undefined) return
     const held = this.held.get(step) ?? new Map<string, string>()
-    if (value === undefined) held.delete(key)
-    else held.set(key, value)
-    if (held.size === 0) this.held.delete(step)
-    else this.held.set(step, held)
+    this.heldCharacters += value.length - (held.get(key)?.length ?? 0)
+    held.set(key, value)
+    this.held.set(step, held)
+    this.missing.delete(key)
+    for (const oldest of this.held.keys()) {
+      if (this.heldCharacters <= HELD_CHARACTERS || oldest === step) break
+      this.forget(oldest)
+    }
   }
+
+  private forgetMissing (): void {
+    const now = this.services.clock.monotonic()
+    for (const [key, until] of this.missing) if (until <= now) this.missing.delete(key)
+  }
+}
+
+/** Whether a page of newest records goes beyond the keys that begin like this. */
+function isPast ({ entries }: NewestPage, prefix: string): boolean {
+  const last = entries.at(-1)
+  return last !== undefined && last.key > prefix && !last.key.startsWith(prefix)
+}
+
+/** Step of a record of contents, by its key. */
+function stepOf (key: string): string {
+  return decodeURIComponent(key.split('/')[1] ?? '')
 }
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -4,8 +4,8 @@
 import { failure, success } from '../../../base/common/resultCode.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { SubmissionRecords } from '../../../core/common/steps/stepRecords.ts'
-import { endRecord, submissionRecords } from '../../../core/common/steps/stepRecords.ts'
-import type { SampleResult, TrainerSubmission } from '../../../core/common/steps/step.ts'
+import { endRecord, outlineRecords, submissionRecords } from '../../../core/common/steps/stepRecords.ts'
+import type { ListedResult, SampleResult, TrainerSubmission } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
@@ -42,6 +42,21 @@
 /** When to come back to a host that is behind the store, in milliseconds. */
 const STALE_RETRY_MS = 200
 
+/** Characters of the texts of one page, at most: an answer takes no more, and what it leaves out would be read for nothing. */
+const PAGE_CHARACTERS = 1_000_000
+
+/** Results from a position on whose texts fit into a page; one at least. */
+function pageOf (results: readonly ListedResult[], after: number): ListedResult[] {
+  const page: ListedResult[] = []
+  let characters = 0
+  for (const result of results.slice(after)) {
+    characters += result.textAt?.characters ?? 0
+    if (page.length > 0 && characters > PAGE_CHARACTERS) break
+    page.push(result)
+  }
+  return page
+}
+
 export class StepDesk {
   constructor (private readonly services: StepDeskServices, private readonly settings: StepDeskSettings) {}
 
@@ -56,7 +71,7 @@
     const characters = [...records.payloads, ...records.outline].reduce((sum, { value }) => sum + (value?.length ?? 0), 0)
     if (characters > this.settings.submissionCharacters) return failure('tooLarge', `a submission may have ${this.settings.submissionCharacters} characters, this one has ${characters}`)
     const began = clock.monotonic()
-    const appended = await this.append(records)
+    const appended = await this.append(submission, records)
     const taken = appended.ok || (appended.code === 'commandUnknown' && await this.find(submission.id) !== undefined)
     this.services.metrics.timing('steps.accept', clock.monotonic() - began)
     stateLog.decided('step submitted', { step: submission.id, failed: !taken, number: submission.number, model: submission.model, items: submission.items.length, outcome: taken ? 'accepted' : appended.ok ? '' : appended.code, tookMs: Math.round(clock.monotonic() - began), offset: appended.ok ? appended.value : topic.position })
@@ -64,12 +79,14 @@
   }
 
   /** The payloads go first: a step that hosts know, and whose items nobody can run, would be lost. */
-  private async append ({ payloads, outline }: SubmissionRecords): Promise<Result<number>> {
+  private async append (submission: TrainerSubmission, { payloads, nonce }: SubmissionRecords): Promise<Result<number>> {
     const { appender, contents, clock } = this.services
     const began = clock.monotonic()
     const saved = await contents.save(payloads, this.settings.acceptMs)
     // Payloads alone are no step, whether or not they are written yet.
     if (!saved.ok) return failure('logUnavailable', saved.message, { retryAfterMs: RETRY_AFTER_MS })
+    const at = { offset: saved.value, characters: payloads.reduce((sum, { value }) => sum + (value?.length ?? 0), 0) }
+    const outline = outlineRecords(submission, clock.wall(), { nonce, parts: payloads.length, at })
     const appended = await appender.append(() => outline, Math.max(0, this.settings.acceptMs - (clock.monotonic() - began)))
     if (!appended.ok && appended.code === 'logUnavailable') {
       contents.drop(payloads.map(({ key }) => key)).catch((error: unknown) => { this.services.stateLog.alarm('step not forgotten', { step: payloads[0]?.key ?? '', error: String(error) }) })
@@ -88,16 +105,17 @@
     if (after >= step.results.length && after < step.items.size && waitMs > 0) {
       await this.waitForResult(id, Math.min(waitMs, this.settings.longestWaitMs), gone)
     }
-    return await this.page(step, after)
+    // The topic may have been loaded anew meanwhile, and the step be another object since.
+    return await this.page(this.services.topic.step(id) ?? step, after)
   }
 
   /** Listed results with their texts, up to the first text that cannot be had now. */
   private async page (step: FoldedStep, after: number): Promise<Result<ResultPage>> {
-    const listed = step.results.slice(after)
-    const keys = listed.flatMap(({ textKey }) => textKey ?? [])
-    const texts = new Map((await this.services.contents.texts(step.submission.id, keys)).map((text, index) => [keys[index], text]))
+    const listed = pageOf(step.results, after)
+    const wanted = listed.flatMap(({ textKey, textAt }) => textKey === undefined ? [] : [{ key: textKey, at: textAt }])
+    const texts = new Map((await this.services.contents.texts(step.submission.id, wanted)).map((text, index) => [wanted[index]?.key, text]))
     const results: SampleResult[] = []
-    for (const { textKey, ...result } of listed) {
+    for (const { textKey, textAt, ...result } of listed) {
       const text = textKey === undefined ? '' : texts.get(textKey)
       if (text === undefined) break
       results.push({ ...result, text })
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -220,11 +220,11 @@
     const earlier = this.services.topic.earlierResult(itemWork.item.id, submission.id, submission.minimumVersion)
     if (earlier === undefined) return
     if (this.routeOf(work.step)?.singleVersion === true && earlier.result.versions.length > 1) return
-    const { textKey, ...result } = earlier.result
+    const { textKey, textAt, ...result } = earlier.result
     if (textKey === undefined) return
     removeFrom(work.waiting, itemWork)
     itemWork.state = 'scoring'
-    this.services.contents.texts(earlier.step, [textKey]).then(([text]) => {
+    this.services.contents.texts(earlier.step, [{ key: textKey, at: textAt }]).then(([text]) => {
       if (itemWork.cancel.signal.aborted) return
       if (text === undefined) {
         this.again(work, itemWork, false)
@@ -364,7 +364,7 @@
     const { contents, appender } = this.services
     const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
     if (saved?.ok === false || cancelled.aborted) return saved ?? success(undefined)
-    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value }, nonce)], LIST_MS)
+    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at }, nonce)], LIST_MS)
   }
 
   private dropItem (step: string, item: string): void {
--- a/src/actors/common/store/groupAppender.ts
+++ b/src/actors/common/store/groupAppender.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Result } from '../../../base/common/resultCode.ts'
-import { failure } from '../../../base/common/resultCode.ts'
+import { failure, success } from '../../../base/common/resultCode.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog, KeyedRecord } from '../../../ports/common/keyedLog.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
@@ -29,6 +29,8 @@
 interface Waiting {
   readonly make: RecordMaker
   readonly untilMs: number
+  /** Place of its first record among those of the try under way. */
+  index: number
   /** True once a try may have been done. */
   uncertain: boolean
   readonly settle: (result: Result<number>) => void
@@ -56,13 +58,13 @@
   }
 
   /**
-   * Appends until it is confirmed or the time is over. `logUnavailable`: surely nothing was
+   * Appends until it is confirmed or the time is over, and gives the offset of its first record. `logUnavailable`: surely nothing was
    * appended; `commandUnknown`: it may have been.
    */
   async append (make: RecordMaker, timeoutMs: number): Promise<Result<number>> {
     const untilMs = this.services.clock.monotonic() + timeoutMs
     return await new Promise((resolve) => {
-      this.waiting.push({ make, untilMs, uncertain: false, settle: resolve })
+      this.waiting.push({ make, untilMs, index: 0, uncertain: false, settle: resolve })
       this.flush()
     })
   }
@@ -84,6 +86,7 @@
       const size = made.reduce((sum, { key, value }) => sum + key.length + (value?.length ?? 0), 0)
       if (taken > 0 && characters + size > this.settings.callCharacters) break
       characters += size
+      item.index = records.length
       records.push(...made)
       taken++
     }
@@ -93,7 +96,7 @@
   private appended (batch: readonly Waiting[], result: Result<number>): void {
     this.busy = false
     if (result.ok) {
-      for (const item of batch) item.settle(result)
+      for (const item of batch) item.settle(success(result.value + item.index))
       this.flush()
       return
     }
--- a/src/actors/common/store/relayedKeyedLog.ts
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -45,6 +45,13 @@
     return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
   }
 
+  async readSome (from: number, kilobytes: number): Promise<Result<KeyedPage>> {
+    const straight = await this.straight(async () => await this.direct.readSome(from, kilobytes))
+    if (straight?.ok === true) return straight
+    const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.read-some', { topic: this.topic, from, kilobytes }, HELPER_MS))
+    return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
+  }
+
   async newest (after: string | undefined): Promise<Result<NewestPage>> {
     const straight = await this.straight(async () => await this.direct.newest(after))
     if (straight?.ok === true) return straight
@@ -85,5 +92,6 @@
   const unknown = failure('notFound', 'this topic is not relayed')
   handlers.handle('store.append', async ({ topic, records }) => await logs.get(topic)?.append(records) ?? unknown)
   handlers.handle('store.read', async ({ topic, from, waitMs }) => await logs.get(topic)?.read(from, waitMs) ?? unknown)
+  handlers.handle('store.read-some', async ({ topic, from, kilobytes }) => await logs.get(topic)?.readSome(from, kilobytes) ?? unknown)
   handlers.handle('store.newest', async ({ topic, after }) => await logs.get(topic)?.newest(after) ?? unknown)
 }
--- a/src/adapters/node/keyedLogClient.ts
+++ b/src/adapters/node/keyedLogClient.ts
@@ -18,6 +18,11 @@
     return answer.ok ? this.protocol.page(answer.value.status, answer.value.body, from) : answer
   }
 
+  async readSome (from: number, kilobytes: number): Promise<Result<KeyedPage>> {
+    const answer = await this.store.send(this.protocol.read(this.topic, from, 0, kilobytes))
+    return answer.ok ? this.protocol.page(answer.value.status, answer.value.body, from) : answer
+  }
+
   async newest (after: string | undefined): Promise<Result<NewestPage>> {
     const answer = await this.store.send(this.protocol.newest(this.topic, after))
     return answer.ok ? this.protocol.newestPage(answer.value.status, answer.value.body) : answer
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -65,6 +65,7 @@
   'services.answered': 'calls to services answered',
   'state.not_found': 'looks for a state without success',
   'steps.resumed': 'items that went on from saved events',
+  'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
   'steps.reused': 'items served by a result of an earlier step',
   'steps.lost': 'items listed as lost',
--- a/src/core/common/steps/step.ts
+++ b/src/core/common/steps/step.ts
@@ -61,9 +61,18 @@
   readonly score: string | undefined
   /** Key under which the text is kept; `undefined` where there is none. */
   readonly textKey: string | undefined
+  /** Where it stands in its topic. */
+  readonly textAt?: ContentPlace | undefined
+}
+
+/** Where records of contents stand in their topic: whoever wants them reads just these, as long as the store has its history. */
+export interface ContentPlace {
+  readonly offset: number
+  /** Characters of the records' values together. */
+  readonly characters: number
 }
 
 /** A result as its trainer reads it. */
-export interface SampleResult extends Omit<ListedResult, 'textKey'> {
+export interface SampleResult extends Omit<ListedResult, 'textKey' | 'textAt'> {
   readonly text: string
 }
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -6,7 +6,7 @@
  */
 
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
-import type { ListedResult, StepItem, StepSubmission } from './step.ts'
+import type { ContentPlace, ListedResult, StepItem, StepSubmission } from './step.ts'
 import type { DutyClaim, StepRecord } from './stepRecords.ts'
 import { payloadKeysOf, readRecord, readSubmission } from './stepRecords.ts'
 
@@ -21,6 +21,8 @@
   readonly ended: boolean
   /** Keys of the records that hold its items' payloads. */
   readonly payloadKeys: readonly string[]
+  /** Where they stand in their topic, if that is known. */
+  readonly payloadsAt: ContentPlace | undefined
 }
 
 interface MutableStep extends FoldedStep {
@@ -165,7 +167,8 @@
       results: [],
       positions: new Map(),
       ended: false,
-      payloadKeys
+      payloadKeys,
+      payloadsAt: submitted.payload.at
     }
     this.folded.set(id, step)
     const early = this.early.get(id) ?? []
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -7,7 +7,7 @@
 import { z } from 'zod'
 import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
 import { payloadKeys, payloadRecords, splitText } from './contentRecords.ts'
-import type { ListedResult, StepSubmission, TrainerSubmission } from './step.ts'
+import type { ContentPlace, ListedResult, StepSubmission, TrainerSubmission } from './step.ts'
 
 export interface DutyClaim {
   readonly duty: string
@@ -33,8 +33,8 @@
   readonly submission: StepSubmission
   /** Wall-clock time at which it came, in milliseconds since the epoch. */
   readonly at: number
-  /** Under which keys the items' payloads are kept: their nonce, and into how many parts they are split. */
-  readonly payload: { readonly nonce: string, readonly parts: number }
+  /** Under which keys the items' payloads are kept (their nonce, and into how many parts they are split), and where the first stands. */
+  readonly payload: { readonly nonce: string, readonly parts: number, readonly at?: ContentPlace | undefined }
 }
 
 const resultSchema = z.object({
@@ -42,7 +42,8 @@
   state: z.enum(['complete', 'lost']),
   versions: z.array(z.number()),
   score: z.string().optional(),
-  textKey: z.string().optional()
+  textKey: z.string().optional(),
+  textAt: z.object({ offset: z.number().int().nonnegative(), characters: z.number().int().nonnegative() }).optional()
 })
 const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number() })
 const renewalSchema = claimSchema.extend({ count: z.number() })
@@ -54,14 +55,21 @@
 export interface SubmissionRecords {
   readonly payloads: readonly KeyedRecord[]
   readonly outline: readonly KeyedRecord[]
+  /** The random part of the payloads' keys. */
+  readonly nonce: string
 }
 
 export function submissionRecords (submission: TrainerSubmission, at: number, nonce: string): SubmissionRecords {
   const payloads = payloadRecords(submission.id, submission.items, nonce)
+  return { payloads, outline: outlineRecords(submission, at, { nonce, parts: payloads.length }), nonce }
+}
+
+/** What every host keeps of a submission whose payloads are written. */
+export function outlineRecords (submission: TrainerSubmission, at: number, payload: SubmittedStep['payload']): KeyedRecord[] {
   const items = submission.items.map(({ id, tokens, expectedTokens, group, scoredBy }) => ({ id, tokens, expectedTokens, group, scoredBy }))
-  const submitted: SubmittedStep = { submission: { ...submission, items }, at, payload: { nonce, parts: payloads.length } }
+  const submitted: SubmittedStep = { submission: { ...submission, items }, at, payload }
   const parts = splitText(JSON.stringify(submitted))
-  return { payloads, outline: parts.map((part, index) => ({ key: `step/${encode(submission.id)}/${index}`, value: `${index}/${parts.length}:${part}` })) }
+  return parts.map((part, index) => ({ key: `step/${encode(submission.id)}/${index}`, value: `${index}/${parts.length}:${part}` }))
 }
 
 /** Keys of the records that hold the payloads of a submission. */
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -137,7 +137,7 @@
   const topic = disposables.add(new StepTopic({ log: stepLog, ...base, onRegained }, tail(store.topic, store.read_pause)))
   const contentsLog = keyedLog(store.contents_topic)
   const contentsAppender = new GroupAppender({ ...base, log: contentsLog }, { callCharacters: store.call_bytes / 2 })
-  const contents = disposables.add(new StepContents({ log: contentsLog, appender: contentsAppender, ...base, onRegained }, tail(store.contents_topic, store.contents_pause)))
+  const contents = new StepContents({ log: contentsLog, appender: contentsAppender, ...base })
   disposables.add(topic.onChange((change) => { if (change.type === 'forgotten') contents.forget(change.step) }))
   serveRelays(handlers, direct)
 
@@ -244,7 +244,7 @@
     await metricsServer.listen(settings.metrics.listen)
   }
   await Promise.all([peerServer.listen(), front.listen(), directory.listen(listen.directory), readiness.listen(listen.readiness)])
-  for (const followed of [operator, targetTopic, topic, contents]) followed.start()
+  for (const followed of [operator, targetTopic, topic]) followed.start()
   stateLog.changed('listening', { callers: listen.callers, directory: listen.directory, peers: listen.peers })
 
   const pause = async (milliseconds: number): Promise<void> => { await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) }) }
--- a/src/ports/common/keyedLog.ts
+++ b/src/ports/common/keyedLog.ts
@@ -38,6 +38,8 @@
   append (records: readonly KeyedRecord[]): Promise<Result<number>>
   /** Reads from an offset on; waits up to `waitMs` for an entry, unless given up before. */
   read (from: number, waitMs: number, givenUp?: AbortSignal): Promise<Result<KeyedPage>>
+  /** Reads at once from an offset on, about as many kilobytes as said. */
+  readSome (from: number, kilobytes: number): Promise<Result<KeyedPage>>
   /** Reads a page of newest records after a key (all where it is absent). */
   newest (after: string | undefined): Promise<Result<NewestPage>>
 }
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -43,6 +43,7 @@
   /** Calls to the store for a host that does not reach it. */
   'store.append': { parameters: { topic: string, records: readonly KeyedRecord[] }, result: Result<number> }
   'store.read': { parameters: { topic: string, from: number, waitMs: number }, result: Result<KeyedPage> }
+  'store.read-some': { parameters: { topic: string, from: number, kilobytes: number }, result: Result<KeyedPage> }
   'store.newest': { parameters: { topic: string, after?: string }, result: Result<NewestPage> }
   'query.rows': { parameters: { view: string }, result: { rows: readonly Record<string, string | number | boolean | null>[], offset: number, revision: number } }
 }
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -20,7 +20,7 @@
 export interface KeyedLogProtocol {
   append (topic: string, records: readonly KeyedRecord[]): StoreCall
   appended (status: number, body: Uint8Array): Result<number>
-  read (topic: string, from: number, waitMs: number): StoreCall
+  read (topic: string, from: number, waitMs: number, kilobytes?: number): StoreCall
   page (status: number, body: Uint8Array, from: number): Result<KeyedPage>
   newest (topic: string, after: string | undefined): StoreCall
   newestPage (status: number, body: Uint8Array): Result<NewestPage>
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -25,7 +25,6 @@
   address: origin.describe('the store of keyed topics'),
   topic: z.string().min(1).default('keyed.bulrushvalve').describe("the steps' topic"),
   contents_topic: z.string().min(1).default('keyed.bulrushvalve.contents').describe("the topic of items' payloads and results' texts, which hosts read when somebody asks for them"),
-  contents_pause: milliseconds(1000, 'pause after a read of that topic; who needs a record before reads at once'),
   progress_topic: z.string().min(1).default('bulrushvalve.progress').describe('the topic of the progress of running items, which need not be kept'),
   timeout: milliseconds(1200, 'longest wait for an answer'),
   long_poll: milliseconds(1000, 'how long a read may wait for records'),
--- a/test/actors/duties/dutyKeeper.test.ts
+++ b/test/actors/duties/dutyKeeper.test.ts
@@ -23,6 +23,7 @@
   constructor (readonly name: string, clock: ManualClock, log: MemoryKeyedLog, seed: number, lost: Set<string>, life = 1) {
     const reach: KeyedLog = {
       append: async (records) => this.cut ? failure('logUnavailable', 'cut') : await log.append(records),
+      readSome: async (from, kilobytes) => this.cut ? failure('logUnavailable', 'cut') : await log.readSome(from, kilobytes),
       newest: async (after) => this.cut ? failure('logUnavailable', 'cut') : await log.newest(after),
       read: async (from, waitMs) => {
         if (waitMs > 0) await new Promise<void>((resolve) => { clock.after(this.pollMs, resolve) })
--- a/test/actors/steps/contentsLoad.test.ts
+++ b/test/actors/steps/contentsLoad.test.ts
@@ -3,7 +3,6 @@
 import { expect } from 'chai'
 import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
 import { StepContents } from '../../../src/actors/common/steps/stepContents.ts'
-import { Emitter } from '../../../src/base/common/lifecycle.ts'
 import type { KeyedEntry, KeyedLog } from '../../../src/ports/common/keyedLog.ts'
 import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
@@ -38,6 +37,11 @@
         if (page.ok && page.value.type === 'entries') await this.give(page.value.entries)
         return page
       },
+      readSome: async (from, kilobytes) => {
+        const page = await this.log.readSome(from, kilobytes)
+        if (page.ok && page.value.type === 'entries') await this.give(page.value.entries)
+        return page
+      },
       newest: async (after) => {
         const page = await this.log.newest(after)
         if (page.ok) await this.give(page.value.entries)
@@ -71,10 +75,8 @@
     const contents = Array.from({ length: HOSTS }, (_, index) => {
       let drawn = 0
       const id = (): string => `${index}-${drawn++}`
-      const services = { log: store.reader(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog, onRegained: new Emitter<void>().event }
-      const host = new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) }, { name: 't', longPollMs: 1000, pauseMs: 1000 })
-      host.start()
-      return host
+      const services = { log: store.reader(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
+      return new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
     })
     const [writer, reader] = [contents[0], contents[1]]
     if (writer === undefined || reader === undefined) throw new Error('there are hosts')
@@ -96,7 +98,6 @@
       took = clock.now - began
     }, () => undefined)
     await clock.advance(1500)
-    for (const host of contents) host.dispose()
     const megabytes = { written: written.length * TEXT_CHARACTERS / 1e6, read: store.bytes / 1e6 }
     expect(megabytes.read, `MB read of ${megabytes.written.toFixed(1)} MB written`).to.be.lessThan(megabytes.written)
     expect(store.behindMs, 'milliseconds that the store is behind').to.equal(0)
--- a/test/actors/steps/stepContents.test.ts
+++ b/test/actors/steps/stepContents.test.ts
@@ -3,8 +3,8 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
+import type { ContentReference } from '../../../src/actors/common/steps/stepContents.ts'
 import { StepContents } from '../../../src/actors/common/steps/stepContents.ts'
-import { Emitter } from '../../../src/base/common/lifecycle.ts'
 import { payloadRecords, readPayloads, readText, textRecord } from '../../../src/core/common/steps/contentRecords.ts'
 import { StepFold } from '../../../src/core/common/steps/stepFold.ts'
 import type { FoldedStep } from '../../../src/core/common/steps/stepFold.ts'
@@ -19,24 +19,20 @@
 describe('the contents of steps', () => {
   let clock: ManualClock
   let log: MemoryKeyedLog
-  let started: StepContents[]
+  let hosts: number
   let pages: number
   beforeEach(() => {
     clock = new ManualClock()
     log = new MemoryKeyedLog()
-    started = []
+    hosts = 0
     pages = 0
   })
-  afterEach(() => { for (const contents of started) contents.dispose() })
 
   function counted (): KeyedLog {
     return {
       append: async (records) => await log.append(records),
-      read: async (from) => {
-        // A long poll ends without records after a while; the memory log answers at once.
-        await new Promise<void>((resolve) => { clock.after(5, resolve) })
-        return await log.read(from)
-      },
+      read: async (from) => await log.read(from),
+      readSome: async (from, kilobytes) => await log.readSome(from, kilobytes),
       newest: async (after): Promise<Result<NewestPage>> => {
         pages++
         return await log.newest(after)
@@ -44,19 +40,15 @@
     }
   }
 
-  async function host (): Promise<StepContents> {
+  function host (): StepContents {
     let drawn = 0
-    const own = started.length
+    const own = hosts++
     const id = (): string => {
       drawn++
       return `${own}-nonce-${drawn}`
     }
-    const services = { log: counted(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog, onRegained: new Emitter<void>().event }
-    const contents = new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) }, { name: 't', longPollMs: 10, pauseMs: 50 })
-    started.push(contents)
-    contents.start()
-    await clock.advance(100)
-    return contents
+    const services = { log: counted(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
+    return new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
   }
 
   async function soon<T> (asked: Promise<T>): Promise<T> {
@@ -80,30 +72,60 @@
     const { step, payloads } = stepOf('s')
     log.write(payloads)
     log.write([textRecord('s', 'a', 'text of a', 'x')])
-    const contents = await host()
-    expect(pages).to.equal(1)
+    const contents = host()
+    expect(pages).to.equal(0)
     const found = await soon(contents.payloads(step))
     expect(found?.get('a')).to.deep.include({ path: '/items/a', scorer: { requestId: 'score-a', host: 'calls.example', path: '/score', body: '' } })
     expect(found?.get('b')?.body).to.equal(btoa('prompt of b'))
-    expect(await soon(contents.texts('s', [textRecord('s', 'a', '', 'x').key]))).to.deep.equal(['text of a'])
+    expect(await soon(contents.texts('s', [{ key: textRecord('s', 'a', '', 'x').key, at: undefined }]))).to.deep.equal(['text of a'])
     // One page each: those of other steps are passed over.
-    expect(pages).to.equal(3)
+    expect(pages).to.equal(2)
+  })
+
+  /** Writes a text and gives where it stands. */
+  async function saved (writer: StepContents, item: string, text: string): Promise<ContentReference> {
+    const result = await soon(writer.saveText('s', item, text, 1000))
+    if (!result.ok) throw new Error(result.message)
+    return result.value
+  }
+
+  it('are read at their places by other hosts, without a search among the newest records', async () => {
+    const [writer, reader] = [host(), host()]
+    await soon(writer.save(stepOf('other').payloads, 1000))
+    const [a, b] = [await saved(writer, 'a', 'text of a'), await saved(writer, 'b', 'text of b')]
+    expect(await soon(reader.texts('s', [b, a]))).to.deep.equal(['text of b', 'text of a'])
+    log.down = true
+    expect(await soon(writer.texts('s', [a, b]))).to.deep.equal(['text of a', 'text of b'])
+    expect(pages).to.equal(0)
   })
 
-  it('are known to hosts that run when they are written, without a question to the store', async () => {
-    const [writer, reader] = [await host(), await host()]
-    const before = pages
-    const saved = await soon(writer.saveText('s', 'a', 'text of a', 1000))
-    const key = saved.ok ? saved.value : ''
-    expect(await soon(reader.texts('s', [key]))).to.deep.equal(['text of a'])
-    expect(await soon(writer.texts('s', [key]))).to.deep.equal(['text of a'])
-    expect(pages).to.equal(before)
+  it('are found among the newest records once the store has no history of their places', async () => {
+    const [writer, reader] = [host(), host()]
+    const reference = await saved(writer, 'a', 'text of a')
+    log.first = log.entries.length
+    expect(await soon(reader.texts('s', [reference]))).to.deep.equal(['text of a'])
+    expect(pages).to.equal(1)
+  })
+
+  it('that the store does not have are not searched for again at once, nor among those of other steps', async () => {
+    // A host that needs a record asks several times a second. Where the record was not in the store, each
+    // question read the topic from its beginning to its end, and so took the store's readers what others waited for.
+    for (let number = 0; number < 40; number++) log.write(stepOf(`other${number}`).payloads)
+    const contents = host()
+    for (let question = 0; question < 9; question++) {
+      expect(await soon(contents.payloads(stepOf('s').step))).to.equal(undefined)
+      await clock.advance(100)
+    }
+    expect(pages).to.be.at.most(6)
+    log.write(stepOf('s').payloads)
+    await clock.advance(1000)
+    expect((await soon(contents.payloads(stepOf('s').step)))?.size).to.equal(2)
   })
 
   it('are absent, not wrong, while the store is away', async () => {
     const { step, payloads } = stepOf('s')
     log.write(payloads)
-    const contents = await host()
+    const contents = host()
     log.down = true
     expect(await soon(contents.payloads(step))).to.equal(undefined)
     log.down = false
@@ -111,7 +133,7 @@
   })
 
   it('are gone from the store once they are dropped', async () => {
-    const contents = await host()
+    const contents = host()
     const { step, payloads } = stepOf('s')
     await soon(contents.save(payloads, 1000))
     await soon(contents.drop(step.payloadKeys))
--- a/test/actors/store/store.test.ts
+++ b/test/actors/store/store.test.ts
@@ -27,6 +27,7 @@
   const polled = (): KeyedLog => ({
     append: async (records) => await log.append(records),
     newest: async (after) => await log.newest(after),
+    readSome: async (from, kilobytes) => await log.readSome(from, kilobytes),
     read: async (from, waitMs) => {
       if (waitMs > 0) await new Promise<void>((resolve) => { clock.after(20, resolve) })
       return await log.read(from)
--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -123,7 +123,7 @@
     switch (`${request.method ?? ''} ${url.pathname}`) {
       case 'POST /log-append': return this.append(door, response, name, body)
       case 'POST /log-trim': return this.trim(response, body)
-      case 'GET /log-read': return await this.read(response, name, Number(url.searchParams.get('from')), Number(url.searchParams.get('wait_ms') ?? 0))
+      case 'GET /log-read': return await this.read(response, name, Number(url.searchParams.get('from')), Number(url.searchParams.get('wait_ms') ?? 0), Number(url.searchParams.get('max_kb') ?? 1024))
       case 'GET /log-newest': return this.page(response, name, url.searchParams.get('after') ?? undefined)
       default: return json(response, 404, {})
     }
@@ -155,18 +155,22 @@
     json(response, 200, {})
   }
 
-  private async read (response: ServerResponse, name: string, from: number, waitMs: number): Promise<void> {
+  private async read (response: ServerResponse, name: string, from: number, waitMs: number, kilobytes: number): Promise<void> {
     const topic = this.topic(name)
     if (from < topic.first) return json(response, 410, { first: topic.first })
     if (from >= topic.records.length && waitMs > 0) await wait(topic, Math.min(waitMs, LONGEST_POLL_MS), response)
     const head = Buffer.alloc(16)
     head.writeBigUInt64BE(BigInt(topic.records.length), 0)
     head.writeBigUInt64BE(BigInt(topic.first), 8)
-    const records = topic.records.slice(from).map(({ content }) => {
+    let room = kilobytes * 1024
+    const records: Buffer[] = []
+    for (const { content } of topic.records.slice(from)) {
+      room -= 4 + content.length
+      if (records.length > 0 && room < 0) break
       const length = Buffer.alloc(4)
       length.writeUInt32BE(content.length)
-      return Buffer.concat([length, content])
-    })
+      records.push(Buffer.concat([length, content]))
+    }
     response.writeHead(200).end(Buffer.concat([head, ...records]))
   }
 
--- a/test/support/memoryKeyedLog.ts
+++ b/test/support/memoryKeyedLog.ts
@@ -42,6 +42,18 @@
     return success({ type: 'entries', entries: this.entries.slice(from), end: this.entries.length })
   }
 
+  /** Characters count as bytes here; one entry is given at least. */
+  async readSome (from: number, kilobytes: number): Promise<Result<KeyedPage>> {
+    const page = await this.read(from)
+    if (!page.ok || page.value.type === 'forgotten') return page
+    let room = kilobytes * 1024
+    const entries = page.value.entries.filter(({ key, value }, index) => {
+      room -= key.length + (value?.length ?? 0)
+      return index === 0 || room >= 0
+    })
+    return success({ ...page.value, entries })
+  }
+
   async newest (after: string | undefined): Promise<Result<NewestPage>> {
     if (this.down) return failure('logUnavailable', 'the store is away')
     const sorted = this.newestEntries().sort((a, b) => a.key < b.key ? -1 : 1).filter(({ key }) => after === undefined || key > after)
