A step's age counts on the cleaner's own monotonic clock

Cause: submission time of one host against the wall clock of another; a clock ahead removed steps while they were read. Ruled out as the cause of the incident: its steps were 30 and 77 s old, the bound is 150 s.

--- a/src/actors/common/steps/stepCleaner.ts
+++ b/src/actors/common/steps/stepCleaner.ts
@@ -5,7 +5,8 @@
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
@@ -15,10 +16,10 @@
 import type { StepContents } from './stepContents.ts'
 
 export interface StepCleanerServices {
-  readonly topic: StepTopic
-  readonly appender: GroupAppender
-  readonly contents: StepContents
-  readonly duty: DutyKeeper
+  readonly topic: Pick<StepTopic, 'steps' | 'keysOf' | 'contentKeysOf' | 'onChange'>
+  readonly appender: Pick<GroupAppender, 'append'>
+  readonly contents: Pick<StepContents, 'drop'>
+  readonly duty: Pick<DutyKeeper, 'holds'>
   readonly clock: Clock
   readonly stateLog: StateLog
 }
@@ -27,15 +28,25 @@
 const LOOK_MS = 10_000
 
 export class StepCleaner implements Disposable {
-  private readonly timer: Disposable
+  private readonly disposables = new DisposableStore()
+  /** Monotonic times at which this host first read of each step. */
+  private readonly learnedAt = new Map<string, number>()
 
-  /** @param keepMs how long a step is kept after its submission, at least */
+  /** @param keepMs how long a step is kept after this host has read of it, at least */
   constructor (private readonly services: StepCleanerServices, private readonly keepMs: number) {
-    this.timer = services.clock.every(LOOK_MS, () => { this.look() })
+    this.disposables.add(services.topic.onChange((change) => { this.note(change) }))
+    this.disposables.add(services.clock.every(LOOK_MS, () => { this.look() }))
   }
 
   dispose (): void {
-    this.timer.dispose()
+    this.disposables.dispose()
+  }
+
+  private note (change: StepChange): void {
+    if (change.type === 'forgotten') this.learnedAt.delete(change.step)
+    if (change.type !== 'accepted') return
+    const { id } = change.step.submission
+    if (!this.learnedAt.has(id)) this.learnedAt.set(id, this.services.clock.monotonic())
   }
 
   private look (): void {
@@ -44,9 +55,14 @@
     for (const step of [...topic.steps()]) if (this.isOver(step)) this.drop(step.submission.id)
   }
 
-  /** A step that is still open is kept however old it is. */
-  private isOver ({ submittedAt, ended, results, items }: FoldedStep): boolean {
-    return this.services.clock.wall() - submittedAt > this.keepMs && (ended || results.length === items.size)
+  /**
+   * A step that is still open is kept however old it is. The age is counted on this host's own monotonic clock: the
+   * submission's time is of another host, and a clock that is ahead of it would take steps away while trainers
+   * read them. A host that has just started keeps what it finds for as long again.
+   */
+  private isOver ({ submission, ended, results, items }: FoldedStep): boolean {
+    const learnedAt = this.learnedAt.get(submission.id)
+    return learnedAt !== undefined && this.services.clock.monotonic() - learnedAt > this.keepMs && (ended || results.length === items.size)
   }
 
   private drop (step: string): void {
