A topic is asked for ever less often while the store is away

Cause: a fixed pause of 100 ms between failed reads, for four topics at each host, each relayed to two hosts that do not reach the store either. Change: the pause doubles up to 800 ms; who regains the store is told at once as before.

--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -39,8 +39,14 @@
 /** A key after all others: the page of newest records after it is empty, which makes it the cheapest call. */
 export const LAST_KEY = '~'
 
-/** Pause after a failed call, in milliseconds: short, since an outage ends at any moment and each try is cheap. */
+/** Pause after the first failed call, in milliseconds: most failures are of a single call. It doubles with each further one. */
 const RETRY_MS = 100
+/**
+ * Longest pause between failed calls, in milliseconds. Whoever regains the store is told at once; until then each call of
+ * each host only asks others that do not reach it either. In 8 s without a store a topic is asked for 12 times
+ * instead of 80.
+ */
+const LONGEST_RETRY_MS = 800
 
 export class KeyedTail implements Disposable {
   private offset: number | undefined
@@ -132,13 +138,15 @@
   }
 
   private async follow (): Promise<void> {
+    let failures = 0
     while (!this.stopped) {
       const began = this.services.clock.monotonic()
       const from = this.offset
       const answered = from === undefined ? await this.load() : await this.readOn(from)
       if (this.stopped) return
       this.note(answered, began)
-      if (!answered) await this.pause(RETRY_MS)
+      failures = answered ? 0 : failures + 1
+      if (failures > 0) await this.pause(Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (failures - 1)))
       else if (this.position !== from && this.hurried?.() !== true) await this.pause(this.settings.pauseMs)
     }
   }
