An append goes another way only after a proof that it was not done; an unknown outcome stays unknown

Cause: the way around the store went on to the next host after one that gave no answer, with the same records under the same keys. Where both were done, the later record replaced the earlier at a later place: hosts that had followed the topic and hosts that loaded it gave other results for one position, and could name other holders of one term. A refusal by the later host also replaced the unknown outcome, so that a step which may stand was reported as surely not taken and its payloads dropped.

Reads go on to the next host as before. A line tells of each append without an answer, with its way.

Ruled out by reading: repeats by the HTTP client (pools do not repeat a POST whose connection broke; only errors from before the first byte count as never sent), repeats by the helping host (it asks the store once).

On the code before, the property test found [["late","lost"]]: a key written twice; the test of tries by the appender got logUnavailable where commandUnknown is right. Both and the three listed tests pass now.

--- a/src/actors/common/store/relayedKeyedLog.ts
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -2,12 +2,18 @@
  * A keyed topic that a host reaches through another host while the store does not answer it. Stores
  * turn single hosts away (too busy, too many calls, a cut link) and serve the others; without a way
  * around, such a host would go on with old knowledge, or its work would be lost to the others.
+ *
+ * An append is sent again, by another way, only after a proof that it was not done: the store or a
+ * host refused it, or nobody listened. Two records under one key would be one record at the place of
+ * the later for hosts that load the topic, and at the place of the first for hosts that follow it.
+ * Whoever asked may repeat an append of unknown outcome, under keys of its own where places matter.
  */
 
 import { failure } from '../../../base/common/resultCode.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog, KeyedPage, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
-import type { Metrics } from '../../../ports/common/observation.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { PeerHandlers, Peers } from '../../../ports/common/peers.ts'
 import type { StoreReach } from './storeReach.ts'
 
@@ -16,7 +22,9 @@
   /** Addresses of hosts that reach the store, as far as they have said lately. */
   readonly helpers: () => readonly string[]
   readonly reach: StoreReach
+  readonly clock: Clock
   readonly metrics: Metrics
+  readonly stateLog: StateLog
 }
 
 /** Hosts that are asked for one call, at most: if two cannot reach the store either, it is away for all. */
@@ -30,11 +38,15 @@
   constructor (private readonly services: RelayServices, private readonly direct: KeyedLog, private readonly topic: string) {}
 
   async append (records: readonly KeyedRecord[]): Promise<Result<number>> {
-    const straight = await this.straight(async () => await this.direct.append(records))
-    // An append without an answer may be done yet: whoever asked repeats it under other keys.
-    if (straight !== undefined && (straight.ok || straight.code !== 'logUnavailable')) return straight
-    const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.append', { topic: this.topic, records }, HELPER_MS))
-    return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
+    const straight = await this.straight(async () => await this.send('direct', records, async () => await this.direct.append(records)))
+    if (straight !== undefined && !isUndone(straight)) return straight
+    let refused = straight
+    for (const address of this.services.helpers().slice(0, MOST_HELPERS)) {
+      const relayed = await this.send(address, records, async () => await this.appendThrough(address, records))
+      if (!isUndone(relayed)) return relayed
+      refused = relayed
+    }
+    return refused ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
   }
 
   async read (from: number, waitMs: number, givenUp?: AbortSignal): Promise<Result<KeyedPage>> {
@@ -60,15 +72,30 @@
     return result
   }
 
+  private async appendThrough (address: string, records: readonly KeyedRecord[]): Promise<Result<number>> {
+    const answer = await this.services.peers.call(address, 'store.append', { topic: this.topic, records }, HELPER_MS)
+    if (!answer.ok) return failure(answer.code === 'targetUnreachable' ? 'logUnavailable' : 'commandUnknown', answer.message)
+    if (answer.value.ok) this.services.metrics.count('store.relayed')
+    return answer.value
+  }
+
+  /** Sends an append one way, and tells if its outcome stays unknown. */
+  private async send (way: string, records: readonly KeyedRecord[], call: () => Promise<Result<number>>): Promise<Result<number>> {
+    const { clock, stateLog } = this.services
+    const began = clock.monotonic()
+    const result = await call()
+    if (!result.ok && !isUndone(result)) {
+      stateLog.decided('append without an answer', { topic: this.topic, failed: true, records: records.length, key: records[0]?.key ?? '', way, code: result.code, tookMs: Math.round(clock.monotonic() - began) })
+    }
+    return result
+  }
+
+  /** Asks helpers for records until one gives them: reading twice does no harm. */
   private async ask<T> (call: (address: string) => Promise<Result<Result<T>>>): Promise<Result<T> | undefined> {
     let last: Result<T> | undefined
     for (const address of this.services.helpers().slice(0, MOST_HELPERS)) {
       const answer = await call(address)
-      if (!answer.ok) {
-        // Without a word from the helper, an append may have been done.
-        if (answer.code !== 'targetUnreachable') last = failure('commandUnknown', answer.message)
-        continue
-      }
+      if (!answer.ok) continue
       if (answer.value.ok) {
         this.services.metrics.count('store.relayed')
         return answer.value
@@ -80,6 +107,11 @@
   }
 }
 
+/** Whether an append was surely not done and never will be. */
+function isUndone (result: Result<number>): boolean {
+  return !result.ok && result.code === 'logUnavailable'
+}
+
 /** Answers the calls of other hosts for these topics by the store itself, never through yet another host. */
 export function serveRelays (handlers: PeerHandlers, logs: ReadonlyMap<string, KeyedLog>): void {
   const unknown = failure('notFound', 'this topic is not relayed')
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -71,6 +71,7 @@
     'call ended': 'a request has its answer: route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, age of the newest load report',
     'call rejected': 'a request was rejected before it was sent anywhere, with the code and the configuration version',
     'stream ended': 'a stream is whole, cut or refused; with the targets and the last event',
+    'append without an answer': 'records may be in the store or not: topic, their number, the first key, the way (direct, or the address of the host that was asked), code and time taken',
     'step submitted': 'a submission was accepted or not; with offset and time',
     'step end asked': 'a trainer ended a step',
     'step adopted': 'this host runs a step; with the items still open, those resumed from saved events, and the term',
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -126,7 +126,7 @@
   const keyedLog = (topic: string): KeyedLog => {
     const client = new KeyedLogClient(storeCaller, storeProtocol, topic)
     direct.set(topic, client)
-    return new RelayedKeyedLog({ peers, helpers: () => membership.storeReacherAddresses(), reach, metrics }, client, topic)
+    return new RelayedKeyedLog({ peers, helpers: () => membership.storeReacherAddresses(), reach, clock, metrics, stateLog }, client, topic)
   }
   const onRegained = reach.onRegained
   const tail = (name: string, pauseMs: number) => ({ name, longPollMs: store.long_poll, pauseMs })
--- a/test/actors/store/appendedOnce.test.ts
+++ b/test/actors/store/appendedOnce.test.ts
@@ -1,6 +1,7 @@
 /** One record under one key, whatever way an append goes, and no append that may be done is called not done. */
 
 import { expect } from 'chai'
+import fc from 'fast-check'
 import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
 import { RelayedKeyedLog } from '../../../src/actors/common/store/relayedKeyedLog.ts'
 import { StoreReach } from '../../../src/actors/common/store/storeReach.ts'
@@ -10,7 +11,7 @@
 import { claimRecord, resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
 import type { KeyedLog, KeyedRecord } from '../../../src/ports/common/keyedLog.ts'
 import type { PeerMethod, PeerMethods, Peers } from '../../../src/ports/common/peers.ts'
-import { quietMetrics } from '../../support/fakeHost.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock, seededChance } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
 import { item, submission } from '../../support/steps.ts'
@@ -23,11 +24,10 @@
 class Ways {
   readonly store = new MemoryKeyedLog()
   readonly log: RelayedKeyedLog
-  sent = 0
+  readonly lines: object[] = []
 
   constructor (clock: ManualClock, fate: () => Fate) {
     const meet = async (records: readonly KeyedRecord[]): Promise<Result<Result<number>>> => {
-      this.sent++
       switch (fate()) {
         case 'done': return success(await this.store.append(records))
         case 'refused': return success(failure('logUnavailable', 'the store refuses'))
@@ -54,7 +54,7 @@
       read: async (from) => await this.store.read(from),
       newest: async (after) => await this.store.newest(after)
     }
-    this.log = new RelayedKeyedLog({ peers, helpers: () => ['one', 'two', 'three'], reach: new StoreReach(clock, async () => false), metrics: quietMetrics }, direct, 't')
+    this.log = new RelayedKeyedLog({ peers, helpers: () => ['one', 'two', 'three'], reach: new StoreReach(clock, async () => false), clock, metrics: quietMetrics, stateLog: { ...quietLog, decided: (what, details) => { this.lines.push({ what, ...details }) } } }, direct, 't')
   }
 }
 
@@ -74,7 +74,7 @@
 
 describe('an append through other hosts', () => {
   const clock = new ManualClock()
-  const result = (id: string, nonce: string): KeyedRecord => resultRecord('s', { item: id, state: 'complete', versions: [1], textKey: `${id} by ${nonce}` }, nonce)
+  const result = (id: string, nonce: string): KeyedRecord => resultRecord('s', { item: id, state: 'complete', versions: [1], score: undefined, textKey: `${id} by ${nonce}` }, nonce)
   const append = async (log: KeyedLog, id: string): Promise<Result<number>> => {
     const appender = new GroupAppender({ log, clock, chance: seededChance(1), metrics: quietMetrics }, { callCharacters: 1000 })
     const appended = appender.append((nonce) => [result(id, nonce)], 1000)
@@ -124,4 +124,33 @@
       expect(store.entries).to.have.length(1)
     }
   })
+
+  it('writes a key once at most and calls undone only what is never done, whatever becomes of each call', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(fc.constantFrom(...fates), { maxLength: 12 }), async (given) => {
+      const { store, log } = new Ways(clock, inTurn(...given))
+      const answers: Result<number>[] = []
+      for (let append = 0; append < 3; append++) answers.push(await log.append([{ key: `key${append}`, value: 'x' }]))
+      store.land()
+      answers.forEach((answer, append) => {
+        const written = store.entries.filter(({ key }) => key === `key${append}`).length
+        if (answer.ok) expect(written).to.equal(1)
+        else if (answer.code === 'logUnavailable') expect(written).to.equal(0)
+        else expect(written).to.be.at.most(1)
+      })
+    }))
+  })
+
+  it('is told of in a line that names its way if it had no answer', async () => {
+    const { log, lines } = new Ways(clock, inTurn('refused', 'refused', 'lost'))
+    await log.append([result('a', 'n'), result('b', 'n')])
+    expect(lines).to.deep.equal([{ what: 'append without an answer', topic: 't', failed: true, records: 2, key: 'result/s/a/n', way: 'two', code: 'commandUnknown', tookMs: 0 }])
+  })
+
+  it('keeps an unknown outcome through refused tries that follow', async () => {
+    const { log } = new Ways(clock, inTurn('refused', 'late', ...Array.from({ length: 100 }, () => 'refused' as const)))
+    const appender = new GroupAppender({ log, clock, chance: seededChance(1), metrics: quietMetrics }, { callCharacters: 1000 })
+    const appended = appender.append((nonce) => [result('a', nonce)], 300)
+    await clock.advance(500)
+    expect(await appended).to.include({ ok: false, code: 'commandUnknown' })
+  })
 })
--- a/test/actors/store/store.test.ts
+++ b/test/actors/store/store.test.ts
@@ -176,7 +176,7 @@
     helpers = ['one', 'two', 'three']
     silentHelper = false
     reach = new StoreReach(clock, async () => !direct.down)
-    relayed = new RelayedKeyedLog({ peers, helpers: () => helpers, reach, metrics: quietMetrics }, direct, 't')
+    relayed = new RelayedKeyedLog({ peers, helpers: () => helpers, reach, clock, metrics: quietMetrics, stateLog: quietLog }, direct, 't')
   })
 
   it('is not used while the store answers', async () => {
