--- a/test/actors/store/appendedOnce.test.ts
+++ b/test/actors/store/appendedOnce.test.ts
@@ -52,6 +52,7 @@
         return answer.code === 'targetUnreachable' ? failure('logUnavailable', answer.message) : failure('commandUnknown', answer.message)
       },
       read: async (from) => await this.store.read(from),
+      readSome: async (from, kilobytes) => await this.store.readSome(from, kilobytes),
       newest: async (after) => await this.store.newest(after)
     }
     this.log = new RelayedKeyedLog({ peers, helpers: () => ['one', 'two', 'three'], reach: new StoreReach(clock, async () => false), clock, metrics: quietMetrics, stateLog: { ...quietLog, decided: (what, details) => { this.lines.push({ what, ...details }) } } }, direct, 't')
