A step that is accepted again lists what its drop left in the store, on hosts that followed as on those that load

Cause: a fold that had followed forgot all results of a dropped step, also those that the drop did not name, as its author had not read them; a host that loads finds them and lists them once an outline is written again. Now the fold keeps the records of each step by their keys until each of them is dropped, in one map instead of one of keys and one of early records, and a step begins with what is kept.

Before: the property 'give the same while steps are dropped' fell after 148 tests; after: 1000 runs in each of three plays of test/core/steps, test/actors/steps, duties and store (111 passing each).

--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -54,18 +54,16 @@
 export class StepFold {
   private readonly parts = new Map<string, string[]>()
   private readonly folded = new Map<string, MutableStep>()
-  /** Results and ends read before their step: after a restart records come in the order of their newest writing. */
-  private readonly early = new Map<string, StepRecord[]>()
   private readonly dutyStates = new Map<string, FoldedDuty>()
-  /** Keys of all records of each step. */
-  private readonly stepKeys = new Map<string, Set<string>>()
+  /** All records of each step by their keys, results in their order; the parts of its outline without their text. */
+  private readonly records = new Map<string, Map<string, StepRecord>>()
   /** Keys of payloads and texts of each step, those of repeated submissions and results among them. */
   private readonly contentKeys = new Map<string, Set<string>>()
   private readonly claimKeys = new Map<string, { readonly key: string, readonly term: number }[]>()
 
   /** Starts over with all newest records, in their order. */
   reset (entries: readonly KeyedEntry[]): StepChange[] {
-    for (const map of [this.parts, this.folded, this.early, this.dutyStates, this.claimKeys, this.stepKeys, this.contentKeys]) map.clear()
+    for (const map of [this.parts, this.folded, this.records, this.dutyStates, this.claimKeys, this.contentKeys]) map.clear()
     return this.apply(entries)
   }
 
@@ -73,15 +71,14 @@
   apply (entries: readonly KeyedEntry[]): StepChange[] {
     return entries.flatMap((entry) => {
       const record = readRecord(entry)
-      if ('step' in record) this.noteKey(record.step, entry)
-      if (record.kind === 'result' && record.result.textKey !== undefined) this.noteContents(record.step, [record.result.textKey])
+      if ('step' in record) this.note(record.step, entry, record)
       return this.fold(record)
     })
   }
 
   /** Keys of all records of a step. */
   keysOf (step: string): string[] {
-    return [...this.stepKeys.get(step) ?? []]
+    return [...this.records.get(step)?.keys() ?? []]
   }
 
   /** Keys of the records that hold payloads and texts of a step. */
@@ -119,12 +116,17 @@
     return undefined
   }
 
-  private noteKey (step: string, { key, value }: KeyedEntry): void {
-    const keys = this.stepKeys.get(step) ?? new Set()
-    if (value === undefined) keys.delete(key)
-    else keys.add(key)
-    if (keys.size === 0) this.stepKeys.delete(step)
-    else this.stepKeys.set(step, keys)
+  private note (step: string, { key, value }: KeyedEntry, record: StepRecord): void {
+    const records = this.records.get(step) ?? new Map<string, StepRecord>()
+    if (value === undefined) records.delete(key)
+    else records.set(key, record.kind === 'part' ? { kind: 'none' } : record)
+    if (records.size === 0) this.records.delete(step)
+    else this.records.set(step, records)
+    this.noteText(record)
+  }
+
+  private noteText (record: StepRecord): void {
+    if (record.kind === 'result' && record.result.textKey !== undefined) this.noteContents(record.step, [record.result.textKey])
   }
 
   private noteContents (step: string, keys: readonly string[]): void {
@@ -168,14 +170,12 @@
       payloadKeys
     }
     this.folded.set(id, step)
-    const early = this.early.get(id) ?? []
-    this.early.delete(id)
-    return [{ type: 'accepted', step }, ...early.flatMap((record) => this.fold(record))]
+    return [{ type: 'accepted', step }, ...this.foldKept(id)]
   }
 
   private foldResult (record: Extract<StepRecord, { kind: 'result' }>): StepChange[] {
     const step = this.folded.get(record.step)
-    if (step === undefined) return this.keepEarly(record.step, record)
+    if (step === undefined) return []
     const { result } = record
     if (!step.items.has(result.item) || step.positions.has(result.item)) return []
     step.positions.set(result.item, step.results.length)
@@ -185,15 +185,21 @@
 
   private foldEnd (record: Extract<StepRecord, { kind: 'end' }>): StepChange[] {
     const step = this.folded.get(record.step)
-    if (step === undefined) return this.keepEarly(record.step, record)
+    if (step === undefined) return []
     if (step.ended) return []
     step.ended = true
     return [{ type: 'ended', step }]
   }
 
-  private keepEarly (step: string, record: StepRecord): StepChange[] {
-    this.early.set(step, [...(this.early.get(step) ?? []), record])
-    return []
+  /**
+   * Folds the results and the end of a step that come before its outline: after a restart records come
+   * in the order of their newest writing, and a drop of the step leaves what its author had not read.
+   */
+  private foldKept (id: string): StepChange[] {
+    return [...this.records.get(id)?.values() ?? []].flatMap((record) => {
+      this.noteText(record)
+      return record.kind === 'result' || record.kind === 'end' ? this.fold(record) : []
+    })
   }
 
   private foldClaim ({ claim, key }: Extract<StepRecord, { kind: 'claim' }>): StepChange[] {
@@ -222,7 +228,6 @@
 
   private forget (id: string): StepChange[] {
     this.parts.delete(id)
-    this.early.delete(id)
     this.contentKeys.delete(id)
     return this.folded.delete(id) ? [{ type: 'forgotten', step: id }] : []
   }
