--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -2,6 +2,10 @@
  * Records of steps in a keyed topic, which keeps the newest record of every key for good. A record
  * whose place in the order matters has a key of its own (with a nonce): written twice under one key,
  * the second would replace the first, and the order after a restart would not be the one before.
+ * Such are results and claims. The others have one key each time they are written, as their place does
+ * not matter: results that stand before the outline of their step count, a step that is ended stays so,
+ * of renewals the newest counts, a release holds for one holder of one term, payloads and texts are
+ * found by their keys alone, and a drop removes a key wherever it stands.
  */
 
 import { z } from 'zod'
