Only an error of connecting proves that nothing was sent

Cause: EHOSTUNREACH and ENETUNREACH also come from a read or write of a connection in use, whose request has left; an append, or a call that may run once only, was then called not sent. The system call tells them apart; errors without one (a connect's own time limit, several addresses tried) count as before. Looked at beside it: undici errors the request under way when its connection breaks and sends again only what had not left; calls between hosts take only a refused connection as proof; of the store's answers 429, 503 and 507 promise that nothing was done, 400, 403, 404 and 413 refuse the call as it is, 409 and 412 answer conditions, which no call of ours sets. Before: read EHOSTUNREACH counted as never sent (test red); after: test/adapters passes.

--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -59,9 +59,13 @@
 
 const silences: ReadonlySet<string> = new Set(['UND_ERR_HEADERS_TIMEOUT', 'UND_ERR_BODY_TIMEOUT', 'UND_ERR_ABORTED', 'TimeoutError', 'AbortError'])
 
-/** Whether an error proves that nothing was sent. */
+/**
+ * Whether an error proves that nothing was sent. A connection in use that loses its way fails with the
+ * codes of a failed connect; its system call, a read or a write, tells it apart.
+ */
 export function neverSent (error: unknown): boolean {
-  return beforeFirstByte.has(errorCode(error))
+  const { syscall } = (error ?? {}) as { syscall?: unknown }
+  return beforeFirstByte.has(errorCode(error)) && (syscall === undefined || syscall === 'connect')
 }
 
 /** Whether an error means that the other end said nothing for too long. */
