--- /dev/null
+++ b/test/support/recordedLog.ts
@@ -0,0 +1,29 @@
+/** A log that keeps its lines for a test to read. */
+
+import type { LogDetails, StateLog } from '../../src/ports/common/observation.ts'
+
+export interface RecordedLine {
+  readonly what: string
+  readonly details: LogDetails
+}
+
+export class RecordedLog implements StateLog {
+  readonly lines: RecordedLine[] = []
+
+  changed (what: string, details: LogDetails): void {
+    this.lines.push({ what, details })
+  }
+
+  alarm (what: string, details: LogDetails): void {
+    this.lines.push({ what, details })
+  }
+
+  decided (what: string, details: LogDetails): void {
+    this.lines.push({ what, details })
+  }
+
+  /** Details of all lines of an event. */
+  of (what: string): LogDetails[] {
+    return this.lines.flatMap((line) => line.what === what ? [line.details] : [])
+  }
+}
