Hosts that become known or alive within a second are told of in one line

Cause: a line was written for each host that a host learns of, so that a start of n hosts wrote n times n lines. Now these are gathered for a second: hosts known with their number by status; a single one has its host status line as before, with the former status. Deaths and suspicions of known hosts are not gathered.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -5,12 +5,14 @@
  */
 
 import type { HostId, Place, ShardKey } from '../../../base/common/ids.ts'
-import type { Event } from '../../../base/common/lifecycle.ts'
-import { Emitter } from '../../../base/common/lifecycle.ts'
+import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
+import { Emitter, toDisposable } from '../../../base/common/lifecycle.ts'
 import { unreachable } from '../../../base/common/exhaustive.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import type { Member, MemberUpdate } from '../../../core/common/membership/memberTable.ts'
 import { MemberTable } from '../../../core/common/membership/memberTable.ts'
+import type { NewStatus } from '../../../core/common/membership/statusLines.ts'
+import { statusLine } from '../../../core/common/membership/statusLines.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -72,6 +74,8 @@
 
 /** Probes to seeds and to the dead, as one in so many. */
 const SEED_PROBE_EVERY = 8
+/** How long hosts that become known or alive are gathered for one line, in milliseconds: a few probe periods, in which a host that starts hears of most others. */
+const GATHER_MS = 1000
 
 export class Membership extends Task<Message> implements MembershipView {
   private readonly table: MemberTable
@@ -80,6 +84,9 @@
   private readonly loads = new Map<HostId, number>()
   private readonly storeReachers = new Set<HostId>()
   private readonly doubted = new Set<HostId>()
+  /** Hosts that became known or alive and that no line has told of. */
+  private readonly news = new Map<HostId, NewStatus>()
+  private gathering: Disposable | undefined
   private round: Member[] = []
   private probes = 0
   private lastFull = Number.NEGATIVE_INFINITY
@@ -95,6 +102,7 @@
     services.handlers.handle('membership.probe-for', async ({ address }) => ({ reached: (await this.send(address, false)).ok }))
     this.disposables.add(services.clock.every(options.probePeriodMs, () => { this.tell({ type: 'probe' }) }))
     this.disposables.add(this.changes)
+    this.disposables.add(toDisposable(() => { this.gathering?.dispose() }))
     this.tell({ type: 'probe' })
   }
 
@@ -256,6 +264,7 @@
   private suspect (member: Member): void {
     if (!this.table.suspect(member.host, this.services.clock.monotonic())) return
     this.services.metrics.count('membership.suspected')
+    if (this.news.has(member.host)) this.tellNews()
     this.services.stateLog.changed('host is suspect', { member: member.host })
     this.changes.fire()
   }
@@ -277,6 +286,24 @@
     }
   }
 
+  /** Writes what a host became; what comes with a start or with the end of a cut is gathered, as it comes for all hosts. */
+  private note (change: NewStatus): void {
+    const gathered = this.news.get(change.host)
+    if (gathered === undefined && change.was !== 'unknown' && change.status !== 'alive') {
+      return this.services.stateLog.changed('host status', { member: change.host, status: change.status, was: change.was })
+    }
+    this.news.set(change.host, { ...change, was: gathered?.was ?? change.was })
+    this.gathering ??= this.services.clock.after(GATHER_MS, () => { this.tellNews() })
+  }
+
+  private tellNews (): void {
+    this.gathering?.dispose()
+    this.gathering = undefined
+    const line = statusLine([...this.news.values()], this.table.all().length)
+    this.news.clear()
+    if (line !== undefined) this.services.stateLog.changed(line.what, line.details)
+  }
+
   private answerProbe (message: ProbeMessage): ProbeMessage {
     this.learn(message)
     return this.message(false, message.full)
@@ -297,7 +324,7 @@
       if (!this.table.merge(update, now)) continue
       if (before === this.table.get(update.host)?.status) continue
       changed = true
-      this.services.stateLog.changed('host status', { member: update.host, status: update.status })
+      this.note({ host: update.host, status: update.status, was: before ?? 'unknown' })
     }
     this.tablesDiffer = message.digest !== this.services.hash.digest(this.table.summary())
     this.loads.set(message.from.host, message.load)
