Test: targets of the first reading are told of in one line

Red on the code as it is: 'expected [ { what: 'target registered', ...(1) }, ...(2) ] to deeply equal [ { what: 'targets known', ...(1) } ]'.

--- a/test/actors/routes/targetTable.test.ts
+++ b/test/actors/routes/targetTable.test.ts
@@ -4,6 +4,7 @@
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import { quietLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
+import { RecordedLog } from '../../support/recordedLog.ts'
 import { targetDefinition } from '../../support/routes.ts'
 
 describe('the table of targets', () => {
@@ -71,4 +72,18 @@
     target?.answered(30)
     expect(target?.suspect).to.equal(false)
   })
+
+  it('tells of the targets of its first reading in one line, and of each later one in its own', () => {
+    // After a restart of 84 hosts each of them wrote a line for each target that stood in the topic
+    // already, and lines of an hour before gave way to them.
+    const log = new RecordedLog()
+    const read = new TargetTable({ clock, stateLog: log })
+    const first = [targetDefinition({ id: 'a' }), targetDefinition({ id: 'b', draining: true }), targetDefinition({ id: 'other', service: 'o' })]
+    read.replace(first, longAgo)
+    expect(log.lines).to.deep.equal([{ what: 'targets known', details: { targets: 3, draining: 1, services: 'o:1 s:2' } }])
+    read.set(targetDefinition({ id: 'c' }))
+    read.replace([...first, targetDefinition({ id: 'c', draining: true }), targetDefinition({ id: 'd' })], longAgo)
+    read.remove('d', longAgo)
+    expect(log.lines.slice(1).map(({ what, details }) => `${what} ${String(details.target)}`)).to.deep.equal(['target registered c', 'target drains c', 'target registered d', 'target gone d'])
+  })
 })
