Targets that a host finds when it first reads their entries are told of in one line

Cause: each entry that was there already was written as a registration of its own. Now targets known has their number, how many drain and how many each service has; an entry that comes later, one that drains and one that goes keep their own lines. Only the logging of set and replace is touched in the table.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -84,16 +84,7 @@
   }
 
   set (definition: TargetDefinition): void {
-    this.missing.delete(definition.id)
-    const known = this.targets.get(definition.id)
-    if (known === undefined) {
-      this.targets.set(definition.id, new KnownTarget(definition, this.services.clock))
-      this.services.stateLog.changed('target registered', { target: definition.id, service: definition.service, place: definition.place })
-    } else {
-      if (!known.definition.draining && definition.draining) this.services.stateLog.changed('target drains', { target: definition.id, service: definition.service })
-      known.definition = definition
-    }
-    this.changes.fire()
+    this.put(definition, true)
   }
 
   /**
@@ -114,10 +105,25 @@
   /** Replaces all entries by those that were read anew. */
   replace (definitions: readonly TargetDefinition[], storeRegainedAt: number): void {
     const present = new Set(definitions.map(({ id }) => id))
-    for (const definition of definitions) this.set(definition)
+    const first = this.targets.size === 0
+    if (first && definitions.length > 0) this.services.stateLog.changed('targets known', summary(definitions))
+    for (const definition of definitions) this.put(definition, !first)
     for (const id of [...this.targets.keys()]) if (!present.has(id)) this.remove(id, storeRegainedAt)
   }
 
+  private put (definition: TargetDefinition, toldAlone: boolean): void {
+    this.missing.delete(definition.id)
+    const known = this.targets.get(definition.id)
+    if (known === undefined) {
+      this.targets.set(definition.id, new KnownTarget(definition, this.services.clock))
+      if (toldAlone) this.services.stateLog.changed('target registered', { target: definition.id, service: definition.service, place: definition.place })
+    } else {
+      if (!known.definition.draining && definition.draining) this.services.stateLog.changed('target drains', { target: definition.id, service: definition.service })
+      known.definition = definition
+    }
+    this.changes.fire()
+  }
+
   private dropMissing (): void {
     const now = this.services.clock.monotonic()
     for (const [id, until] of [...this.missing]) if (now >= until) this.drop(id, 'its entry did not come back')
@@ -130,3 +136,11 @@
     this.changes.fire()
   }
 }
+
+/** Numbers of targets for a log line: all, draining ones, and those of each service. */
+function summary (definitions: readonly TargetDefinition[]): { targets: number, draining: number, services: string } {
+  const counts = new Map<string, number>()
+  for (const { service } of definitions) counts.set(service, (counts.get(service) ?? 0) + 1)
+  const services = [...counts].sort(([a], [b]) => a < b ? -1 : 1).map(([service, count]) => `${service}:${count}`).join(' ')
+  return { targets: definitions.length, draining: definitions.filter(({ draining }) => draining).length, services }
+}
