A scrape begins with its gauges and counters, in short; histograms follow

Cause: comments, the host's name on each series and histograms of 15 lines came before or among the counters. Now gauges, then counters that are not zero, without comments, the name once as host_info; histograms whole at the end. Ruled out: leaving out buckets equal to the one before; sums by bucket over several hosts would be wrong. A scraper takes gauges and counters as untyped.

--- a/tools/references.ts
+++ b/tools/references.ts
@@ -114,7 +114,8 @@
 Written by tools/references.ts. With \`metrics.listen\` a host serves them as text under \`/metrics\`; with
 \`metrics.collector\` it sends them by StatsD. Counters begin at 0 with each start. Those of
 \`completions\`, \`orders.failed\`, \`refused\`, \`rollouts.ended\`, \`services\`, \`front.refused\` and \`task\` are
-also counted by result code or task, in the label \`code\`.
+also counted by result code or task, in the label \`code\`. The text has gauges first, then counters that
+are not zero, both without comments, then histograms; \`bulrushvalve_host_info\` names the host once.
 
 | counter | scraped as | meaning |
 | --- | --- | --- |
