Gauges: duty.alone, targets known and suspect, items by state

Cause: a scrape had the term and one number of items. Set where the other gauges are set when a scraper asks; the existing names stay. Of stepHome.ts only the count of items is touched.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -72,6 +72,11 @@
     return this.targets.get(id)
   }
 
+  /** Numbers of all targets, and of those that failed lately. */
+  get counts (): { known: number, suspect: number } {
+    return { known: this.targets.size, suspect: [...this.targets.values()].filter(({ suspect }) => suspect).length }
+  }
+
   /** Targets of a service that may get new work. */
   available (service: string): KnownTarget[] {
     this.dropMissing()
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -88,11 +88,14 @@
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
   }
 
+  /** All items of the steps that run here. */
+  get items (): ItemWork[] {
+    return [...this.works.values()].flatMap(({ items }) => [...items.values()])
+  }
+
   /** Items under way. */
   get underway (): number {
-    let count = 0
-    for (const { items } of this.works.values()) for (const { state } of items.values()) if (state !== 'waiting') count++
-    return count
+    return this.items.filter(({ state }) => state !== 'waiting').length
   }
 
   /** What models need of the engines. */
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -80,10 +80,17 @@
 
 export const gauges = {
   'checkpoint.characters': 'characters of the newest checkpoint',
+  'duty.alone': "1 while this host surely is the only one that holds the steps' duty, otherwise 0",
   'duty.term': "term of the steps' duty as this host knows it",
   'front.requests': 'requests of callers in flight',
+  'items.listing': 'items whose results this host has offered to the store',
+  'items.running': 'items that engines run for this host',
+  'items.scoring': 'items of this host that wait for their score',
+  'items.waiting': 'items of this host that wait for an engine',
   'steps.items': 'items under way at this host',
-  'store.backlog': 'records that the store has not confirmed'
+  'store.backlog': 'records that the store has not confirmed',
+  'targets.known': 'targets that have an entry',
+  'targets.suspect': 'targets that failed lately and are asked last'
 } as const
 
 /** Times in milliseconds. */
--- /dev/null
+++ b/src/host/node/hostGauges.ts
@@ -0,0 +1,38 @@
+/** Gauges of a host of routes, set when a scraper asks. */
+
+import type { ItemState } from '../../actors/common/steps/stepWork.ts'
+import type { Metrics } from '../../ports/common/observation.ts'
+
+export type ItemCounts = Readonly<Record<ItemState, number>>
+
+/** What the gauges show. */
+export interface HostState {
+  readonly duty: { readonly term: number, readonly alone: boolean }
+  /** Requests of callers in flight. */
+  readonly requests: number
+  readonly items: ItemCounts
+  /** Records that the store has not confirmed. */
+  readonly backlog: number
+  readonly targets: { readonly known: number, readonly suspect: number }
+}
+
+/** Numbers of items by state. */
+export function countItems (items: Iterable<{ readonly state: ItemState }>): ItemCounts {
+  const counts = { waiting: 0, running: 0, scoring: 0, listing: 0 }
+  for (const { state } of items) counts[state]++
+  return counts
+}
+
+export function setGauges (metrics: Metrics, { duty, requests, items, backlog, targets }: HostState): void {
+  metrics.gauge('duty.term', duty.term)
+  metrics.gauge('duty.alone', duty.alone ? 1 : 0)
+  metrics.gauge('front.requests', requests)
+  metrics.gauge('steps.items', items.running + items.scoring + items.listing)
+  metrics.gauge('items.waiting', items.waiting)
+  metrics.gauge('items.running', items.running)
+  metrics.gauge('items.scoring', items.scoring)
+  metrics.gauge('items.listing', items.listing)
+  metrics.gauge('store.backlog', backlog)
+  metrics.gauge('targets.known', targets.known)
+  metrics.gauge('targets.suspect', targets.suspect)
+}
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -55,6 +55,7 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
+import { countItems, setGauges } from './hostGauges.ts'
 import { SettingsReloader } from './settingsReloader.ts'
 
 export interface RoutedHost {
@@ -236,10 +237,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      metrics.gauge('duty.term', duty.term)
-      metrics.gauge('front.requests', front.requests)
-      metrics.gauge('steps.items', home.underway)
-      metrics.gauge('store.backlog', backlog())
+      setGauges(metrics, { duty, requests: front.requests, items: countItems(home.items), backlog: backlog(), targets: targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
