--- /dev/null
+++ b/test/actors/store/appendNotes.test.ts
@@ -0,0 +1,60 @@
+/** Lines about appends that were refused or not answered, with the way that they went. */
+
+import { expect } from 'chai'
+import { failure, success } from '../../../src/base/common/resultCode.ts'
+import type { Result } from '../../../src/base/common/resultCode.ts'
+import type { KeyedLog } from '../../../src/ports/common/keyedLog.ts'
+import type { Peers } from '../../../src/ports/common/peers.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
+import { RecordedLog } from '../../support/recordedLog.ts'
+
+const records = [{ key: 'result/s/i/1', value: '{}' }, { key: 'end/s', value: '{}' }]
+
+describe('appends without success', () => {
+  // In an incident a step was accepted and its end never confirmed. No line told whether an append was
+  // refused or unanswered, nor through which host it had gone.
+  let clock: ManualClock
+  let log: RecordedLog
+  let answer: Result<number>
+  let direct: KeyedLog
+  let peers: Peers
+
+  beforeEach(async () => {
+    const { AppendNotes } = await import('../../../src/actors/common/store/appendNotes.ts')
+    clock = new ManualClock()
+    log = new RecordedLog()
+    const notes = new AppendNotes({ clock, stateLog: log })
+    const memory = new MemoryKeyedLog()
+    direct = notes.ofLog('t', { append: async () => { clock.freeze(30); return answer }, read: async (from) => await memory.read(from), newest: async (after) => await memory.newest(after) })
+    peers = notes.ofPeers({ call: async (address) => (address === 'silent' ? failure('unknownOutcome', 'no answer') : success(answer)) as never })
+  })
+
+  it('have a line with topic, records, first key, way, code and time; those with success have none', async () => {
+    answer = success(1)
+    await direct.append(records)
+    answer = failure('commandUnknown', 'no answer')
+    expect(await direct.append(records)).to.equal(answer)
+    expect(log.lines).to.deep.equal([{ what: 'append not confirmed', details: { topic: 't', records: 2, key: 'result/s/i/1', way: 'direct', code: 'commandUnknown', tookMs: 30, failed: true, unwritten: 0 } }])
+  })
+
+  it('name the host that they went through, and whether it was silent', async () => {
+    answer = failure('logUnavailable', 'refused')
+    await peers.call('helper', 'store.append', { topic: 't', records }, 100)
+    await peers.call('silent', 'store.append', { topic: 't', records }, 100)
+    await peers.call('silent', 'store.newest', { topic: 't' }, 100)
+    expect(log.of('append not confirmed').map(({ way, code }) => `${String(way)} ${String(code)}`)).to.deep.equal(['helper logUnavailable', 'silent unknownOutcome'])
+  })
+
+  it('are told of once a second and way while they are refused, with the number of others', async () => {
+    answer = failure('logUnavailable', 'refused')
+    for (let turn = 0; turn < 20; turn++) {
+      await direct.append(records)
+      clock.freeze(30)
+    }
+    expect(log.of('append not confirmed').map(({ unwritten }) => unwritten)).to.deep.equal([0, 16])
+    answer = failure('commandUnknown', 'no answer')
+    for (let turn = 0; turn < 3; turn++) await direct.append(records)
+    expect(log.of('append not confirmed')).to.have.length(5)
+  })
+})
