An append that is refused or not answered has a line with its way

Cause: nothing told of appends without success, nor through which host they went. AppendNotes wraps the direct client of each topic and the calls to other hosts; refusals have a line a second for each topic and way, with the number of those without, as they come a dozen times a second in an outage; unanswered ones have a line each. Ruled out: a line in the appender, which does not know the way. relayedKeyedLog.ts and groupAppender.ts are not touched.

--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -21,6 +21,7 @@
 import { StepContents } from '../../actors/common/steps/stepContents.ts'
 import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
 import { StepHome } from '../../actors/common/steps/stepHome.ts'
+import { AppendNotes } from '../../actors/common/store/appendNotes.ts'
 import { GroupAppender } from '../../actors/common/store/groupAppender.ts'
 import { RelayedKeyedLog, serveRelays } from '../../actors/common/store/relayedKeyedLog.ts'
 import { LAST_KEY } from '../../actors/common/store/keyedTail.ts'
@@ -123,11 +124,13 @@
   const probeLog = new KeyedLogClient(probeCaller, storeProtocol, store.topic)
   const reach = disposables.add(new StoreReach(clock, async () => (await probeLog.newest(LAST_KEY)).ok))
   const storeCaller = new StoreCaller(storeConnections, metrics, store.address, store.timeout)
+  const notes = new AppendNotes(base)
+  const notedPeers = notes.ofPeers(peers)
   const direct = new Map<string, KeyedLog>()
   const keyedLog = (topic: string): KeyedLog => {
-    const client = new KeyedLogClient(storeCaller, storeProtocol, topic)
+    const client = notes.ofLog(topic, new KeyedLogClient(storeCaller, storeProtocol, topic))
     direct.set(topic, client)
-    return new RelayedKeyedLog({ peers, helpers: () => membership.storeReacherAddresses(), reach, metrics }, client, topic)
+    return new RelayedKeyedLog({ peers: notedPeers, helpers: () => membership.storeReacherAddresses(), reach, metrics }, client, topic)
   }
   const onRegained = reach.onRegained
   const tail = (name: string, pauseMs: number) => ({ name, longPollMs: store.long_poll, pauseMs })
--- a/test/actors/store/appendNotes.test.ts
+++ b/test/actors/store/appendNotes.test.ts
@@ -1,6 +1,7 @@
 /** Lines about appends that were refused or not answered, with the way that they went. */
 
 import { expect } from 'chai'
+import { AppendNotes } from '../../../src/actors/common/store/appendNotes.ts'
 import { failure, success } from '../../../src/base/common/resultCode.ts'
 import type { Result } from '../../../src/base/common/resultCode.ts'
 import type { KeyedLog } from '../../../src/ports/common/keyedLog.ts'
@@ -20,8 +21,7 @@
   let direct: KeyedLog
   let peers: Peers
 
-  beforeEach(async () => {
-    const { AppendNotes } = await import('../../../src/actors/common/store/appendNotes.ts')
+  beforeEach(() => {
     clock = new ManualClock()
     log = new RecordedLog()
     const notes = new AppendNotes({ clock, stateLog: log })
