--- /dev/null
+++ b/test/actors/steps/resultNotes.test.ts
@@ -0,0 +1,82 @@
+/** Lines about where results stand. */
+
+import { expect } from 'chai'
+import { StepTopic } from '../../../src/actors/common/store/stepTopic.ts'
+import { toDisposable } from '../../../src/base/common/lifecycle.ts'
+import { resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
+import { quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
+import { RecordedLog } from '../../support/recordedLog.ts'
+import { item, submission } from '../../support/steps.ts'
+
+const result = (id: string, nonce: string) => resultRecord('s', { item: id, state: 'complete', versions: [1], score: undefined, textKey: undefined }, nonce)
+
+describe('where results stand', () => {
+  // In an incident a step could not be read after all hosts had started again. No line told where a result
+  // stood, nor whether a host that read the topic anew found the results in another order than before.
+  let clock: ManualClock
+  let store: MemoryKeyedLog
+  let log: RecordedLog
+  let topic: StepTopic
+  let parts: number
+
+  beforeEach(async () => {
+    clock = new ManualClock()
+    store = new MemoryKeyedLog()
+    log = new RecordedLog()
+    const { outline } = submissionRecords(submission('s', [item('a', 'g'), item('b', 'g'), item('c', 'h')]), 1, 'n')
+    parts = outline.length
+    store.write(outline)
+    const polled = {
+      append: store.append.bind(store),
+      newest: store.newest.bind(store),
+      read: async (from: number, waitMs: number) => {
+        if (waitMs > 0) await new Promise<void>((resolve) => { clock.after(20, resolve) })
+        return await store.read(from)
+      }
+    }
+    topic = new StepTopic({ log: polled, clock, metrics: quietMetrics, stateLog: log, onRegained: () => toDisposable(() => undefined) }, { name: 't', longPollMs: 1000, pauseMs: 0 })
+    topic.start()
+    await clock.advance(50)
+  })
+  afterEach(() => { topic.dispose() })
+
+  it('is told by the holder of the duty for each result, and by nobody else', async () => {
+    const { noteResults } = await import('../../../src/actors/common/steps/resultNotes.ts')
+    const duty = { holds: false, term: 4 }
+    const notes = noteResults({ topic, duty, stateLog: log })
+    store.write([result('a', '1')])
+    await clock.advance(50)
+    duty.holds = true
+    store.write([result('c', '1'), result('a', '2'), result('b', '1')])
+    await clock.advance(50)
+    notes.dispose()
+    expect(log.of('result listed')).to.deep.equal([
+      { step: 's', item: 'c', position: 1, offset: parts + 1, term: 4 },
+      { step: 's', item: 'b', position: 2, offset: parts + 3, term: 4 }
+    ])
+  })
+
+  it('is told by a host that finds it otherwise when it reads the topic anew', async () => {
+    store.write([result('a', '1'), result('b', '1')])
+    await clock.advance(50)
+    store.write([result('a', '1'), result('c', '1')])
+    store.first = store.entries.length
+    await clock.advance(50)
+    expect(log.of('results stand otherwise than before')).to.deep.equal([
+      { step: 's', item: 'a', former: 0, present: 1, moved: 2 },
+      { step: 's', item: 'b', former: 1, present: 0, moved: 2 }
+    ])
+  })
+
+  it('is not told by a host that finds it as it was', async () => {
+    store.write([result('a', '1'), result('b', '1')])
+    await clock.advance(50)
+    store.write([result('c', '1')])
+    store.first = store.entries.length
+    await clock.advance(50)
+    expect(topic.step('s')?.results).to.have.length(3)
+    expect(log.of('results stand otherwise than before')).to.deep.equal([])
+  })
+})
