The holder tells where each result stands; a host that reads the topic anew tells what moved

Cause: no line had position, offset or term of a result, and none compared the positions before and after a load. The change 'listed' of the fold carries position and offset; a decided line at the holder (bounded with the other decisions); ten alarms a load at most for results that stand otherwise, by a pure comparison. Ruled out: a comparison over restarts of a process, which holds nothing of its former life.

--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -4,10 +4,15 @@
 import { Emitter, toDisposable } from '../../../base/common/lifecycle.ts'
 import type { FoldedDuty, FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { StepFold } from '../../../core/common/steps/stepFold.ts'
+import { movedResults } from '../../../core/common/steps/movedResults.ts'
+import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
 import type { DutySource } from '../duties/dutyKeeper.ts'
 import type { TailServices, TailSettings } from './keyedTail.ts'
 import { KeyedTail } from './keyedTail.ts'
 
+/** Lines about moved results that one load writes, at most: the first ones show where the order parts. */
+const MOST_MOVED = 10
+
 export class StepTopic implements DutySource, Disposable {
   private readonly fold = new StepFold()
   private readonly tail: KeyedTail
@@ -18,9 +23,9 @@
   readonly onChange = this.changes.event
   readonly onDuty = this.dutyChanges.event
 
-  constructor (services: TailServices, settings: TailSettings) {
+  constructor (private readonly services: TailServices, settings: TailSettings) {
     this.tail = new KeyedTail(services, settings, {
-      reset: (entries) => { this.tell(this.fold.reset(entries)) },
+      reset: (entries) => { this.reset(entries) },
       apply: (entries) => { this.tell(this.fold.apply(entries)) }
     })
     this.tail.hurryWhile(() => this.waiting > 0)
@@ -96,6 +101,17 @@
     this.dutyChanges.dispose()
   }
 
+  /** Records have one order for all time; where results move, readers that hold a position are misled, and nobody else would notice. */
+  private reset (entries: readonly KeyedEntry[]): void {
+    const before = [...this.fold.steps()]
+    const changes = this.fold.reset(entries)
+    const moved = movedResults(before, (step) => this.fold.step(step))
+    for (const { step, item, former, present } of moved.slice(0, MOST_MOVED)) {
+      this.services.stateLog.alarm('results stand otherwise than before', { step, item, former, present: present ?? 'gone', moved: moved.length })
+    }
+    this.tell(changes)
+  }
+
   private tell (changes: readonly StepChange[]): void {
     for (const change of changes) {
       if (change.type === 'duty') this.dutyChanges.fire(change.duty)
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -46,7 +46,7 @@
 
 export type StepChange =
   | { readonly type: 'accepted', readonly step: FoldedStep }
-  | { readonly type: 'listed', readonly step: FoldedStep, readonly result: ListedResult }
+  | { readonly type: 'listed', readonly step: FoldedStep, readonly result: ListedResult, readonly position: number, readonly offset: number }
   | { readonly type: 'ended', readonly step: FoldedStep }
   | { readonly type: 'duty', readonly duty: FoldedDuty }
   | { readonly type: 'forgotten', readonly step: string }
@@ -176,11 +176,12 @@
   private foldResult (record: Extract<StepRecord, { kind: 'result' }>): StepChange[] {
     const step = this.folded.get(record.step)
     if (step === undefined) return this.keepEarly(record.step, record)
-    const { result } = record
+    const { result, offset } = record
     if (!step.items.has(result.item) || step.positions.has(result.item)) return []
-    step.positions.set(result.item, step.results.length)
+    const position = step.results.length
+    step.positions.set(result.item, position)
     step.results.push(result)
-    return [{ type: 'listed', step, result }]
+    return [{ type: 'listed', step, result, position, offset }]
   }
 
   private foldEnd (record: Extract<StepRecord, { kind: 'end' }>): StepChange[] {
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -18,7 +18,7 @@
 
 export type StepRecord =
   | { readonly kind: 'part', readonly step: string, readonly index: number, readonly count: number, readonly text: string }
-  | { readonly kind: 'result', readonly step: string, readonly result: ListedResult }
+  | { readonly kind: 'result', readonly step: string, readonly result: ListedResult, readonly offset: number }
   | { readonly kind: 'end', readonly step: string }
   | { readonly kind: 'claim', readonly claim: DutyClaim, readonly key: string }
   | { readonly kind: 'renewal', readonly claim: DutyClaim, readonly count: number }
@@ -109,7 +109,7 @@
   if (entry.value === undefined) return readDropped(kind, decode(first))
   switch (kind) {
     case 'step': return readPart(decode(first), entry.value)
-    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score, textKey: result.textKey } }))
+    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score, textKey: result.textKey }, offset: entry.offset }))
     case 'end': return { kind, step: decode(first) }
     case 'claim': return read(claimSchema, entry.value, (claim) => ({ kind, claim, key: entry.key }))
     case 'renewal': return read(renewalSchema, entry.value, ({ count, ...claim }) => ({ kind, claim, count }))
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -16,6 +16,7 @@
 import { TargetTopic } from '../../actors/common/routes/targetTopic.ts'
 import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
+import { noteResults } from '../../actors/common/steps/resultNotes.ts'
 import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
 import { StepCleaner } from '../../actors/common/steps/stepCleaner.ts'
 import { StepContents } from '../../actors/common/steps/stepContents.ts'
@@ -167,6 +168,7 @@
     doubtMs: settings.duty.doubt,
     claimDelayMs: settings.host.processor_share * settings.host.processor_speed < 1 ? SMALL_HOST_DELAY_MS : 0
   }))
+  disposables.add(noteResults({ topic, duty, stateLog }))
   const board = new EngineBoard(targets, clock, () => operator.routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes: () => operator.routes }))
   const home: StepHome = disposables.add(new StepHome({
--- a/test/actors/steps/resultNotes.test.ts
+++ b/test/actors/steps/resultNotes.test.ts
@@ -1,6 +1,7 @@
 /** Lines about where results stand. */
 
 import { expect } from 'chai'
+import { noteResults } from '../../../src/actors/common/steps/resultNotes.ts'
 import { StepTopic } from '../../../src/actors/common/store/stepTopic.ts'
 import { toDisposable } from '../../../src/base/common/lifecycle.ts'
 import { resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
@@ -43,7 +44,6 @@
   afterEach(() => { topic.dispose() })
 
   it('is told by the holder of the duty for each result, and by nobody else', async () => {
-    const { noteResults } = await import('../../../src/actors/common/steps/resultNotes.ts')
     const duty = { holds: false, term: 4 }
     const notes = noteResults({ topic, duty, stateLog: log })
     store.write([result('a', '1')])
