Test: the story of an item leaves out what had no part in it

Red on the code as it is: 'expected [ 'step submitted m1', ...(11) ] to deeply equal [ 'step submitted m1', ...(7) ]', with lines about other hosts, another topic and another model, without the unconfirmed append of its result.

--- a/test/core/explanation/explanation.test.ts
+++ b/test/core/explanation/explanation.test.ts
@@ -41,4 +41,29 @@
     expect(readLine(`  12.5 host ${line(0, 'a/1', 'changed', 'start', {})}`)?.what).to.equal('start')
     for (const text of ['', 'not JSON', '{"time":1}', '{"time"', '{"time":"2026","host":1}']) expect(readLine(text)).to.equal(undefined)
   })
+
+  it('leaves out what had no part in it: other hosts, topics, models and targets', () => {
+    // The story of one item had hundreds of lines about hosts, topics and targets that it never met,
+    // as each change that its hosts came to believe within some seconds was taken in.
+    const noisy = [
+      line(0, 'a/1', 'decided', 'step submitted', { step: 's1', model: 'm1', outcome: 'accepted' }),
+      line(0.1, 'b/1', 'changed', 'hosts known', { hosts: 83, alive: 83, known: 84 }),
+      line(0.2, 'b/1', 'changed', 'host status', { member: 'z/1', status: 'dead', was: 'alive' }),
+      line(0.3, 'b/1', 'changed', 'host is dead', { member: 'z/2' }),
+      line(0.4, 'b/1', 'changed', 'topic loaded', { topic: 'other', records: 9, offset: 9 }),
+      line(0.5, 'b/1', 'changed', 'topic loaded', { topic: 'steps', records: 9, offset: 9 }),
+      line(0.6, 'b/1', 'changed', 'target registered', { target: 'e7', service: 'x' }),
+      line(0.7, 'b/1', 'changed', 'version named', { model: 'm2', version: 3 }),
+      line(0.8, 'b/1', 'changed', 'version named', { model: 'm1', version: 3 }),
+      line(0.9, 'b/1', 'alarm', 'store lost', { topic: 'other' }),
+      line(1, 'b/1', 'decided', 'run ended', { item: 'i1', step: 's1', engine: 'e1', end: 'complete' }),
+      line(1.1, 'b/1', 'decided', 'append not confirmed', { topic: 'steps', records: 1, key: 'result/s1/i1/n1', way: 'direct', code: 'commandUnknown', failed: true }),
+      line(1.2, 'b/1', 'decided', 'append not confirmed', { topic: 'steps', records: 1, key: 'result/s2/i1x/n1', way: 'direct', code: 'commandUnknown', failed: true }),
+      line(1.3, 'b/1', 'decided', 'result listed', { step: 's1', item: 'i1', position: 0, offset: 12, term: 1 }),
+      line(1.4, 'a/1', 'changed', 'host is suspect', { member: 'b/1' })
+    ].map(readLine).filter((read): read is LogLine => read !== undefined)
+    expect(explain(noisy, 'i1').map(({ what, details }) => [what, details.topic ?? details.model ?? details.member].filter((part) => part !== undefined).join(' '))).to.deep.equal([
+      'step submitted m1', 'topic loaded steps', 'version named m1', 'store lost other', 'run ended', 'append not confirmed steps', 'result listed', 'host is suspect b/1'
+    ])
+  })
 })
