The story of an item leaves out what had no part in it

Now lines about members, targets, topics that were loaded and models are kept where the story names them; appends without success are found by the ids in their key. Outages of the store stay whatever their topic, since the records of an item are in several.

--- a/src/core/common/explanation/explanation.ts
+++ b/src/core/common/explanation/explanation.ts
@@ -1,7 +1,8 @@
 /**
  * The story of a request, an item or a step from the log lines of several hosts: the lines that
  * name it, those of what they name (the step of an item, the targets that were tried), and what the
- * hosts concerned believed changed meanwhile.
+ * hosts concerned believed changed meanwhile, without what is about hosts, targets, topics and models
+ * that had no part in it.
  */
 
 export interface LogLine {
@@ -22,19 +23,51 @@
   if (own.length === 0) return []
   const steps = new Set(own.flatMap(({ details }) => typeof details.step === 'string' ? [details.step] : []))
   const ofSteps = lines.filter(({ what, details }) => typeof details.step === 'string' && steps.has(details.step) && details.item === undefined && what.startsWith('step'))
-  const story = new Set([...own, ...ofSteps])
-  const targets = new Set([...story].flatMap(targetsIn))
-  const hosts = new Set([...story].map(({ host }) => host))
+  const ofRecords = lines.filter((line) => [id, ...steps].some((named) => namesInKey(line, named)))
+  const story = new Set([...own, ...ofSteps, ...ofRecords])
+  const parts: Parts = {
+    targets: new Set([...story].flatMap(targetsIn)),
+    hosts: new Set([...story].map(({ host }) => host)),
+    topics: namesOf(story, 'topic'),
+    models: namesOf(story, 'model')
+  }
   const from = Math.min(...[...story].map(({ time }) => time)) - AROUND_MS
   const until = Math.max(...[...story].map(({ time }) => time)) + AROUND_MS
   for (const line of lines) {
     if (line.time < from || line.time > until || line.type === 'decided') continue
-    const aboutTarget = typeof line.details.target === 'string' && targets.has(line.details.target)
-    if (hosts.has(line.host) && (aboutTarget || line.details.target === undefined)) story.add(line)
+    if (parts.hosts.has(line.host) && hadPart(line, parts)) story.add(line)
   }
   return [...story].sort((a, b) => a.time - b.time)
 }
 
+/** What the lines about an id name. */
+interface Parts {
+  readonly targets: ReadonlySet<string>
+  readonly hosts: ReadonlySet<string>
+  readonly topics: ReadonlySet<string>
+  readonly models: ReadonlySet<string>
+}
+
+/** Whether a change of belief is about something that had a part; where no line names a topic or a model, any may have had one. */
+function hadPart ({ what, details }: LogLine, { targets, hosts, topics, models }: Parts): boolean {
+  if (what === 'hosts known') return false
+  if (typeof details.target === 'string') return targets.has(details.target)
+  if (typeof details.member === 'string') return hosts.has(details.member)
+  if (typeof details.model === 'string') return models.size === 0 || models.has(details.model)
+  // An outage of the store is kept whatever its topic: the records of one item are in several.
+  if (what === 'topic loaded' && typeof details.topic === 'string') return topics.size === 0 || topics.has(details.topic)
+  return true
+}
+
+function namesOf (story: ReadonlySet<LogLine>, detail: string): Set<string> {
+  return new Set([...story].map(({ details }) => details[detail]).filter((name): name is string => typeof name === 'string'))
+}
+
+/** Whether a line tells of a record with this id in its key. */
+function namesInKey ({ details }: LogLine, id: string): boolean {
+  return typeof details.key === 'string' && details.key.split('/').includes(encodeURIComponent(id))
+}
+
 function names (line: LogLine, id: string): boolean {
   return Object.values(line.details).includes(id)
 }
