A refused read of a step says how many texts are missing, and whether the store is lost

Cause: the line call rejected has the message of the refusal, which had no numbers. Now it has the texts that are missing, those wanted, and whether this host's reads of the steps' topic fail. Ruled out: a line of its own, which would repeat call rejected. Only the message in stepDesk.ts is touched.

--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -102,7 +102,10 @@
       if (text === undefined) break
       results.push({ ...result, text })
     }
-    if (results.length === 0 && listed.length > 0) return failure('stale', 'the store does not give the texts now', { retryAfterMs: STALE_RETRY_MS })
+    if (results.length === 0 && listed.length > 0) {
+      const missing = keys.filter((key) => texts.get(key) === undefined).length
+      return failure('stale', `${missing} of ${keys.length} texts cannot be had now, store ${this.services.topic.isLost ? 'lost' : 'reached'}`, { retryAfterMs: STALE_RETRY_MS })
+    }
     return success({ total: step.items.size, results })
   }
 
