Joins the parts on sight and on appends

One line for an append without success stays, that which knows refusals too; its way is checked by the test of appends through other hosts as before.

--- a/src/actors/common/store/relayedKeyedLog.ts
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -11,9 +11,8 @@
 
 import { failure } from '../../../base/common/resultCode.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
-import type { Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog, KeyedPage, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
-import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { Metrics } from '../../../ports/common/observation.ts'
 import type { PeerHandlers, Peers } from '../../../ports/common/peers.ts'
 import type { StoreReach } from './storeReach.ts'
 
@@ -22,9 +21,7 @@
   /** Addresses of hosts that reach the store, as far as they have said lately. */
   readonly helpers: () => readonly string[]
   readonly reach: StoreReach
-  readonly clock: Clock
   readonly metrics: Metrics
-  readonly stateLog: StateLog
 }
 
 /** Hosts that are asked for one call, at most: if two cannot reach the store either, it is away for all. */
@@ -38,11 +35,11 @@
   constructor (private readonly services: RelayServices, private readonly direct: KeyedLog, private readonly topic: string) {}
 
   async append (records: readonly KeyedRecord[]): Promise<Result<number>> {
-    const straight = await this.straight(async () => await this.send('direct', records, async () => await this.direct.append(records)))
+    const straight = await this.straight(async () => await this.direct.append(records))
     if (straight !== undefined && !isUndone(straight)) return straight
     let refused = straight
     for (const address of this.services.helpers().slice(0, MOST_HELPERS)) {
-      const relayed = await this.send(address, records, async () => await this.appendThrough(address, records))
+      const relayed = await this.appendThrough(address, records)
       if (!isUndone(relayed)) return relayed
       refused = relayed
     }
@@ -86,17 +83,6 @@
     return answer.value
   }
 
-  /** Sends an append one way, and tells if its outcome stays unknown. */
-  private async send (way: string, records: readonly KeyedRecord[], call: () => Promise<Result<number>>): Promise<Result<number>> {
-    const { clock, stateLog } = this.services
-    const began = clock.monotonic()
-    const result = await call()
-    if (!result.ok && !isUndone(result)) {
-      stateLog.decided('append without an answer', { topic: this.topic, failed: true, records: records.length, key: records[0]?.key ?? '', way, code: result.code, tookMs: Math.round(clock.monotonic() - began) })
-    }
-    return result
-  }
-
   /** Asks helpers for records until one gives them: reading twice does no harm. */
   private async ask<T> (call: (address: string) => Promise<Result<Result<T>>>): Promise<Result<T> | undefined> {
     let last: Result<T> | undefined
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -16,11 +16,13 @@
 import { TargetTopic } from '../../actors/common/routes/targetTopic.ts'
 import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
+import { noteResults } from '../../actors/common/steps/resultNotes.ts'
 import { SampleScorer } from '../../actors/common/steps/sampleScorer.ts'
 import { StepCleaner } from '../../actors/common/steps/stepCleaner.ts'
 import { StepContents } from '../../actors/common/steps/stepContents.ts'
 import { StepDesk } from '../../actors/common/steps/stepDesk.ts'
 import { StepHome } from '../../actors/common/steps/stepHome.ts'
+import { AppendNotes } from '../../actors/common/store/appendNotes.ts'
 import { GroupAppender } from '../../actors/common/store/groupAppender.ts'
 import { RelayedKeyedLog, serveRelays } from '../../actors/common/store/relayedKeyedLog.ts'
 import { LAST_KEY } from '../../actors/common/store/keyedTail.ts'
@@ -55,6 +57,7 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
+import { countItems, setGauges } from './hostGauges.ts'
 import { SettingsReloader } from './settingsReloader.ts'
 
 export interface RoutedHost {
@@ -122,11 +125,13 @@
   const probeLog = new KeyedLogClient(probeCaller, storeProtocol, store.topic)
   const reach = disposables.add(new StoreReach(clock, async () => (await probeLog.newest(LAST_KEY)).ok))
   const storeCaller = new StoreCaller(storeConnections, metrics, store.address, store.timeout)
+  const notes = new AppendNotes(base)
+  const notedPeers = notes.ofPeers(peers)
   const direct = new Map<string, KeyedLog>()
   const keyedLog = (topic: string): KeyedLog => {
-    const client = new KeyedLogClient(storeCaller, storeProtocol, topic)
+    const client = notes.ofLog(topic, new KeyedLogClient(storeCaller, storeProtocol, topic))
     direct.set(topic, client)
-    return new RelayedKeyedLog({ peers, helpers: () => membership.storeReacherAddresses(), reach, clock, metrics, stateLog }, client, topic)
+    return new RelayedKeyedLog({ peers: notedPeers, helpers: () => membership.storeReacherAddresses(), reach, metrics }, client, topic)
   }
   const onRegained = reach.onRegained
   const tail = (name: string, pauseMs: number) => ({ name, longPollMs: store.long_poll, pauseMs })
@@ -163,6 +168,7 @@
     doubtMs: settings.duty.doubt,
     claimDelayMs: settings.host.processor_share * settings.host.processor_speed < 1 ? SMALL_HOST_DELAY_MS : 0
   }))
+  disposables.add(noteResults({ topic, duty, stateLog }))
   const board = new EngineBoard(targets, clock, () => operator.routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes: () => operator.routes }))
   const home: StepHome = disposables.add(new StepHome({
@@ -236,10 +242,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      metrics.gauge('duty.term', duty.term)
-      metrics.gauge('front.requests', front.requests)
-      metrics.gauge('steps.items', home.underway)
-      metrics.gauge('store.backlog', backlog())
+      setGauges(metrics, { duty, requests: front.requests, items: countItems(home.items), backlog: backlog(), targets: targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
--- a/test/actors/store/appendedOnce.test.ts
+++ b/test/actors/store/appendedOnce.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { AppendNotes } from '../../../src/actors/common/store/appendNotes.ts'
 import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
 import { RelayedKeyedLog } from '../../../src/actors/common/store/relayedKeyedLog.ts'
 import { StoreReach } from '../../../src/actors/common/store/storeReach.ts'
@@ -55,7 +56,8 @@
       readSome: async (from, kilobytes) => await this.store.readSome(from, kilobytes),
       newest: async (after) => await this.store.newest(after)
     }
-    this.log = new RelayedKeyedLog({ peers, helpers: () => ['one', 'two', 'three'], reach: new StoreReach(clock, async () => false), clock, metrics: quietMetrics, stateLog: { ...quietLog, decided: (what, details) => { this.lines.push({ what, ...details }) } } }, direct, 't')
+    const notes = new AppendNotes({ clock, stateLog: { ...quietLog, decided: (what, details) => { this.lines.push({ what, ...details }) } } })
+    this.log = new RelayedKeyedLog({ peers: notes.ofPeers(peers), helpers: () => ['one', 'two', 'three'], reach: new StoreReach(clock, async () => false), metrics: quietMetrics }, notes.ofLog('t', direct), 't')
   }
 }
 
@@ -144,7 +146,8 @@
   it('is told of in a line that names its way if it had no answer', async () => {
     const { log, lines } = new Ways(clock, inTurn('refused', 'refused', 'lost'))
     await log.append([result('a', 'n'), result('b', 'n')])
-    expect(lines).to.deep.equal([{ what: 'append without an answer', topic: 't', failed: true, records: 2, key: 'result/s/a/n', way: 'two', code: 'commandUnknown', tookMs: 0 }])
+    const line = { what: 'append not confirmed', topic: 't', failed: true, records: 2, key: 'result/s/a/n', tookMs: 0, unwritten: 0 }
+    expect(lines).to.deep.equal([{ ...line, way: 'direct', code: 'logUnavailable' }, { ...line, way: 'one', code: 'logUnavailable' }, { ...line, way: 'two', code: 'unknownOutcome' }])
   })
 
   it('keeps an unknown outcome through refused tries that follow', async () => {
