Held texts move out of the steps' home, as they were

What is saved and kept of unfinished texts gets a module of its own, actors/common/steps/heldTexts, so that it can be tried without a home.

--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -11,8 +11,6 @@
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
-import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import { progressKey } from '../../../core/common/steps/progress.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -25,7 +23,9 @@
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
 import { longFrom } from '../../../core/common/steps/engineChoice.ts'
 import { ItemPlacement } from './itemPlacement.ts'
-import type { ItemRunServices, RunEnd, ItemText } from './itemRun.ts'
+import type { SavedTexts } from './heldTexts.ts'
+import { HeldTexts } from './heldTexts.ts'
+import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { SampleScorer } from './sampleScorer.ts'
@@ -61,8 +61,6 @@
 const LIST_MS = 60_000
 /** Pause before payloads that the store did not give are asked for again, in milliseconds. */
 const PAYLOADS_RETRY_MS = 200
-/** Unfinished texts that are kept: those of some steps. */
-const KEPT_UNFINISHED = 500
 /** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
 const LEAST_WORK = 1
 
@@ -71,18 +69,18 @@
   private readonly works = new Map<string, StepWork>()
   /** Work that the newest step of each model brought. */
   private readonly workOfModels = new Map<string, number>()
-  /** Texts of items whose steps ended before them. */
-  private readonly unfinished = new Map<string, SavedText>()
+  private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
   private stopping = false
   /** Progress that is being read since this host asked for the duty. */
-  private saved: Promise<ReadonlyMap<string, SavedText>> | undefined
+  private saved: Promise<SavedTexts> | undefined
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
   private reading: Disposable | undefined
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
+    this.texts = new HeldTexts(services)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -170,15 +168,15 @@
     }
   }
 
-  private async readProgress (): Promise<ReadonlyMap<string, SavedText>> {
-    return this.openSteps().length === 0 ? new Map<string, SavedText>() : await this.services.progress.load()
+  private async readProgress (): Promise<SavedTexts> {
+    return this.openSteps().length === 0 ? new Map() : await this.services.progress.load()
   }
 
   private openSteps (): FoldedStep[] {
     return [...this.services.topic.steps()].filter((step) => !step.ended && step.results.length < step.items.size)
   }
 
-  private adopt (step: FoldedStep, saved: ReadonlyMap<string, SavedText> = new Map()): void {
+  private adopt (step: FoldedStep, saved: SavedTexts = new Map()): void {
     const { submission } = step
     if (step.ended || this.works.has(submission.id)) return
     const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
@@ -187,22 +185,25 @@
     const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
-    for (const itemWork of waiting) this.restore(work, itemWork, saved.get(progressKey(submission.id, itemWork.item.id)) ?? this.unfinished.get(itemWork.item.id))
-    this.readPayloads(work)
+    this.readPayloads(work, saved)
   }
 
-  /** Reads what the runs of a step's items need; they start then. */
-  private readPayloads (work: StepWork): void {
+  /** Reads what the runs of a step's items need; they start then, and go on from what is saved of them. */
+  private readPayloads (work: StepWork, saved: SavedTexts): void {
     const id = work.step.submission.id
     this.services.contents.payloads(work.step).then((payloads) => {
       if (this.works.get(id) !== work) return
       if (payloads === undefined) {
         this.services.stateLog.alarm('items of a step cannot be read', { step: id, keys: work.step.payloadKeys.length })
-        this.services.clock.after(PAYLOADS_RETRY_MS, () => { if (this.works.get(id) === work) this.readPayloads(work) })
+        this.services.clock.after(PAYLOADS_RETRY_MS, () => { if (this.works.get(id) === work) this.readPayloads(work, saved) })
         return
       }
       work.payloads = payloads
-      for (const itemWork of [...work.waiting]) this.useEarlier(work, itemWork)
+      const singleVersion = this.routeOf(work.step)?.singleVersion === true
+      for (const itemWork of [...work.waiting]) {
+        this.texts.restore(work, itemWork, saved, singleVersion)
+        this.useEarlier(work, itemWork)
+      }
       this.schedule()
     }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { step: id, error: String(error) }) })
   }
@@ -236,23 +237,6 @@
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
 
-  /** Goes on from what is held of an item's text, if its versions fit. */
-  private restore (work: StepWork, itemWork: ItemWork, held: SavedText | undefined): void {
-    if (held === undefined || held.events.length === 0 || itemWork.state !== 'waiting') return
-    const single = this.routeOf(work.step)?.singleVersion === true
-    if (single || held.versions.some((version) => version < work.step.submission.minimumVersion)) return
-    itemWork.text.restore(held)
-    this.services.metrics.count('steps.resumed')
-  }
-
-  /** Keeps the unfinished texts of a step: its groups may come again. */
-  private keepUnfinished (work: StepWork): void {
-    for (const { item, text } of work.items.values()) {
-      if (text.last !== undefined) this.unfinished.set(item.id, { events: [...text.events], last: text.last, versions: [...text.versions] })
-    }
-    for (const id of [...this.unfinished.keys()].slice(0, -KEPT_UNFINISHED)) this.unfinished.delete(id)
-  }
-
   private routeOf (step: FoldedStep): Route | undefined {
     return this.services.routes()?.find(step.submission.host, step.submission.path)
   }
@@ -382,7 +366,7 @@
   private dropStep (step: string, why: string): void {
     const work = this.works.get(step)
     if (work === undefined) return
-    this.keepUnfinished(work)
+    this.texts.keep(work)
     this.services.stateLog.decided('step dropped', { step, why, open: work.items.size, waiting: work.waiting.length })
     for (const { cancel } of work.items.values()) cancel.abort()
     this.works.delete(step)
@@ -403,7 +387,7 @@
       if (route !== undefined) this.moveToFaster(work, route)
     }
     this.schedule()
-    this.saveProgress().catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
+    this.texts.save(this.works.values()).catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
   }
 
   /** Lets one run go on at a faster engine; a text of one version only would have to begin anew there. */
@@ -418,27 +402,10 @@
     itemWork.stopRun?.abort()
   }
 
-  /** Saves what came since the last time, in one record for all running items. */
-  private async saveProgress (force = false): Promise<void> {
-    if (!this.services.progress.due && !force) return
-    const parts: ProgressPart[] = []
-    const counts: { readonly text: ItemText, readonly count: number }[] = []
-    for (const { step, items } of this.works.values()) {
-      for (const { item, text, state } of items.values()) {
-        const unsaved = state === 'running' ? text.unsaved() : undefined
-        if (unsaved === undefined) continue
-        parts.push({ step: step.submission.id, item: item.id, ...unsaved })
-        counts.push({ text, count: unsaved.from + unsaved.events.length })
-      }
-    }
-    if (parts.length === 0 || !await this.services.progress.save(parts)) return
-    for (const { text, count } of counts) text.saved = Math.max(text.saved, Math.min(count, text.events.length))
-  }
-
   /** Saves all progress before another host takes over. */
   async handOver (): Promise<void> {
     this.stopping = true
-    await this.saveProgress(true)
+    await this.texts.save(this.works.values(), true)
   }
 
   private giveUp (work: StepWork): void {
