--- /dev/null
+++ b/test/actors/steps/heldTexts.test.ts
@@ -0,0 +1,176 @@
+/** Texts that grow at one host and go on at another: what is put together must be what one chain of runs made. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import type { ItemText } from '../../../src/actors/common/steps/itemRun.ts'
+import type { ItemWork } from '../../../src/actors/common/steps/stepWork.ts'
+import type { SavedText } from '../../../src/core/common/steps/progress.ts'
+import { progressKey } from '../../../src/core/common/steps/progress.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+import { item } from '../../support/steps.ts'
+import type { AppendFate } from '../../support/texts.ts'
+import { FatefulHistory, itemOf, textsOfHost, workOn } from '../../support/texts.ts'
+
+/** Runs of engines. Each event names the run that made it, and each run is noted with the events that it followed. */
+class Runs {
+  private readonly followed: (readonly string[])[] = []
+
+  /** A run that goes on after what is held; its number gives the version, too. */
+  run (text: ItemText, count: number): void {
+    const run = this.followed.push([...text.events]) - 1
+    text.beginRun(this.versionOf(run))
+    for (let event = 0; event < count; event++) {
+      const id = (text.last ?? 0) + 1
+      text.add({ id, data: `${run}:${id}`, version: undefined })
+    }
+  }
+
+  /** Each event comes from the run of the one before it, or from a run that was asked to go on right there. */
+  expectChain ({ events, last, versions }: SavedText): void {
+    expect(events.map((event) => Number(event.split(':')[1]))).to.deep.equal(events.map((_, index) => index + 1))
+    const runs = events.map((event) => Number(event.split(':')[0]))
+    for (const [index, run] of runs.entries()) {
+      if (run !== runs[index - 1]) expect(this.followed[run], `the run of event ${index + 1} in ${events.join(' ')}`).to.deep.equal(events.slice(0, index))
+    }
+    expect(last).to.equal(events.length)
+    expect([...versions].sort((a, b) => a - b)).to.deep.equal([...new Set(runs.map((run) => this.versionOf(run)))].sort((a, b) => a - b))
+  }
+
+  private versionOf (run: number): number {
+    return 1 + run % 4
+  }
+}
+
+const STEP = 's'
+const key = progressKey(STEP, 'i')
+const items = [item('i', 'g')]
+
+/** A host that runs the item `i` of the step `s`. */
+class Holder {
+  private readonly host
+  private work = workOn(STEP, items)
+
+  constructor (history: FatefulHistory, clock: ManualClock) {
+    this.host = textsOfHost(history, clock)
+  }
+
+  get itemWork (): ItemWork {
+    return itemOf(this.work, 'i')
+  }
+
+  /** Takes the duty over, after it may have lost it. */
+  async takeOver (): Promise<void> {
+    this.host.held.keep(this.work)
+    this.work = workOn(STEP, items)
+    this.host.held.restore(this.work, this.itemWork, await this.host.progress.load(), false)
+    this.itemWork.state = 'running'
+  }
+
+  async save (): Promise<void> {
+    await this.host.held.save([this.work], true)
+  }
+}
+
+type Action =
+  | { readonly type: 'take over', readonly host: number }
+  | { readonly type: 'begin anew', readonly host: number }
+  | { readonly type: 'run and save', readonly host: number, readonly count: number, readonly fate: AppendFate }
+  | { readonly type: 'land' }
+  | { readonly type: 'trim', readonly records: number }
+
+const host = fc.integer({ min: 0, max: 1 })
+const fate = fc.constantFrom<AppendFate>('kept', 'kept', 'kept', 'lost', 'answer lost', 'late', 'twice')
+const actions: fc.Arbitrary<Action[]> = fc.array(fc.oneof(
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('take over' as const), host }) },
+  { weight: 10, arbitrary: fc.record({ type: fc.constant('run and save' as const), host, count: fc.integer({ min: 0, max: 3 }), fate }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('begin anew' as const), host }) },
+  { weight: 2, arbitrary: fc.constant({ type: 'land' as const }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('trim' as const), records: fc.integer({ min: 1, max: 2 }) }) }
+), { minLength: 8, maxLength: 30 })
+
+describe('a held text', () => {
+  it('goes on only where a run was asked to, whoever saves it and whenever that lands', async () => {
+    // Symptom: in the text of an item, the events after number 20 came from a run that had not been asked
+    // to go on there. A holder stood still, another took over and saved, and then the first saved the
+    // events of its own run. Cause: saved events were joined by their place alone, so that a third holder
+    // took events of two runs for one text.
+    await fc.assert(fc.asyncProperty(actions, async (script) => {
+      const history = new FatefulHistory()
+      const clock = new ManualClock()
+      const runs = new Runs()
+      const holders = [0, 1].map(() => new Holder(history, clock))
+      const reader = textsOfHost(history, clock)
+      let trimmed = 0
+      for (const action of script) {
+        switch (action.type) {
+          case 'take over': await holders[action.host]?.takeOver(); break
+          case 'begin anew': holders[action.host]?.itemWork.text.clear(); break
+          case 'run and save': {
+            const holder = holders[action.host]
+            if (holder?.itemWork.state !== 'running') break
+            runs.run(holder.itemWork.text, action.count)
+            history.fate = action.fate
+            const saved = holder.save()
+            if (action.fate !== 'late') await saved
+            break
+          }
+          case 'land': history.land(); break
+          case 'trim': {
+            trimmed = Math.min(history.records.length, trimmed + action.records)
+            await history.trim(trimmed)
+          }
+        }
+        await clock.advance(0)
+        const text = (await reader.progress.load()).get(key)
+        if (text !== undefined) runs.expectChain(text)
+      }
+    }), { numRuns: 1000, seed: 11 })
+  })
+
+  it('of a holder that stood still is not joined to what its successor saved', async () => {
+    // Symptom: a third holder went on from events 1 to 20 of one run and 21 to 25 of another that had been
+    // asked to go on after event 10. The first holder stood still after it had saved 10 events; the second
+    // went on from them and saved 20; the first woke and saved its own events 11 to 25 after that.
+    const history = new FatefulHistory()
+    const clock = new ManualClock()
+    const runs = new Runs()
+    const [first, second, third] = [0, 1, 2].map(() => new Holder(history, clock)) as [Holder, Holder, Holder]
+    await first.takeOver()
+    runs.run(first.itemWork.text, 10)
+    await first.save()
+    await second.takeOver()
+    runs.run(first.itemWork.text, 15)
+    runs.run(second.itemWork.text, 10)
+    await second.save()
+    await first.save()
+    runs.run(second.itemWork.text, 10)
+    await second.save()
+    await third.takeOver()
+    const { events, last, versions } = third.itemWork.text
+    runs.expectChain({ events, last: last ?? 0, versions: [...versions] })
+    expect(events).to.deep.equal(second.itemWork.text.events)
+  })
+
+  it('that begins anew while a save is under way is saved from its first event', async () => {
+    // Symptom: a text of two runs. While a save was under way the item failed and began anew; when the
+    // store answered, events of the new run counted as saved, because only their number was compared.
+    const history = new FatefulHistory()
+    const clock = new ManualClock()
+    const runs = new Runs()
+    const holder = new Holder(history, clock)
+    await holder.takeOver()
+    runs.run(holder.itemWork.text, 4)
+    history.fate = 'late'
+    const saved = holder.save()
+    await clock.advance(0)
+    holder.itemWork.text.clear()
+    runs.run(holder.itemWork.text, 5)
+    history.land()
+    await saved
+    history.fate = 'kept'
+    await holder.save()
+    const text = (await textsOfHost(history, clock).progress.load()).get(key)
+    expect(text?.events).to.deep.equal(holder.itemWork.text.events)
+    runs.expectChain(text ?? { events: [], last: 0, versions: [] })
+  })
+})
