A text has an id, and only parts of one text are joined

Cause: saved events of an item were told apart by their place alone. A holder that stood still and its successor both go on from the same event with runs of their own; what both saved was joined wherever the places met, and a third holder went on from a text of two runs. For the same cause a save that came back after the text had begun anew marked events of the new one as saved.

Change: an item's text gets a random id whenever it begins empty, is cleared, or goes on from what was saved; each saved part bears it. Parts join within one text only, where they meet, and never shorten it. A new text's first save holds all of it, from its first event. A count of saved events applies only to the text that it was taken from. Of several texts of an item the one that began last counts, as before. As later parts say nothing without the first, a text is saved whole again after half of the time for which progress is kept. Records without an id, of hosts that ran before, are passed over: their items begin anew.

Tests changed: itemRun.test and progressKeeper.test give the parts an id, and 'is saved once' also asserts the id and the text after it was cleared; nothing is eased.

--- a/src/actors/common/steps/heldTexts.ts
+++ b/src/actors/common/steps/heldTexts.ts
@@ -3,16 +3,22 @@
  * step ends before them, and gives an item that is to run the text from which it may go on.
  */
 
+import { asTextId } from '../../../base/common/ids.ts'
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
 import { progressKey } from '../../../core/common/steps/progress.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
-import type { ItemText } from './itemRun.ts'
+import type { UnsavedPart } from './itemRun.ts'
+import { ItemText } from './itemRun.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 
 export interface HeldTextsServices {
   readonly progress: ProgressKeeper
+  readonly clock: Clock
   readonly metrics: Metrics
+  /** Makes a text that no other host and no other call gives. */
+  readonly nonce: () => string
 }
 
 /** Texts by the key of their step and item. */
@@ -27,6 +33,11 @@
 
   constructor (private readonly services: HeldTextsServices) {}
 
+  /** An empty text for an item. */
+  begin (): ItemText {
+    return new ItemText(() => asTextId(this.services.nonce()))
+  }
+
   /** Goes on from what is held of an item's text, if its versions fit; `saved` is what the store has of its step. */
   restore (work: StepWork, itemWork: ItemWork, saved: SavedTexts, singleVersion: boolean): void {
     const { submission } = work.step
@@ -49,16 +60,17 @@
   async save (works: Iterable<StepWork>, force = false): Promise<void> {
     if (!this.services.progress.due && !force) return
     const parts: ProgressPart[] = []
-    const counts: { readonly text: ItemText, readonly count: number }[] = []
+    const taken: { readonly text: ItemText, readonly part: UnsavedPart }[] = []
+    const since = this.services.clock.monotonic()
     for (const { step, items } of works) {
       for (const { item, text, state } of items.values()) {
-        const unsaved = state === 'running' ? text.unsaved() : undefined
+        const unsaved = state === 'running' ? text.unsaved(since) : undefined
         if (unsaved === undefined) continue
         parts.push({ step: step.submission.id, item: item.id, ...unsaved })
-        counts.push({ text, count: unsaved.from + unsaved.events.length })
+        taken.push({ text, part: unsaved })
       }
     }
     if (parts.length === 0 || !await this.services.progress.save(parts)) return
-    for (const { text, count } of counts) text.saved = Math.max(text.saved, Math.min(count, text.events.length))
+    for (const { text, part } of taken) text.noteSaved(part, since)
   }
 }
--- a/src/actors/common/steps/progressKeeper.ts
+++ b/src/actors/common/steps/progressKeeper.ts
@@ -1,7 +1,7 @@
 /** Saves the progress of running items now and then, and finds it again when a host takes over. */
 
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import { progressRecords, readProgress } from '../../../core/common/steps/progress.ts'
+import { KEPT_MS, progressRecords, readProgress } from '../../../core/common/steps/progress.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { History } from '../../../ports/common/history.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -21,12 +21,9 @@
 }
 
 /**
- * How long saved progress is kept, in milliseconds: longer than any item runs, as steps are due within 8 s
- * and dropped within 12. A host that takes over reads all that is kept before the steps go on: after half
- * a minute without trimming that took 0.57 s.
+ * Time between two trims, in milliseconds. A host that takes over reads all that is kept before the steps
+ * go on: after half a minute without trimming that took 0.57 s.
  */
-const KEPT_MS = 15_000
-/** Time between two trims, in milliseconds. */
 const TRIM_MS = 5000
 
 export class ProgressKeeper {
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -80,7 +80,7 @@
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
-    this.texts = new HeldTexts(services)
+    this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -181,7 +181,7 @@
     if (step.ended || this.works.has(submission.id)) return
     const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
     const open = order.filter(({ id }) => !step.positions.has(id))
-    const waiting = open.map((item) => newWork(item))
+    const waiting = open.map((item) => newWork(item, this.texts.begin()))
     const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -3,7 +3,7 @@
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Engine } from './engineBoard.ts'
-import { ItemText } from './itemRun.ts'
+import type { ItemText } from './itemRun.ts'
 
 export type ItemState = 'waiting' | 'running' | 'scoring' | 'listing'
 
@@ -32,8 +32,8 @@
   readonly waiting: ItemWork[]
 }
 
-export function newWork (item: StepItem): ItemWork {
-  return { item, text: new ItemText(), cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
+export function newWork (item: StepItem, text: ItemText): ItemWork {
+  return { item, text, cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
 }
 
 /** Takes a value out of a list, if it is there. */
--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -18,6 +18,8 @@
 export type Place = Branded<'Place'>
 /** Name of a caller, as the settings give it. */
 export type CallerName = Branded<'CallerName'>
+/** One text of an item, from its beginning at one host until it is given up or goes on at another. */
+export type TextId = Branded<'TextId'>
 /** A part of a pool that one home admits for: `pool@place`. */
 export type ShardKey = Branded<'ShardKey'>
 
@@ -27,6 +29,7 @@
 export const asSubscriptionName = (value: string): SubscriptionName => value as SubscriptionName
 export const asPlace = (value: string): Place => value as Place
 export const asCallerName = (value: string): CallerName => value as CallerName
+export const asTextId = (value: string): TextId => value as TextId
 
 /** The shard of a pool that lies in one place. */
 export function shardKey (pool: PoolName, place: Place): ShardKey {
--- a/src/core/common/steps/progress.ts
+++ b/src/core/common/steps/progress.ts
@@ -5,11 +5,15 @@
  */
 
 import { z } from 'zod'
+import type { TextId } from '../../../base/common/ids.ts'
+import { asTextId } from '../../../base/common/ids.ts'
 
 const partSchema = z.object({
   step: z.string(),
   item: z.string(),
-  /** Events that stand before these. */
+  /** The text whose events these are: events of two texts are never joined, wherever they stand. */
+  text: z.string().transform(asTextId),
+  /** Events of that text that stand before these. */
   from: z.number().int().nonnegative(),
   events: z.array(z.string()),
   /** Number that the target gave the last of the events. */
@@ -34,6 +38,16 @@
   return JSON.stringify(parts)
 }
 
+/** How long saved progress is kept, in milliseconds: longer than most items run, as steps are due within 8 s and dropped within 12. */
+export const KEPT_MS = 15_000
+
+/**
+ * Age of its first part, in milliseconds, from which on a text is saved whole again: without its first part
+ * the later ones say nothing, and an item that runs for longer than progress is kept would begin anew
+ * after a takeover. Half of that time leaves the rest for a store that takes nothing.
+ */
+export const WHOLE_AGAIN_MS = KEPT_MS / 2
+
 /** Bytes that a character of a JavaScript string needs in UTF-8, at most. */
 const CHARACTER_BYTES = 3
 
@@ -83,20 +97,29 @@
 }
 
 /**
- * Puts together what records of progress say. A part that begins before the end of what is known is
- * from a run that began anew there; one that begins after it follows a part that was not saved, so
- * the item's text is not known to go on.
+ * Puts together what records of progress say. Parts of one text are joined where they meet; a part that
+ * comes again, or late, adds nothing, and one that follows a part that is not there is passed over.
+ * Of several texts of an item, the one that began last counts: the others were given up for it, or
+ * it went on from one of them, or they are of a holder that does not know yet that it lost the duty.
  */
 export function readProgress (records: readonly string[]): Map<string, SavedText> {
-  const texts = new Map<string, SavedText>()
+  const texts = new Map<string, Map<TextId, SavedText>>()
   for (const record of records) {
-    for (const { step, item, from, events, last, versions } of readEntry(record)) {
-      const key = progressKey(step, item)
-      const known = texts.get(key)?.events ?? []
-      if (from <= known.length) texts.set(key, { events: [...known.slice(0, from), ...events], last, versions })
+    for (const part of readEntry(record)) {
+      const key = progressKey(part.step, part.item)
+      const ofItem = texts.get(key) ?? new Map<TextId, SavedText>()
+      const joined = join(ofItem.get(part.text), part)
+      if (joined !== undefined) texts.set(key, ofItem.set(part.text, joined))
     }
   }
-  return texts
+  return new Map([...texts].flatMap(([key, ofItem]) => [...ofItem.values()].slice(-1).map((newest) => [key, newest])))
+}
+
+/** A text with one more part; as it was where the part adds nothing or does not meet it. */
+function join (known: SavedText | undefined, { from, events, last, versions }: ProgressPart): SavedText | undefined {
+  const before = known?.events ?? []
+  if (from > before.length || from + events.length <= before.length) return known
+  return { events: [...before.slice(0, from), ...events], last, versions }
 }
 
 function readEntry (record: string): ProgressPart[] {
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -6,7 +6,8 @@
 import { ItemText, runItem } from '../../../src/actors/common/steps/itemRun.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
-import { encodeProgress, progressKey, readProgress } from '../../../src/core/common/steps/progress.ts'
+import { asTextId } from '../../../src/base/common/ids.ts'
+import { KEPT_MS, WHOLE_AGAIN_MS, encodeProgress, progressKey, readProgress } from '../../../src/core/common/steps/progress.ts'
 import { targetProtocol } from '../../../platform/index.ts'
 import { quietLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
@@ -14,12 +15,13 @@
 import type { ScriptedAnswer, SentRequest } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
 import { item } from '../../support/steps.ts'
+import { newText } from '../../support/texts.ts'
 
 const own = { 'bulrushvalve-request-id': 'i', 'bulrushvalve-response-seal': 's', 'bulrushvalve-weight-versions': '3' }
 const event = (id: number, version?: number): string => `${version === undefined ? '' : `bulrushvalve-weight-versions: ${version}\n`}id: ${id}\ndata: d${id}\n\n`
 const events = (...ids: number[]): ScriptedAnswer['events'] => ids.map((id) => ({ afterMs: 30, raw: event(id) }))
 
-async function run (answer: ScriptedAnswer, { text = new ItemText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunEnd, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number }> {
+async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunEnd, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number }> {
   const clock = new ManualClock()
   const table = new TargetTable({ clock, stateLog: quietLog })
   table.set(targetDefinition({ id: 'e', service: 'engines', address: 'e', models: [{ model: 'm', version: 2 }] }))
@@ -44,7 +46,7 @@
   })
 
   it('asks for what comes after the last event that is held', async () => {
-    const text = new ItemText()
+    const text = newText()
     text.restore({ events: ['d1', 'd2'], last: 2, versions: [2] })
     const { end, sent } = await run({ afterMs: 5, headers: own, events: events(3, 4) }, { text })
     expect(sent?.headers.join(' ')).to.include('last-event-id 2')
@@ -86,7 +88,7 @@
 })
 
 describe('the progress of an item', () => {
-  const part = (from: number, events: string[], last: number, versions = [1]) => ({ step: 's', item: 'i', from, events, last, versions })
+  const part = (from: number, events: string[], last: number, versions = [1], text = 't') => ({ step: 's', item: 'i', text: asTextId(text), from, events, last, versions })
   const known = (...records: string[]) => readProgress(records).get(progressKey('s', 'i'))
 
   it('is put together from what was saved', () => {
@@ -94,7 +96,28 @@
   })
 
   it('follows the run that began anew', () => {
-    expect(known(encodeProgress([part(0, ['a', 'b', 'c'], 2)]), encodeProgress([part(0, ['x'], 0, [3])]))).to.deep.equal({ events: ['x'], last: 0, versions: [3] })
+    expect(known(encodeProgress([part(0, ['a', 'b', 'c'], 2)]), encodeProgress([part(0, ['x'], 0, [3], 'u')]))).to.deep.equal({ events: ['x'], last: 0, versions: [3] })
+  })
+
+  it('is not shortened by a part that comes again or late', () => {
+    const whole = { events: ['a', 'b', 'c'], last: 2, versions: [1, 2] }
+    expect(known(encodeProgress([part(0, ['a', 'b'], 1)]), encodeProgress([part(1, ['b', 'c'], 2, [1, 2])]), encodeProgress([part(0, ['a', 'b'], 1)]))).to.deep.equal(whole)
+  })
+
+  it('is one text, wherever the parts of another stand', () => {
+    expect(known(encodeProgress([part(0, ['a'], 0)]), encodeProgress([part(0, ['a', 'b'], 1, [1], 'u')]), encodeProgress([part(1, ['x', 'y'], 2)]), encodeProgress([part(2, ['c'], 2, [1], 'u')]))?.events).to.deep.equal(['a', 'b', 'c'])
+  })
+
+  it('is saved whole again before its first part may be gone', () => {
+    // Symptom: after a takeover an item began anew that had run for longer than progress is kept. The
+    // first part of its text was removed, and without it the later ones say nothing.
+    const text = newText()
+    text.add({ id: 1, data: 'a', version: 1 })
+    const first = text.unsaved(0)
+    if (first !== undefined) text.noteSaved(first, 0)
+    text.add({ id: 2, data: 'b', version: 1 })
+    expect([text.unsaved(WHOLE_AGAIN_MS - 1)?.from, text.unsaved(WHOLE_AGAIN_MS)?.from]).to.deep.equal([1, 0])
+    expect(WHOLE_AGAIN_MS).to.be.below(KEPT_MS)
   })
 
   it('does not go on after a gap', () => {
@@ -107,15 +130,19 @@
   })
 
   it('is saved once', () => {
-    const text = new ItemText()
+    let ids = 0
+    const text = new ItemText(() => asTextId(`t${ids++}`))
     text.beginRun(1)
     for (const id of [4, 5]) text.add({ id, data: `d${id}`, version: undefined })
-    expect(text.unsaved()).to.deep.equal({ from: 0, events: ['d4', 'd5'], last: 5, versions: [1] })
-    text.saved = 2
-    expect(text.unsaved()).to.equal(undefined)
+    const first = text.unsaved(0)
+    expect(first).to.deep.equal({ text: 't0', from: 0, events: ['d4', 'd5'], last: 5, versions: [1] })
+    if (first !== undefined) text.noteSaved(first, 0)
+    expect(text.unsaved(1)).to.equal(undefined)
     text.add({ id: 6, data: 'd6', version: 2 })
-    expect(text.unsaved()).to.deep.equal({ from: 2, events: ['d6'], last: 6, versions: [1, 2] })
+    expect(text.unsaved(1)).to.deep.equal({ text: 't0', from: 2, events: ['d6'], last: 6, versions: [1, 2] })
     text.clear()
-    expect(text.unsaved()).to.equal(undefined)
+    expect(text.unsaved(1)).to.equal(undefined)
+    text.add({ id: 4, data: 'd4', version: 2 })
+    expect(text.unsaved(1)).to.deep.equal({ text: 't1', from: 0, events: ['d4'], last: 4, versions: [2] })
   })
 })
--- a/test/actors/steps/progressKeeper.test.ts
+++ b/test/actors/steps/progressKeeper.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { ProgressKeeper } from '../../../src/actors/common/steps/progressKeeper.ts'
+import { asTextId } from '../../../src/base/common/ids.ts'
 import { failure, success } from '../../../src/base/common/resultCode.ts'
 import type { ProgressPart } from '../../../src/core/common/steps/progress.ts'
 import { progressKey } from '../../../src/core/common/steps/progress.ts'
@@ -36,7 +37,7 @@
 }
 
 describe('saved progress', () => {
-  const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, from, events: Array.from({ length: count }, (_, index) => `${from + index}:`.padEnd(size, 'é')), last: 100 + from + count - 1, versions: [1] })
+  const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, text: asTextId(`text of ${item}`), from, events: Array.from({ length: count }, (_, index) => `${from + index}:`.padEnd(size, 'é')), last: 100 + from + count - 1, versions: [1] })
   const keeperOf = (history: History) => new ProgressKeeper({ history, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })
 
   it('fits the records of the store, however much runs at once', async () => {
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -5,6 +5,7 @@
 import { ProgressKeeper } from '../../src/actors/common/steps/progressKeeper.ts'
 import type { ItemWork, StepWork } from '../../src/actors/common/steps/stepWork.ts'
 import { newWork } from '../../src/actors/common/steps/stepWork.ts'
+import { asTextId } from '../../src/base/common/ids.ts'
 import type { Result } from '../../src/base/common/resultCode.ts'
 import { failure, success } from '../../src/base/common/resultCode.ts'
 import type { SubmittedItem, TrainerSubmission } from '../../src/core/common/steps/step.ts'
@@ -61,14 +62,16 @@
   }
 }
 
+let texts = 0
+
 /** What one host holds of texts, over a history that hosts share. */
 export function textsOfHost (history: History, clock: ManualClock): { readonly held: HeldTexts, readonly progress: ProgressKeeper } {
   const progress = new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 0, recordBytes: 100_000 })
-  return { held: new HeldTexts({ progress, metrics: quietMetrics }), progress }
+  return { held: new HeldTexts({ progress, clock, metrics: quietMetrics, nonce: () => `n${texts++}` }), progress }
 }
 
 export function newText (): ItemText {
-  return new ItemText()
+  return new ItemText(() => asTextId(`n${texts++}`))
 }
 
 /** A step as a host holds it that runs it, with all its items waiting and their payloads read. */
@@ -77,7 +80,7 @@
   fold.apply(submissionRecords(submission(id, items, details), 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
   const step = fold.step(id)
   if (step === undefined) throw new Error('the step is not accepted')
-  const waiting = items.map((submitted) => newWork(submitted))
+  const waiting = items.map((submitted) => newWork(submitted, newText()))
   return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longFrom: 0, waiting }
 }
 
