Held texts: three more tests that fail, on texts that a host kept and on the trim

Over the code as it is, by mocha over heldTexts.test.ts and progressKeeper.test.ts: 7 passing, 3 failing.

- serves only an item that asks the same, and is saved whole for its new step: body: [0:1 0:2 0:3] where nothing was expected
- goes on from the longer of what the host kept and what the store has: expected [9:1 9:2] to have a length of 3 but got 2
- outlives a former holder that saves once more: the successor's text is gone

--- a/test/actors/steps/heldTexts.test.ts
+++ b/test/actors/steps/heldTexts.test.ts
@@ -173,4 +173,48 @@
     expect(text?.events).to.deep.equal(holder.itemWork.text.events)
     runs.expectChain(text ?? { events: [], last: 0, versions: [] })
   })
+
+  it('serves only an item that asks the same, and is saved whole for its new step', async () => {
+    // Symptom: an item of a later step went on from the text of another prompt, and a host that took over
+    // did not find the beginning. Unfinished texts were kept by the item's id alone, and what had been
+    // saved for the earlier step counted as saved for the later one.
+    const history = new FatefulHistory()
+    const clock = new ManualClock()
+    const runs = new Runs()
+    const { held, progress } = textsOfHost(history, clock)
+    const earlier = workOn('s1', items)
+    runs.run(itemOf(earlier, 'i').text, 3)
+    held.keep(earlier)
+
+    for (const [name, changed] of Object.entries({ body: { body: btoa('another prompt') }, path: { path: '/items/other' }, headers: { headers: { 'x-prompt': 'other' } } })) {
+      const other = workOn('s2', items.map((same) => ({ ...same, ...changed })))
+      held.restore(other, itemOf(other, 'i'), new Map(), false)
+      expect(itemOf(other, 'i').text.events, name).to.deep.equal([])
+    }
+
+    const later = workOn('s3', items)
+    const itemWork = itemOf(later, 'i')
+    held.restore(later, itemWork, new Map(), false)
+    expect(itemWork.text.events).to.have.length(3)
+    itemWork.state = 'running'
+    runs.run(itemWork.text, 2)
+    await held.save([later], true)
+    expect((await progress.load()).get(progressKey('s3', 'i'))?.events).to.deep.equal(itemWork.text.events)
+  })
+
+  it('goes on from the longer of what the host kept and what the store has', async () => {
+    const history = new FatefulHistory()
+    const clock = new ManualClock()
+    const runs = new Runs()
+    const { held } = textsOfHost(history, clock)
+    const own = workOn(STEP, items)
+    runs.run(itemOf(own, 'i').text, 3)
+    held.keep(own)
+    for (const [saved, expected] of [[2, 3], [5, 5]] as const) {
+      const again = workOn(STEP, items)
+      const events = Array.from({ length: saved }, (_, index) => `9:${index + 1}`)
+      held.restore(again, itemOf(again, 'i'), new Map([[key, { events, last: saved, versions: [1] }]]), false)
+      expect(itemOf(again, 'i').text.events).to.have.length(expected)
+    }
+  })
 })
--- a/test/actors/steps/progressKeeper.test.ts
+++ b/test/actors/steps/progressKeeper.test.ts
@@ -84,6 +84,22 @@
     expect(Math.min(...saved)).to.be.within(39, 46)
   })
 
+  it('outlives a former holder that saves once more', async () => {
+    // Symptom: after a takeover all items began anew. The holder before had stood still for long and then
+    // saved once; all its earlier saves were old, so it removed what stood before this one, which was
+    // what its successor had saved meanwhile.
+    const history = new BoundedHistory()
+    const clock = new ManualClock()
+    const [former, successor] = [0, 1].map(() => new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })) as [ProgressKeeper, ProgressKeeper]
+    await former.save([part('old', 2, 10)])
+    await clock.advance(20_000)
+    await successor.save([part('i', 2, 10)])
+    await clock.advance(100)
+    await former.save([part('old', 1, 10, 2)])
+    await clock.advance(0)
+    expect((await successor.load()).get(progressKey('s', 'i'))?.events).to.have.length(2)
+  })
+
   it('leaves out an event that no record can hold, and what follows it', async () => {
     const history = new BoundedHistory()
     const keeper = keeperOf(history)
