An unfinished text serves only who asks the same, and the longest that fits is taken

Cause: texts of items whose step ended before them were kept by the item's id alone, and used only where the store had nothing: a later step could go on from the text of another prompt under the same id, and a host that regained the duty could take a short text for a long one.

Change: they are kept by id, host, model, path, headers and body; of this one and the one from the store, the longer whose versions fit is taken.

Ruled out, by reading: an earlier step's listed result against a held text (useEarlier, restore). A listed text is complete, the held one is left as it is and goes on only if the listed text cannot be read; the two are never joined.

Before: two tests of heldTexts.test red. After: 42 tests of test/actors/steps pass, one known one fails.

--- a/src/actors/common/steps/heldTexts.ts
+++ b/src/actors/common/steps/heldTexts.ts
@@ -28,7 +28,7 @@
 const KEPT_UNFINISHED = 500
 
 export class HeldTexts {
-  /** Texts of items whose steps ended before them. */
+  /** Texts of items whose steps ended before them, by what was asked. */
   private readonly unfinished = new Map<string, SavedText>()
 
   constructor (private readonly services: HeldTextsServices) {}
@@ -38,22 +38,30 @@
     return new ItemText(() => asTextId(this.services.nonce()))
   }
 
-  /** Goes on from what is held of an item's text, if its versions fit; `saved` is what the store has of its step. */
+  /**
+   * Goes on from what is held of an item's text, if its versions fit; `saved` is what the store has of its
+   * step. A host that held the duty before may know less of an item than the store, or more: the longer counts.
+   */
   restore (work: StepWork, itemWork: ItemWork, saved: SavedTexts, singleVersion: boolean): void {
     const { submission } = work.step
-    const held = saved.get(progressKey(submission.id, itemWork.item.id)) ?? this.unfinished.get(itemWork.item.id)
-    if (held === undefined || held.events.length === 0 || itemWork.state !== 'waiting') return
-    if (singleVersion || held.versions.some((version) => version < submission.minimumVersion)) return
-    itemWork.text.restore(held)
+    const asked = askedKey(work, itemWork.item.id)
+    const found = [saved.get(progressKey(submission.id, itemWork.item.id)), asked === undefined ? undefined : this.unfinished.get(asked)]
+    const fitting = found.filter((text) => text !== undefined).filter(({ versions }) => versions.every((version) => version >= submission.minimumVersion))
+    const longest = fitting.sort((a, b) => b.events.length - a.events.length)[0]
+    if (longest === undefined || longest.events.length === 0 || singleVersion || itemWork.state !== 'waiting') return
+    itemWork.text.restore(longest)
     this.services.metrics.count('steps.resumed')
   }
 
   /** Keeps the unfinished texts of a step: its groups may come again. */
   keep (work: StepWork): void {
     for (const { item, text } of work.items.values()) {
-      if (text.last !== undefined) this.unfinished.set(item.id, { events: [...text.events], last: text.last, versions: [...text.versions] })
+      const asked = askedKey(work, item.id)
+      if (text.last === undefined || asked === undefined) continue
+      this.unfinished.delete(asked)
+      this.unfinished.set(asked, { events: [...text.events], last: text.last, versions: [...text.versions] })
     }
-    for (const id of [...this.unfinished.keys()].slice(0, -KEPT_UNFINISHED)) this.unfinished.delete(id)
+    for (const asked of [...this.unfinished.keys()].slice(0, -KEPT_UNFINISHED)) this.unfinished.delete(asked)
   }
 
   /** Saves what came since the last time, in one record for all running items; `force` does so before it is due. */
@@ -74,3 +82,14 @@
     for (const { text, part } of taken) text.noteSaved(part, since)
   }
 }
+
+/**
+ * What an engine is asked for an item; `undefined` while its payload is not read. An id alone would let an
+ * item go on from the text of another prompt, where a later step uses the id again.
+ */
+function askedKey ({ step: { submission: { host, model } }, payloads }: StepWork, item: string): string | undefined {
+  const payload = payloads?.get(item)
+  if (payload === undefined) return undefined
+  const headers = Object.entries(payload.headers).sort(([a], [b]) => a < b ? -1 : 1)
+  return JSON.stringify([item, host, model, payload.path, headers, payload.body])
+}
