Progress is trimmed only before an own save that is too old

Cause: a host removed what stood before its first save that is kept. One that had stood still had no other than the newest, so it removed what its successor had saved meanwhile; after the next takeover those items began anew. With ids this costs time only, and no text is wrong for it.

Before: 'outlives a former holder that saves once more' red. After: 43 tests of test/actors/steps pass; the bounds of 'is kept for as long as an item runs, and no longer' hold unchanged.

--- a/src/actors/common/steps/progressKeeper.ts
+++ b/src/actors/common/steps/progressKeeper.ts
@@ -69,16 +69,20 @@
     return true
   }
 
-  /** Removes what is too old to be needed; a trim that fails is made up for by the next one. */
+  /**
+   * Removes what is too old to be needed; a trim that fails is made up for by the next one. Only what stands
+   * before an own save that is too old is surely as old: before the first save that is kept may stand what
+   * a successor saved while this host stood still, and its items would begin anew after the next takeover.
+   */
   private async trim (): Promise<void> {
     const now = this.services.clock.monotonic()
     if (now - this.trimmedAt < TRIM_MS) return
     this.trimmedAt = now
-    const kept = this.saves.findIndex(({ at }) => now - at < KEPT_MS)
-    const first = this.saves[kept]
-    if (first === undefined || kept === 0) return
-    this.saves.splice(0, kept)
-    const trimmed = await this.services.history.trim(first.offset)
-    if (!trimmed.ok) this.services.stateLog.alarm('progress not trimmed', { error: trimmed.message, before: first.offset })
+    const outdated = this.saves.findLastIndex(({ at }) => now - at >= KEPT_MS)
+    const newest = this.saves[outdated]
+    if (newest === undefined) return
+    this.saves.splice(0, outdated + 1)
+    const trimmed = await this.services.history.trim(newest.offset + 1)
+    if (!trimmed.ok) this.services.stateLog.alarm('progress not trimmed', { error: trimmed.message, before: newest.offset + 1 })
   }
 }
