--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -39,13 +39,37 @@
   readonly precondition?: number
 }
 
+export interface EngineOptions {
+  readonly models: readonly string[]
+  /** Time between two events, in milliseconds. */
+  readonly eventMs: number
+  readonly loadMs: number
+  /** Whether the data of an event tells the run that made it, too. */
+  readonly namesRuns?: boolean
+}
+
+/** An event as its data tells it, where the engine names its runs. */
+export interface MadeEvent {
+  readonly item: string
+  readonly number: number
+  readonly engine: string
+  /** Place of the run among those of its engine. */
+  readonly run: number
+}
+
+/** Reads the data of an event of an engine that names its runs. */
+export function readMadeEvent (data: string): MadeEvent | undefined {
+  const match = /^(?<item>.+)-(?<number>\d+) of (?<engine>\S+) run (?<run>\d+)$/.exec(data)?.groups
+  return match === undefined ? undefined : { item: match['item'] ?? '', number: Number(match['number']), engine: match['engine'] ?? '', run: Number(match['run']) }
+}
+
 export interface TargetOptions {
   readonly id: string
   readonly service: string
   readonly place: string
   readonly slots?: number
-  /** Present for engines: the models and the time between two events, in milliseconds. */
-  readonly engine?: { readonly models: readonly string[], readonly eventMs: number, readonly loadMs: number }
+  /** Present for engines. */
+  readonly engine?: EngineOptions
   /** Time for an answer of a plain worker, in milliseconds. */
   readonly answerMs?: number
 }
@@ -169,6 +193,7 @@
     const last = request.headers['last-event-id']
     const count = Number(/events-(\d+)/.exec(record.path)?.[1] ?? 3)
     const begin = last === undefined ? 0 : Number(last) + 1
+    const made = this.options.engine?.namesRuns === true ? ` of ${this.options.id} run ${this.runs.indexOf(record)}` : ''
     let version = this.versions.get(model) ?? 1
     response.writeHead(200, { ...own, 'content-type': 'text/event-stream', 'bulrushvalve-weight-versions': String(version) })
     for (let number = begin; number < count; number++) {
@@ -177,7 +202,7 @@
       const now = this.versions.get(model) ?? 1
       const changed = now === version ? '' : `bulrushvalve-weight-versions: ${now}\n`
       version = now
-      response.write(`${changed}id: ${number}\ndata: ${record.id}-${number}\n\n`)
+      response.write(`${changed}id: ${number}\ndata: ${record.id}-${number}${made}\n\n`)
       if (breaks && number === begin + 1) {
         response.write(`id: ${number + 1}\ndata: torn`, () => { request.socket.resetAndDestroy() })
         return
