--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -10,6 +10,7 @@
 import { ManualClock } from '../support/manualClock.ts'
 import { targetDefinition } from '../support/routes.ts'
 import { item } from '../support/steps.ts'
+import { newText } from '../support/texts.ts'
 
 describe('the gauges of a host', () => {
   it('tell the states of the duty, of targets and of items apart', () => {
@@ -19,7 +20,7 @@
     for (const id of ['a', 'b', 'c']) targets.set(targetDefinition({ id }))
     targets.get('b')?.failed()
     const states: ItemState[] = ['waiting', 'waiting', 'running', 'scoring', 'scoring', 'scoring', 'listing']
-    const items = countItems(states.map((state, index) => ({ ...newWork(item(`i${index}`, 'g')), state })))
+    const items = countItems(states.map((state, index) => ({ ...newWork(item(`i${index}`, 'g'), newText()), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...quietMetrics, gauge: (name, value) => { set[name] = value } }
     setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, backlog: 4, targets: targets.counts })
