--- /dev/null
+++ b/test/support/silentScene.ts
@@ -0,0 +1,151 @@
+/** Hosts that call targets on loopback through forwarders whose connections a test makes silent. */
+
+import { RouteCalls } from '../../src/actors/common/routes/routeCalls.ts'
+import { TargetTable } from '../../src/actors/common/routes/targetTable.ts'
+import { Connections } from '../../src/adapters/node/connections.ts'
+import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
+import { NodeClock } from '../../src/adapters/node/nodeClock.ts'
+import type { CounterName } from '../../src/base/common/metricNames.ts'
+import type { Route } from '../../src/core/common/routes/routeConfiguration.ts'
+import type { StandIn } from '../../standins/httpStandIn.ts'
+import { pause, startStandIn } from '../../standins/httpStandIn.ts'
+import { targetProtocol } from '../../platform/index.ts'
+import type { Cutter } from './cutter.ts'
+import { startCutter } from './cutter.ts'
+import { quietLog, quietMetrics } from './fakeHost.ts'
+import { seededChance } from './manualClock.ts'
+import { route, targetDefinition } from './routes.ts'
+
+/** Short look-ups of callers, and calls that score samples; times are those that sites name. */
+export const lookUp = route({ name: 'look-up', timeoutMs: 2000, objectiveMs: 156, attempts: 2 })
+export const scoring = route({ name: 'scoring', timeoutMs: 3000, objectiveMs: 514, attempts: 3 })
+const WORK_MS: Readonly<Record<string, number>> = { '/look-up/': 27, '/scoring/': 114 }
+
+/** What one call came to. */
+export interface CallEnd {
+  readonly beganAt: number
+  readonly tookMs: number
+  readonly answered: boolean
+}
+
+export interface SceneHost {
+  readonly calls: RouteCalls
+  readonly client: HttpTargetClient
+  readonly table: TargetTable
+}
+
+export class SilentScene {
+  readonly hosts: SceneHost[] = []
+  readonly cutters: Cutter[] = []
+  /** How often targets got each request. */
+  readonly arrivals = new Map<string, number>()
+  secondSends = 0
+  /** Calls without an answer yet, now and at most. */
+  waiting = 0
+  mostWaiting = 0
+  private readonly targets: StandIn[] = []
+  private readonly connections: Connections[] = []
+  private requests = 0
+
+  static async start (hosts: number, targets: number): Promise<SilentScene> {
+    const scene = new SilentScene()
+    for (let index = 0; index < targets; index++) await scene.addTarget()
+    for (let index = 0; index < hosts; index++) scene.addHost(index)
+    return scene
+  }
+
+  private async addTarget (): Promise<void> {
+    const target = await startStandIn(async ({ path, headers, response }) => {
+      const id = String(headers['bulrushvalve-request-id'])
+      this.arrivals.set(id, (this.arrivals.get(id) ?? 0) + 1)
+      await pause(WORK_MS[path] ?? 0)
+      response.writeHead(200, { 'bulrushvalve-request-id': id, 'bulrushvalve-response-seal': 's' })
+      response.end('done')
+    })
+    this.targets.push(target)
+    this.cutters.push(await startCutter(() => target.address))
+  }
+
+  private addHost (index: number): void {
+    const clock = new NodeClock()
+    const table = new TargetTable({ clock, stateLog: quietLog })
+    for (const [number, cutter] of this.cutters.entries()) table.set(targetDefinition({ id: `t${number}`, address: new URL(cutter.address).host }))
+    const connections = new Connections({ connections: 64, connectTimeoutMs: 400, silenceMs: 30_000, maximumAnswerBytes: 100_000 })
+    this.connections.push(connections)
+    const client = new HttpTargetClient(connections, { connectTimeoutMs: 400, maximumAnswerBytes: 100_000 })
+    const metrics = { ...quietMetrics, count: (name: CounterName) => { if (name === 'calls.second_target') this.secondSends++ } }
+    this.hosts.push({ client, table, calls: new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here' }) })
+  }
+
+  /** One call by one host. */
+  async call (host: number, called: Route, background = false): Promise<CallEnd> {
+    const id = `q${this.requests++}`
+    const beganAt = performance.now()
+    this.waiting++
+    this.mostWaiting = Math.max(this.mostWaiting, this.waiting)
+    const answer = await this.hosts[host % this.hosts.length]?.calls.call({
+      route: called,
+      requestId: id,
+      method: 'POST',
+      path: `/${called.name}/`,
+      headers: (options) => ['bulrushvalve-request-id', id, ...targetProtocol.forwardHeaders([], options)],
+      body: undefined,
+      waitMs: called.timeoutMs,
+      configuration: 1,
+      background,
+      gone: new AbortController().signal
+    })
+    this.waiting--
+    return { beganAt, tookMs: performance.now() - beganAt, answered: answer?.ok === true }
+  }
+
+  /** Opens several connections of each host to each target; hosts in turn, so that no call is late and ends one. */
+  async warm (): Promise<void> {
+    for (let host = 0; host < this.hosts.length; host++) await Promise.all(Array.from({ length: 8 }, async () => await this.call(host, lookUp)))
+  }
+
+  /** Calls in a steady rate, hosts in turn; ends when the last one has ended. */
+  async steady (called: Route, periodMs: number, durationMs: number): Promise<CallEnd[]> {
+    const ends: Promise<CallEnd>[] = []
+    const until = performance.now() + durationMs
+    for (let host = 0; performance.now() < until; host++) {
+      ends.push(this.call(host, called))
+      await pause(periodMs)
+    }
+    return await Promise.all(ends)
+  }
+
+  /** Background calls of one host one after the other in several lines, as its free slots allow. */
+  async background (host: number, lines: number, durationMs: number): Promise<CallEnd[]> {
+    const until = performance.now() + durationMs
+    const line = async (): Promise<CallEnd[]> => {
+      const ends: CallEnd[] = []
+      while (performance.now() < until) {
+        if (this.hosts[host]?.calls.hasRoom(scoring) === true) ends.push(await this.call(host, scoring, true))
+        else await pause(20)
+      }
+      return ends
+    }
+    return (await Promise.all(Array.from({ length: lines }, line))).flat()
+  }
+
+  /** Requests that hosts count as being at targets. */
+  get slotsHeld (): number {
+    return this.hosts.flatMap(({ table }) => table.available('s')).reduce((sum, { inFlight }) => sum + inFlight, 0)
+  }
+
+  get connectionsMade (): number {
+    return this.cutters.reduce((sum, { made }) => sum + made, 0)
+  }
+
+  async close (): Promise<void> {
+    for (const connections of this.connections) connections.dispose()
+    for (const cutter of this.cutters) await cutter.close()
+    for (const target of this.targets) await target.close()
+  }
+}
+
+/** Share of calls that were answered within a time. */
+export function shareWithin (ends: readonly CallEnd[], milliseconds: number): number {
+  return ends.filter(({ answered, tookMs }) => answered && tookMs <= milliseconds).length / Math.max(1, ends.length)
+}
