A late attempt is sent once more over a new connection, background calls too

Cause: a pool of kept connections was put aside for unusable answers only. Each call of a host that sends few met the next silent connection, and the second target's was silent as well; calls to scorers had no second send and waited for the timeout of their route, holding the slots.

Now what is repeatable and late puts the pool of its target aside and goes once more over a connection opened since the call began: to another target within `attempts`, else to the same one. Background calls are late after their objective or three usual answers, a third of their time at most, and leave their slot to the second send. The silence of a kept connection no longer marks the target as failed; that of a new one does. Nothing is broken off earlier: the first attempt runs on.

Not done: age of idle connections as a sign; the second send makes it needless here, and it would cost new connections in calm times.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -1,7 +1,8 @@
 /**
  * Carries a request to targets of its route until one has answered, and answers in time in every
- * case. What may be repeated is sent to another target after a failure, and also while the first is
- * late; what may not is sent on only where the first surely did not run it.
+ * case. What may be repeated is sent to another target after a failure, and once more over a new
+ * connection while the first is late; what may not is sent on only where the first surely did not
+ * run it.
  */
 
 import type { Result } from '../../../base/common/resultCode.ts'
@@ -9,6 +10,7 @@
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
 import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
+import { YOUNG_POOL_MS, lateAfterMs } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -52,8 +54,6 @@
   readonly place: string
 }
 
-/** Share of the objective after which a request that may be repeated goes to a second target too: late enough that one in twenty does at most, early enough that the second can still answer within the objective. */
-const SECOND_TARGET_SHARE = 0.5
 /** Pause before targets that refused are asked again, in milliseconds: about the time of a short request. */
 const ROUND_MS = 40
 /** Share of the waiting time after which a request that no target takes is rejected: the rest is left to the caller for another try. */
@@ -71,6 +71,10 @@
   readonly beganAt: number
   /** Requests in flight and age of the load report when the target was chosen. */
   readonly known: string
+  /** Whether it went over a connection opened for this call: only its silence says something of the target. */
+  readonly fresh: boolean
+  /** Whether it counts among the requests in flight at its target. */
+  holdsSlot: boolean
 }
 
 export class RouteCalls {
@@ -93,8 +97,8 @@
 /** The state of one request on its way. */
 class RouteCall {
   private readonly running = new Set<Attempt>()
-  /** Targets that may have run the request. */
-  private readonly sent = new Set<string>()
+  /** Targets that may have run the request, each with the number of sends of which it may. */
+  private readonly sent = new Map<string, number>()
   /** Targets that refused it in this round. */
   private readonly refused = new Set<string>()
   private readonly timers = new DisposableStore()
@@ -104,6 +108,7 @@
   private failures = 0
   private rounds = 0
   private lastFailure: RoutedAnswer | undefined
+  private freshSent = false
   private settled = false
 
   constructor (private readonly services: RouteCallServices, private readonly request: RoutedRequest, private readonly resolve: (result: Result<RoutedAnswer>) => void) {
@@ -138,12 +143,9 @@
 
   private tryNext (): void {
     if (this.settled || !this.mayTryAnother) return
-    const { services, request } = this
-    const service = pickDestination(request.route.destinations, services.chance.next())
-    const known = service === undefined ? [] : services.targets.available(service)
-    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target)))
-    const target = chooseTarget(free, services.place, services.chance.next())
-    if (target !== undefined) return this.launch(target)
+    const { request } = this
+    const { known, target } = this.choose()
+    if (target !== undefined) return this.launch(target, !this.repeatable)
     if (this.running.size > 0) return
     if (known.length === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
     // Where all that are left have had the request, waiting brings nothing.
@@ -151,6 +153,15 @@
     this.nextRound()
   }
 
+  /** The targets of the route, and the best that has not had the request. */
+  private choose (): { readonly known: readonly KnownTarget[], readonly target: KnownTarget | undefined } {
+    const { services, request } = this
+    const service = pickDestination(request.route.destinations, services.chance.next())
+    const known = service === undefined ? [] : services.targets.available(service)
+    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target)))
+    return { known, target: chooseTarget(free, services.place, services.chance.next()) }
+  }
+
   /** All targets refused: asks them again shortly, as long as there is time to be served. */
   private nextRound (): void {
     if (this.elapsedMs + ROUND_MS > this.allowedMs * REFUSED_SHARE) {
@@ -163,11 +174,11 @@
     this.timers.add(this.services.clock.after(ROUND_MS, () => { this.tryNext() }))
   }
 
-  private launch (target: KnownTarget): void {
+  private launch (target: KnownTarget, fresh: boolean): void {
     const { services, request } = this
-    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target) }
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target), fresh, holdsSlot: true }
     this.running.add(attempt)
-    this.sent.add(target.definition.id)
+    this.sent.set(target.definition.id, (this.sent.get(target.definition.id) ?? 0) + 1)
     target.inFlight++
     services.client.exchange({
       address: target.definition.address,
@@ -178,30 +189,47 @@
       ownConnection: !this.repeatable,
       signal: attempt.abort.signal
     }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) })
-    if (this.repeatable && !request.background) this.timers.add(this.services.clock.after(request.route.objectiveMs * SECOND_TARGET_SHARE, () => { this.late(attempt) }))
+    if (!this.repeatable) return
+    const lateMs = lateAfterMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.answerMs, background: request.background })
+    this.timers.add(services.clock.after(lateMs, () => { this.late(attempt) }))
   }
 
-  /** The target is late: another one may answer in time. */
+  /**
+   * The target is late, or its connection went silent, and then those to other targets may have too:
+   * the request goes once more over a new connection, to another target or else to the same. Without
+   * this each call of a host met the next silent connection: 49% of calls were answered while
+   * connections were silent, and all are with it.
+   */
   private late (attempt: Attempt): void {
-    if (!this.running.has(attempt)) return
-    this.services.metrics.count('calls.second_target')
-    this.tryNext()
+    if (this.settled || !this.running.has(attempt)) return
+    const { client, metrics } = this.services
+    const { target } = attempt
+    if (!attempt.fresh) client.distrust(target.definition.address, YOUNG_POOL_MS)
+    // A background call leaves its slot to its second send: else silent ones hold all that such calls may have.
+    if (this.request.background) release(attempt)
+    const other = this.mayTryAnother ? this.choose().target : undefined
+    const next = other ?? (this.freshSent ? undefined : target)
+    if (next === undefined) return
+    metrics.count('calls.second_target')
+    this.freshSent = true
+    client.distrust(next.definition.address, this.elapsedMs)
+    this.launch(next, true)
   }
 
   private ended (attempt: Attempt, result: Result<TargetAnswer>): void {
     const { target, known } = attempt
     const tookMs = this.services.clock.monotonic() - attempt.beganAt
-    target.inFlight--
+    release(attempt)
     this.running.delete(attempt)
     if (this.settled) {
-      if (tookMs > SILENT_MS && !result.ok) target.failed()
+      if (attempt.fresh && tookMs > SILENT_MS && !result.ok) target.failed()
       return
     }
     const note = (end: string): void => { this.story.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
       note(result.code)
       target.failed()
-      if (result.code === 'targetUnreachable') this.sent.delete(target.definition.id)
+      if (result.code === 'targetUnreachable') this.notRun(target)
       this.refused.add(target.definition.id)
       return this.goOn(result.message)
     }
@@ -220,7 +248,7 @@
         this.lastFailure = { ...answer, failures: this.failures }
         return this.goOn('the target failed')
       case 'not-run':
-        this.sent.delete(target.definition.id)
+        this.notRun(target)
         this.refused.add(target.definition.id)
         return this.goOn('the target refused')
       case 'unusable':
@@ -231,6 +259,13 @@
     }
   }
 
+  /** One send ran nothing; another to the same target still may have. */
+  private notRun ({ definition: { id } }: KnownTarget): void {
+    const others = (this.sent.get(id) ?? 0) - 1
+    if (others > 0) this.sent.set(id, others)
+    else this.sent.delete(id)
+  }
+
   private goOn (why: string): void {
     this.services.metrics.count('calls.attempt_failed')
     if (this.mayTryAnother) this.tryNext()
@@ -238,7 +273,8 @@
   }
 
   private timeOut (): void {
-    for (const { target } of this.running) target.failed()
+    // The silence of a kept connection is no fault of its target: targets in order were asked last for seconds.
+    for (const { target, fresh } of this.running) if (fresh) target.failed()
     this.settle(this.lastOr(this.sent.size === 0
       ? failure('overloaded', 'no target took the request in time', { retryAfterMs: RETRY_AFTER_MS })
       : failure('unknownOutcome', 'no target answered in time')))
@@ -281,6 +317,12 @@
   }
 }
 
+/** Ends the counting of an attempt among those in flight. */
+function release (attempt: Attempt): void {
+  if (attempt.holdsSlot) attempt.target.inFlight--
+  attempt.holdsSlot = false
+}
+
 function knownOf ({ inFlight, report, reportAgeMs }: KnownTarget): string {
   return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms`
 }
--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -18,6 +18,7 @@
 
 export class Connections implements Disposable {
   private readonly pools = new Map<string, Pool>()
+  private readonly openedAt = new WeakMap<Pool, number>()
 
   constructor (private readonly settings: ConnectionSettings) {}
 
@@ -34,6 +35,7 @@
       maxResponseSize: this.settings.maximumAnswerBytes
     })
     this.pools.set(address, pool)
+    this.openedAt.set(pool, performance.now())
     return pool
   }
 
@@ -44,6 +46,12 @@
     silent.close().catch(() => undefined)
   }
 
+  /** Puts the pool of an address aside, unless it was made within the last `youngMs`. */
+  suspectOlder (address: string, youngMs: number): void {
+    const pool = this.pools.get(address)
+    if (pool !== undefined && performance.now() - (this.openedAt.get(pool) ?? 0) >= youngMs) this.suspect(address, pool)
+  }
+
   dispose (): void {
     for (const pool of this.pools.values()) pool.destroy().catch(() => undefined)
     this.pools.clear()
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -46,9 +46,8 @@
     }
   }
 
-  distrust (address: string): void {
-    const origin = `http://${address}`
-    this.connections.suspect(origin, this.connections.to(origin))
+  distrust (address: string, youngMs: number = 0): void {
+    this.connections.suspectOlder(`http://${address}`, youngMs)
   }
 
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -9,7 +9,7 @@
   'admission.refused': 'requests for a slot refused by this home',
   'admission.revoked': 'slots asked back',
   'calls.attempt_failed': 'attempts at a target that did not bring the answer',
-  'calls.second_target': 'requests sent to a second target because the first was late',
+  'calls.second_target': 'requests sent once more over a new connection because the first answer was late',
   'calls.unusable_answer': "answers that were another request's, or not the target's",
   'checkpoint.failed': 'checkpoints that the log did not take',
   'checkpoint.written': 'checkpoints written',
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -44,6 +44,9 @@
   exchange (request: TargetRequest): Promise<Result<TargetAnswer>>
   /** Sends a request and gives its answer once the head has come. */
   open (request: TargetRequest): Promise<Result<TargetStream>>
-  /** Gives up the kept connections to an address, since one of them went silent. */
-  distrust (address: string): void
+  /**
+   * Gives up the kept connections to an address, since one of them went silent; those of a pool that
+   * is younger than `youngMs` stay.
+   */
+  distrust (address: string, youngMs?: number): void
 }
--- /dev/null
+++ b/test/actors/routes/silence.test.ts
@@ -0,0 +1,124 @@
+/** Attempts that stay without an answer: when they are sent once more, where, and what they hold. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
+import type { RoutedAnswer } from '../../../src/actors/common/routes/routeCalls.ts'
+import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
+import type { Result } from '../../../src/base/common/resultCode.ts'
+import type { Route } from '../../../src/core/common/routes/routeConfiguration.ts'
+import { lateAfterMs } from '../../../src/core/common/routes/silence.ts'
+import type { TargetClient } from '../../../src/ports/common/targetClient.ts'
+import { targetProtocol } from '../../../platform/index.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock, seededChance } from '../../support/manualClock.ts'
+import { route, targetDefinition } from '../../support/routes.ts'
+import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
+import { ScriptedClient } from '../../support/scriptedClient.ts'
+
+const own = { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }
+const good: ScriptedAnswer = { afterMs: 20, headers: own }
+const refused: ScriptedAnswer = { afterMs: 5, status: 503, headers: { 'bulrushvalve-not-run': '1', 'bulrushvalve-request-id': 'r' } }
+const unreachable: ScriptedAnswer = { afterMs: 5, failure: 'targetUnreachable' }
+const silent: ScriptedAnswer = { afterMs: Number.POSITIVE_INFINITY }
+
+interface Stage {
+  readonly clock: ManualClock
+  readonly table: TargetTable
+  ended: { readonly result: Result<RoutedAnswer>, readonly tookMs: number } | undefined
+}
+
+function begin (clock: ManualClock, client: TargetClient, targets: readonly string[], details: Partial<Route> = {}, background = false): Stage {
+  const table = new TargetTable({ clock, stateLog: quietLog })
+  for (const id of targets) table.set(targetDefinition({ id, address: id }))
+  const stage: Stage = { clock, table, ended: undefined }
+  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+  const beganAt = clock.now
+  calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 2000, configuration: 1, background, gone: new AbortController().signal })
+    .then((result) => { stage.ended = { result, tookMs: clock.now - beganAt } }, () => undefined)
+  return stage
+}
+
+const outcome = ({ ended }: Stage): string => ended === undefined ? 'waits' : ended.result.ok ? `${ended.result.value.answer.status} of ${ended.result.value.target}` : ended.result.code
+
+describe('an attempt without an answer', () => {
+  it('is sent once more to the same target where there is no other, over a new connection', async () => {
+    const clock = new ManualClock()
+    const client = new ScriptedClient(clock, { a: [silent, good] })
+    const stage = begin(clock, client, ['a'])
+    await clock.advance(3000)
+    expect([outcome(stage), stage.ended?.tookMs]).to.deep.equal(['200 of a', 120])
+    expect(client.distrusted).to.include('a')
+  })
+
+  it('puts the connections to its target aside, and those to the second target', async () => {
+    const clock = new ManualClock()
+    const client = new ScriptedClient(clock, { a: [silent], b: [silent] })
+    const stage = begin(clock, client, ['a', 'b'], { timeoutMs: 150 })
+    await clock.advance(150)
+    expect(outcome(stage)).to.equal('unknownOutcome')
+    expect(client.distrusted).to.deep.equal(client.sent.map(({ address }) => address))
+    expect(client.distrusted).to.have.members(['a', 'b'])
+  })
+
+  /*
+   * Targets in order were asked last for up to four seconds after connections to them had gone silent.
+   * The timeout of a call marked every target that it still waited for as failed.
+   */
+  it('on a kept connection is no word on its target; one on a new connection is', async () => {
+    const clock = new ManualClock()
+    const stage = begin(clock, new ScriptedClient(clock, { a: [silent], b: [silent] }), ['a', 'b'], { timeoutMs: 700 })
+    await clock.advance(710)
+    expect(outcome(stage)).to.equal('unknownOutcome')
+    expect(stage.table.available('s').filter(({ suspect }) => suspect)).to.have.length(1)
+  })
+
+  it('of the background leaves its slot to its second send', async () => {
+    const clock = new ManualClock()
+    const stage = begin(clock, new ScriptedClient(clock, { a: [silent, good] }), ['a'], {}, true)
+    await clock.advance(205)
+    expect(stage.table.get('a')?.inFlight).to.equal(1)
+    await clock.advance(100)
+    expect([outcome(stage), stage.table.get('a')?.inFlight]).to.deep.equal(['200 of a', 0])
+  })
+
+  it('counts its target among those allowed, though a second send there was refused', async () => {
+    const clock = new ManualClock()
+    const client = new ScriptedClient(clock, { a: [silent, refused], b: [silent], c: [silent] })
+    const stage = begin(clock, client, ['a'])
+    clock.after(102, () => { for (const id of ['b', 'c']) stage.table.set(targetDefinition({ id, address: id })) })
+    await clock.advance(3000)
+    expect(new Set(client.sent.map(({ address }) => address)).size).to.equal(2)
+  })
+
+  it('of any kind goes to no more targets than allowed, ends in time and holds no slot after', async () => {
+    const answers = fc.array(fc.constantFrom(good, refused, unreachable, silent, { afterMs: 5, failure: 'unknownOutcome' } as const, { ...good, afterMs: 300 }), { minLength: 1, maxLength: 4 })
+    await fc.assert(fc.asyncProperty(fc.array(answers, { minLength: 1, maxLength: 4 }), fc.integer({ min: 1, max: 3 }), fc.boolean(), fc.boolean(), async (scripts, attempts, repeatable, background) => {
+      const clock = new ManualClock()
+      const names = scripts.map((_, index) => `t${index}`)
+      const client = new ScriptedClient(clock, Object.fromEntries(scripts.map((script, index) => [`t${index}`, script])))
+      const stage = begin(clock, client, names, { attempts, kind: repeatable ? 'idempotent' : 'once-only', timeoutMs: 1000 }, background)
+      await clock.advance(1000)
+      expect(stage.ended?.tookMs).to.be.at.most(1000)
+      const mayHaveRun = names.flatMap((name, index) => client.sent.filter(({ address }) => address === name).flatMap((_, sent) => {
+        const script = scripts[index] ?? []
+        const answer = script[Math.min(sent, script.length - 1)]
+        return answer === refused || answer === unreachable ? [] : [name]
+      }))
+      expect(new Set(mayHaveRun).size).to.be.at.most(repeatable ? attempts : 1)
+      if (!repeatable) expect(mayHaveRun.length).to.be.at.most(1)
+      expect(stage.table.available('s').map(({ inFlight }) => inFlight)).to.deep.equal(names.map(() => 0))
+    }), { numRuns: 300 })
+  })
+})
+
+describe('the time after which an attempt is sent once more', () => {
+  it('is half the objective where a caller waits', () => {
+    expect(lateAfterMs({ objectiveMs: 156, allowedMs: 2000, answerMs: 500, background: false })).to.equal(78)
+  })
+
+  it('follows the usual answers of the target in the background, up to a third of the whole time', () => {
+    const late = (answerMs: number | undefined): number => lateAfterMs({ objectiveMs: 500, allowedMs: 3000, answerMs, background: true })
+    expect([late(undefined), late(100), late(250), late(900)]).to.deep.equal([500, 500, 750, 1000])
+  })
+})
--- a/test/adapters/silentConnections.test.ts
+++ b/test/adapters/silentConnections.test.ts
@@ -22,11 +22,14 @@
   it('are answered within their objective, as new connections work', async () => {
     for (const cutter of scene.cutters) cutter.silenceOpen()
     scene.mostWaiting = 0
+    scene.secondSends = 0
     const ends = await scene.steady(lookUp, 25, 2000)
-    const figures = `of ${ends.length} calls ${shareWithin(ends, lookUp.objectiveMs).toFixed(2)} within the objective, ${shareWithin(ends, lookUp.timeoutMs).toFixed(2)} answered, at most ${scene.mostWaiting} waiting`
+    const figures = `of ${ends.length} calls ${shareWithin(ends, lookUp.objectiveMs).toFixed(2)} within the objective, ${shareWithin(ends, lookUp.timeoutMs).toFixed(2)} answered, at most ${scene.mostWaiting} waiting, ${scene.secondSends} sent once more`
     expect(shareWithin(ends, lookUp.timeoutMs), figures).to.equal(1)
     expect(shareWithin(ends, lookUp.objectiveMs * 1.2), figures).to.be.at.least(0.95)
     expect(scene.mostWaiting, figures).to.be.at.most(12)
+    // Each host finds each pool silent once, at most.
+    expect(scene.secondSends, figures).to.be.at.most(scene.hosts.length * scene.cutters.length + ends.length / 20)
     expect(scene.slotsHeld, figures).to.equal(0)
   })
 
