An ended call still counts as in flight while its connection opens: failing test

Seen red (mocha test/actors/routes/silence.test.ts): "expected [ 1, 1 ] to deeply equal [ +0, +0 ]". A trial with undici's pool and a connection that takes 800 ms: a request aborted after 100 ms was settled after 804.

--- a/test/actors/routes/silence.test.ts
+++ b/test/actors/routes/silence.test.ts
@@ -82,6 +82,26 @@
     expect([outcome(stage), stage.table.get('a')?.inFlight]).to.deep.equal(['200 of a', 0])
   })
 
+  /*
+   * A call that had ended went on to count as in flight at its target, and kept background calls out. An
+   * HTTP client settles a request whose connection does not open only when it gives that up, not when
+   * the request is aborted; the slot was free only then.
+   */
+  it('holds no slot once its call has ended, though its connection still opens', async () => {
+    const clock = new ManualClock()
+    const opening: TargetClient = {
+      exchange: async () => await new Promise<never>(() => undefined),
+      open: async () => await new Promise<never>(() => undefined),
+      distrust: () => undefined
+    }
+    const stage = begin(clock, opening, ['a', 'b'], { timeoutMs: 700 })
+    await clock.advance(300)
+    expect(stage.table.available('s').map(({ inFlight }) => inFlight)).to.deep.equal([1, 1])
+    await clock.advance(400)
+    expect(outcome(stage)).to.equal('unknownOutcome')
+    expect(stage.table.available('s').map(({ inFlight }) => inFlight)).to.deep.equal([0, 0])
+  })
+
   it('counts its target among those allowed, though a second send there was refused', async () => {
     const clock = new ManualClock()
     const client = new ScriptedClient(clock, { a: [silent, refused], b: [silent], c: [silent] })
