A call that has ended releases its slots at once

Cause: the slot of an attempt was released when the client settled it; an aborted request whose connection still opens is settled by undici only when that opens or is given up (a trial: aborted after 100 ms, settled after 804), at hosts after 400 ms. hasRoom and the choice of targets counted it until then.

test/actors/routes/silence.test.ts: [1, 1] in flight after the end before, [0, 0] now.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -289,9 +289,11 @@
     if (this.settled) return
     this.settled = true
     this.timers.dispose()
-    for (const { abort, target, known } of this.running) {
-      this.story.push(`${target.definition.id}:${known}:ended`)
-      abort.abort()
+    for (const attempt of this.running) {
+      this.story.push(`${attempt.target.definition.id}:${attempt.known}:ended`)
+      attempt.abort.abort()
+      // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
+      release(attempt)
     }
     this.tell(result)
     this.resolve(result)
