Records of steps are read whole or not at all

Cause: readRecord decoded keys without a guard, readSubmission cast JSON to its type, and a part could name any number of others. Other writers' records then ended the following of the steps' or the contents' topic (stepContents decoded keys the same way). Progress was ruled out by its property test, which was green.

--- a/src/actors/common/steps/stepContents.ts
+++ b/src/actors/common/steps/stepContents.ts
@@ -6,7 +6,7 @@
 
 import type { Result } from '../../../base/common/resultCode.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import { keyPrefix, readPayloads, readText, textRecord } from '../../../core/common/steps/contentRecords.ts'
+import { decodeKeyPart, keyPrefix, readPayloads, readText, textRecord } from '../../../core/common/steps/contentRecords.ts'
 import type { ItemPayload } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
@@ -133,7 +133,8 @@
   }
 
   private take ({ key, value }: KeyedEntry): void {
-    const step = decodeURIComponent(key.split('/')[1] ?? '')
+    const step = decodeKeyPart(key.split('/')[1] ?? '')
+    if (step === undefined) return
     const held = this.held.get(step) ?? new Map<string, string>()
     if (value === undefined) held.delete(key)
     else held.set(key, value)
--- a/src/core/common/steps/contentRecords.ts
+++ b/src/core/common/steps/contentRecords.ts
@@ -13,6 +13,15 @@
 
 const encode = encodeURIComponent
 
+/** Decodes a part of a key; `undefined` where it is no percent-encoding, as other writers may leave it. */
+export function decodeKeyPart (part: string): string | undefined {
+  try {
+    return decodeURIComponent(part)
+  } catch {
+    return undefined
+  }
+}
+
 /** Splits a text into parts that fit into a record each. */
 export function splitText (text: string): string[] {
   const count = Math.max(1, Math.ceil(text.length / PART_CHARACTERS))
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -153,7 +153,7 @@
     this.parts.set(id, parts)
     if (Array.from({ length: count }, (_, place) => parts[place]).includes(undefined)) return []
     this.parts.delete(id)
-    const submitted = readSubmission(parts)
+    const submitted = readSubmission(id, parts)
     if (submitted === undefined) return []
     const payloadKeys = payloadKeysOf(submitted)
     this.noteContents(id, payloadKeys)
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -6,7 +6,7 @@
 
 import { z } from 'zod'
 import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
-import { payloadKeys, payloadRecords, splitText } from './contentRecords.ts'
+import { decodeKeyPart, payloadKeys, payloadRecords, splitText } from './contentRecords.ts'
 import type { ListedResult, StepSubmission, TrainerSubmission } from './step.ts'
 
 export interface DutyClaim {
@@ -44,11 +44,29 @@
   score: z.string().optional(),
   textKey: z.string().optional()
 })
-const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number() })
+/** Terms are whole: a claim of a term after which none can be counted would end all changes of the holder. */
+const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number().int().nonnegative() })
 const renewalSchema = claimSchema.extend({ count: z.number() })
 
+/** Most parts of a submission or of its payloads: the largest that a trainer may send has some tens. */
+const MOST_PARTS = 1000
+const itemSchema = z.object({ id: z.string(), tokens: z.number(), expectedTokens: z.number(), group: z.string(), scoredBy: z.string().optional() })
+const submittedSchema = z.object({
+  submission: z.object({
+    id: z.string(),
+    host: z.string(),
+    path: z.string(),
+    number: z.number(),
+    model: z.string(),
+    minimumVersion: z.number(),
+    wantedGroups: z.number(),
+    items: z.array(itemSchema)
+  }),
+  at: z.number(),
+  payload: z.object({ nonce: z.string(), parts: z.number().int().nonnegative().max(MOST_PARTS) })
+})
+
 const encode = encodeURIComponent
-const decode = decodeURIComponent
 
 /** Records of a submission: what every host keeps, to be appended in one piece after the payloads. */
 export interface SubmissionRecords {
@@ -69,13 +87,12 @@
   return payloadKeys(submission.id, payload.nonce, payload.parts)
 }
 
-/** Reads a submission from its parts; `undefined` where it is not one. */
-export function readSubmission (parts: readonly string[]): SubmittedStep | undefined {
-  try {
-    return JSON.parse(parts.join('')) as SubmittedStep
-  } catch {
-    return undefined
-  }
+/** Reads the submission of a step from its parts; `undefined` where it is not one. */
+export function readSubmission (step: string, parts: readonly string[]): SubmittedStep | undefined {
+  const submitted = parse(submittedSchema, parts.join(''))
+  if (submitted?.submission.id !== step) return undefined
+  const { submission, at, payload } = submitted
+  return { submission: { ...submission, items: submission.items.map((item) => ({ ...item, scoredBy: item.scoredBy })) }, at, payload }
 }
 
 export function resultRecord (step: string, result: ListedResult, nonce: string): KeyedRecord {
@@ -103,14 +120,19 @@
   return { key, value: undefined }
 }
 
-/** Reads a record; what is not known or cannot be read is `none` everywhere alike. */
+/**
+ * Reads a record; what is not known or cannot be read is `none` everywhere alike. Other writers may
+ * leave records of any bytes here: one that threw would end the following of the topic on every host.
+ */
 export function readRecord (entry: KeyedEntry): StepRecord {
   const [kind = '', first = '', second = ''] = entry.key.split('/')
-  if (entry.value === undefined) return readDropped(kind, decode(first))
+  const step = decodeKeyPart(first)
+  if (step === undefined) return { kind: 'none' }
+  if (entry.value === undefined) return readDropped(kind, step)
   switch (kind) {
-    case 'step': return readPart(decode(first), entry.value)
-    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step: decode(first), result: { ...result, score: result.score, textKey: result.textKey } }))
-    case 'end': return { kind, step: decode(first) }
+    case 'step': return readPart(step, entry.value)
+    case 'result': return read(resultSchema, entry.value, (result) => ({ kind, step, result: { ...result, score: result.score, textKey: result.textKey } }))
+    case 'end': return { kind, step }
     case 'claim': return read(claimSchema, entry.value, (claim) => ({ kind, claim, key: entry.key }))
     case 'renewal': return read(renewalSchema, entry.value, ({ count, ...claim }) => ({ kind, claim, count }))
     case 'release': return second === '' ? { kind: 'none' } : read(claimSchema, entry.value, (claim) => ({ kind, claim }))
@@ -127,19 +149,24 @@
   }
 }
 
+/** A part outside the count that it names is none: millions of missing parts would be looked for at each record. */
 function readPart (step: string, value: string): StepRecord {
   const head = /^(\d+)\/(\d+):/.exec(value)
-  if (head === null) return { kind: 'none' }
-  return { kind: 'part', step, index: Number(head[1]), count: Number(head[2]), text: value.slice(head[0].length) }
+  const index = Number(head?.[1])
+  const count = Number(head?.[2])
+  if (head === null || count > MOST_PARTS || index >= count) return { kind: 'none' }
+  return { kind: 'part', step, index, count, text: value.slice(head[0].length) }
 }
 
 function read<Schema extends z.ZodType> (schema: Schema, value: string, make: (parsed: z.infer<Schema>) => StepRecord): StepRecord {
-  let parsed: unknown
+  const parsed = parse(schema, value)
+  return parsed === undefined ? { kind: 'none' } : make(parsed)
+}
+
+function parse<Schema extends z.ZodType> (schema: Schema, value: string): z.infer<Schema> | undefined {
   try {
-    parsed = JSON.parse(value)
+    return schema.safeParse(JSON.parse(value)).data
   } catch {
-    return { kind: 'none' }
+    return undefined
   }
-  const checked = schema.safeParse(parsed)
-  return checked.success ? make(checked.data) : { kind: 'none' }
 }
