Tests: entries with fields of another type or a state that is not named (red)

Two fail: half a slot, less than none, an empty address, one without a port, a path, a state that is not named and a version of 1.5 name targets ("expected [ 'half a slot', ...(6) ] to deeply equal []"); a configuration of version 4.5 and a named version of 4.5 are taken.

--- a/test/platform/unreadable.test.ts
+++ b/test/platform/unreadable.test.ts
@@ -3,8 +3,10 @@
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { registryProtocol, storeProtocol, targetProtocol } from '../../platform/index.ts'
+import { configuration } from './support/fleet.ts'
 
 const entry = { service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 5, stage: 'both', models: [{ name: 'm', version: 2, adapters: [] }], seq: 3 }
+const without = (name: string): object => Object.fromEntries(Object.entries(entry).filter(([key]) => key !== name))
 const isTarget = (value: string | undefined): boolean => registryProtocol.target({ key: 'servers/t', value }).ok
 
 /** What a read answers from offset 0 on: end, first offset, and records with their lengths. */
@@ -45,9 +47,46 @@
     expect(isTarget(value)).to.equal(false)
   })
 
+  it('name no target where a field is missing, of another type or not named', () => {
+    const changes: Record<string, object> = {
+      'no service': without('service'),
+      'no address': without('addr'),
+      'no place': without('zone'),
+      'no slots': without('slots'),
+      'no state': without('state'),
+      'a service that is a number': { ...entry, service: 3 },
+      'slots that are a text': { ...entry, slots: '8' },
+      'half a slot': { ...entry, slots: 0.5 },
+      'less than no slots': { ...entry, slots: -1 },
+      'an empty address': { ...entry, addr: '' },
+      'an address without a port': { ...entry, addr: '10.0.0.1' },
+      'an address that is a path': { ...entry, addr: '10.0.0.1:80/x' },
+      'a state that is not named': { ...entry, state: 'resting' },
+      'models that are no list': { ...entry, models: 'm' },
+      'a model without a version': { ...entry, models: [{ name: 'm' }] },
+      'a version that is no whole number': { ...entry, models: [{ name: 'm', version: 1.5 }] },
+      'a list': [entry]
+    }
+    const readable = Object.entries(changes).filter(([, value]) => isTarget(JSON.stringify(value))).map(([name]) => name)
+    expect(readable).to.deep.equal([])
+    expect([JSON.stringify(entry), JSON.stringify({ ...entry, state: 'draining' })].map(isTarget)).to.deep.equal([true, true])
+    for (const value of ['', '{', 'null', '7', '\ufffd', undefined]) expect(isTarget(value)).to.equal(false)
+  })
+
   it('never throw, whatever their text', () => {
     fc.assert(fc.property(fc.oneof(anyText, fc.constantFrom('config', 'op/config', 'version/m', 'op/version/', 'servers/t')), fc.option(anyText, { nil: undefined }), fc.nat(600), (key, value = '', status) => {
       for (const read of [registryProtocol.operatorRecord({ key, value }), registryProtocol.target({ key, value }), targetProtocol.report(status, value), targetProtocol.report(200, value), storeProtocol.newestPage(200, Buffer.from(value))]) expect(read.ok).to.be.a('boolean')
     }))
   })
+
+  it('are no configuration and no named version where a field is of another type', () => {
+    const whole = configuration(3)
+    const isRead = (key: string, value: object): boolean => {
+      const read = registryProtocol.operatorRecord({ key, value: JSON.stringify(value) })
+      return read.ok && read.value.type !== 'other'
+    }
+    expect(isRead('config', whole)).to.equal(true)
+    expect([{ ...whole, version: '4' }, { ...whole, version: 4.5 }, { ...whole, routes: {} }, { ...whole, services: [{ name: 1 }] }, { ...whole, limits: { max_body_bytes: 'all' } }].map((value) => isRead('config', value))).to.deep.equal(Array(5).fill(false))
+    expect([{ model: 'm', version: 4 }, { model: 'm', version: '4' }, { model: 'm', version: 4.5 }, { model: 'm', version: -1 }, { version: 4 }].map((value) => isRead('version/m', value))).to.deep.equal([true, false, false, false, false])
+  })
 })
