Tests: the start of a target in its entry and its report (red)

Two fail: entries without the version of the software, the warm-up or the sequence, and with a start of another type, name targets ("expected [ 'no version of its software', ...(6) ] to deeply equal []"); the start is not read at all.

--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -168,4 +168,20 @@
     expect(targetProtocol.report(200, '{"models":3}').ok).to.equal(false)
     expect(targetProtocol.report(503, '{}').ok).to.equal(false)
   })
+
+  it('reads the start of a target from its entry and from its report', () => {
+    const entry = { service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 3 }
+    const ofEntry = (details: object): unknown => {
+      const read = registryProtocol.target({ key: 'i-1', value: JSON.stringify({ ...entry, ...details }) })
+      return read.ok ? read.value.incarnation : 'unreadable'
+    }
+    const ofReport = (details: object): unknown => {
+      const read = targetProtocol.report(200, JSON.stringify({ models: [], busy: false, seq: 0, running: 0, waiting: 0, ...details }))
+      return read.ok ? read.value.incarnation : 'unreadable'
+    }
+    const starts = [{ born: 1_700_000_000_000 }, {}, { born: '1700000000000' }, { born: 1.5 }, { born: -1 }, { born: null }, { born: [1] }]
+    const expected = [1_700_000_000_000, undefined, ...Array<string>(5).fill('unreadable')]
+    expect(starts.map(ofEntry)).to.deep.equal(expected)
+    expect(starts.map(ofReport)).to.deep.equal(expected)
+  })
 })
--- a/test/platform/unreadable.test.ts
+++ b/test/platform/unreadable.test.ts
@@ -54,6 +54,10 @@
       'no place': without('zone'),
       'no slots': without('slots'),
       'no state': without('state'),
+      'no version of its software': without('version'),
+      'no time until it is warm': without('cold_left_ms'),
+      'no sequence': without('seq'),
+      'a sequence that is a text': { ...entry, seq: '3' },
       'a service that is a number': { ...entry, service: 3 },
       'slots that are a text': { ...entry, slots: '8' },
       'half a slot': { ...entry, slots: 0.5 },
@@ -65,6 +69,9 @@
       'models that are no list': { ...entry, models: 'm' },
       'a model without a version': { ...entry, models: [{ name: 'm' }] },
       'a version that is no whole number': { ...entry, models: [{ name: 'm', version: 1.5 }] },
+      'a start that is a text': { ...entry, born: '1700000000000' },
+      'a start that is no whole number': { ...entry, born: 1.5 },
+      'a start that is nothing': { ...entry, born: null },
       'a list': [entry]
     }
     const readable = Object.entries(changes).filter(([, value]) => isTarget(JSON.stringify(value))).map(([name]) => name)
