--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -1,5 +1,5 @@
 /**
- * Branded identifiers. They are plain strings at run time; the brand keeps a host id from being
+ * Branded identifiers. They are plain strings or numbers at run time; the brand keeps a host id from being
  * passed where a target name is wanted.
  */
 
@@ -10,6 +10,8 @@
 export type HostId = Branded<'HostId'>
 /** Name of a target (a model engine or a plain service worker). */
 export type TargetName = Branded<'TargetName'>
+/** One life of a target that may start again under its id: a later life has a higher number. */
+export type Incarnation = number & { readonly [brand]: 'Incarnation' }
 /** Name of a pool. */
 export type PoolName = Branded<'PoolName'>
 /** Name of a subscription. */
@@ -23,6 +25,7 @@
 
 export const asHostId = (value: string): HostId => value as HostId
 export const asTargetName = (value: string): TargetName => value as TargetName
+export const asIncarnation = (value: number): Incarnation => value as Incarnation
 export const asPoolName = (value: string): PoolName => value as PoolName
 export const asSubscriptionName = (value: string): SubscriptionName => value as SubscriptionName
 export const asPlace = (value: string): Place => value as Place
--- a/src/core/common/routes/target.ts
+++ b/src/core/common/routes/target.ts
@@ -1,5 +1,7 @@
 /** A target as it registered itself, and what it tells of its load. */
 
+import type { Incarnation } from '../../../base/common/ids.ts'
+
 /** A version of a model's weights. */
 export interface ModelVersion {
   readonly model: string
@@ -7,8 +9,10 @@
 }
 
 export interface TargetDefinition {
-  /** Id of one life of the target. */
+  /** A target may start again under its id. */
   readonly id: string
+  /** Which life of the target this is about; absent where targets do not tell, and each id then has one life. */
+  readonly incarnation: Incarnation | undefined
   readonly service: string
   /** `IP:PORT`; after the target's end another one may get it. */
   readonly address: string
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -3,6 +3,7 @@
  * and neither send nor wait: they turn the product's types into messages and messages into types.
  */
 
+import type { Incarnation } from '../../base/common/ids.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import type { RouteConfiguration } from '../../core/common/routes/routeConfiguration.ts'
 import type { ItemPayload, SampleResult, TrainerSubmission } from '../../core/common/steps/step.ts'
@@ -132,6 +133,8 @@
 export type OrderVerdict = 'in-progress' | 'holds' | 'conflict' | 'fenced' | 'wrong-target' | 'rejected'
 
 export interface EngineState {
+  /** The life of the engine that reports; absent where targets do not tell. */
+  readonly incarnation: Incarnation | undefined
   readonly models: readonly ModelVersion[]
   /** True while an order is in progress. */
   readonly ordering: boolean
--- a/test/support/routes.ts
+++ b/test/support/routes.ts
@@ -23,5 +23,5 @@
 }
 
 export function targetDefinition (details: Partial<TargetDefinition> = {}): TargetDefinition {
-  return { id: 't', service: 's', address: '127.0.0.1:1', place: 'here', slots: 6, draining: false, coldMs: 0, models: [], ...details }
+  return { id: 't', incarnation: undefined, service: 's', address: '127.0.0.1:1', place: 'here', slots: 6, draining: false, coldMs: 0, models: [], ...details }
 }
