--- /dev/null
+++ b/test/actors/routes/targetLives.test.ts
@@ -0,0 +1,165 @@
+/** Targets that start again under their id, and entries that cannot be read, as they are followed in the store. */
+
+import { expect } from 'chai'
+import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
+import type { KnownTarget } from '../../../src/actors/common/routes/targetTable.ts'
+import { TargetTopic } from '../../../src/actors/common/routes/targetTopic.ts'
+import { toDisposable } from '../../../src/base/common/lifecycle.ts'
+import type { StateLog } from '../../../src/ports/common/observation.ts'
+import { registryProtocol } from '../../../platform/index.ts'
+import { quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock } from '../../support/manualClock.ts'
+import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
+
+/** What is written of one target: a text that is no entry, fields of an entry, or that it is gone. */
+type Written = string | { born?: number, state?: string, addr?: string, service?: string } | 'gone'
+
+const entry = (details: object): string => JSON.stringify({ service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 1, ...details })
+const valueOf = (written: Written): string | undefined => written === 'gone' ? undefined : typeof written === 'string' ? written : entry(written)
+
+class Scene {
+  readonly clock = new ManualClock()
+  readonly log = new MemoryKeyedLog()
+  readonly lines: string[] = []
+  private readonly stateLog: StateLog = {
+    changed: (what, { target }) => { if (target !== undefined) this.lines.push(what) },
+    alarm: (what, { key }) => { if (key !== undefined) this.lines.push(what) },
+    decided: () => undefined
+  }
+
+  readonly table = new TargetTable({ clock: this.clock, stateLog: this.stateLog })
+  readonly topic = new TargetTopic({
+    log: {
+      append: async (records) => await this.log.append(records),
+      newest: async (after) => await this.log.newest(after),
+      read: async (from) => {
+        await new Promise<void>((resolve) => { this.clock.after(20, resolve) })
+        return await this.log.read(from)
+      }
+    },
+    clock: this.clock,
+    metrics: quietMetrics,
+    stateLog: this.stateLog,
+    onRegained: () => toDisposable(() => undefined)
+  }, { name: 't', longPollMs: 20, pauseMs: 0 }, registryProtocol, this.table)
+
+  async write (...written: readonly (readonly [string, Written])[]): Promise<void> {
+    for (const [id, value] of written) this.log.write([{ key: id, value: valueOf(value) }])
+    await this.clock.advance(150)
+  }
+
+  available (service = 's'): string[] {
+    return this.table.available(service).map(({ definition }) => definition.id)
+  }
+
+  /** Has all entries loaded anew. */
+  async reload (): Promise<void> {
+    this.log.first = this.log.entries.length + 1
+    await this.clock.advance(200)
+    this.log.first = 0
+    await this.clock.advance(100)
+  }
+}
+
+async function scene (...written: readonly (readonly [string, Written])[]): Promise<Scene> {
+  const made = new Scene()
+  made.topic.start()
+  await made.write(...written)
+  return made
+}
+
+/** Whatever a host can learn of a target while it uses it. */
+function use (target: KnownTarget | undefined): KnownTarget {
+  if (target === undefined) throw new Error('no target')
+  target.answered(70)
+  target.reported({ running: 3, waiting: 2, slots: 8 })
+  target.failed()
+  target.inFlight++
+  return target
+}
+
+describe('a target that starts again under its id', () => {
+  it('is a new target to this host, whatever came between', async () => {
+    // Symptom: a target that had started again got no work, or orders that it refused. It was taken
+    // for the one before, with its failures, load and requests in flight.
+    const away = async ({ log, clock }: Scene): Promise<void> => {
+      log.down = true
+      await clock.advance(2000)
+      log.down = false
+      await clock.advance(200)
+    }
+    const cases: { name: string, between: (scene: Scene) => Promise<void>, next: Exclude<Written, string>, service?: string }[] = [
+      { name: 'at once', between: async () => undefined, next: { born: 2 } },
+      { name: 'its entry lapsed', between: async (scene) => { await scene.write(['a', 'gone']) }, next: { born: 2 } },
+      { name: 'the store was away', between: away, next: { born: 2 } },
+      { name: 'it lapsed while the store was away', between: async (scene) => { await away(scene); await scene.write(['a', 'gone']) }, next: { born: 2 } },
+      { name: 'it drained', between: async (scene) => { await scene.write(['a', { born: 1, state: 'draining' }]) }, next: { born: 2 } },
+      { name: 'it had started again before', between: async (scene) => { await scene.write(['a', { born: 2 }]); use(scene.table.get('a')) }, next: { born: 3 } },
+      { name: 'at another address', between: async () => undefined, next: { born: 2, addr: '10.0.0.9:90' } },
+      { name: 'at the address of another service', between: async () => undefined, next: { born: 2, addr: '10.0.0.2:80' } },
+      { name: 'for another service', between: async () => undefined, next: { born: 2, service: 'o' }, service: 'o' },
+      { name: 'the entries were loaded anew', between: async (scene) => { await scene.reload() }, next: { born: 2 } }
+    ]
+    for (const { name, between, next, service } of cases) {
+      const here = await scene(['a', { born: 1 }], ['b', { born: 1, service: 'o', addr: '10.0.0.2:80' }])
+      const former = use(here.table.get('a'))
+      await between(here)
+      await here.write(['a', next])
+      const target = here.table.get('a')
+      expect(here.available(service), name).to.include('a')
+      expect(target, name).not.to.equal(former)
+      expect([target?.inFlight, target?.report, target?.answerMs, target?.suspect, target?.definition.draining, target?.definition.address], name).to.deep.equal([0, undefined, undefined, false, false, next.addr ?? '10.0.0.1:80'])
+      here.topic.dispose()
+    }
+  })
+
+  it('is not brought back to an earlier life by a late entry', async () => {
+    // An append without an answer may be done seconds later: then the entry of the earlier life is the newest.
+    const late: Written = { born: 1, addr: '10.0.0.7:70' }
+    const here = await scene(['a', { born: 1 }], ['a', { born: 2, addr: '10.0.0.2:80' }])
+    const target = use(here.table.get('a'))
+    await here.write(['a', late])
+    await here.reload()
+    expect([here.table.get('a') === target, target.definition.address]).to.deep.equal([true, '10.0.0.2:80'])
+    await here.write(['a', 'gone'])
+    await here.clock.advance(5000)
+    await here.write(['a', late])
+    expect(here.available()).to.deep.equal([])
+    await here.write(['a', { born: 2, addr: '10.0.0.2:80' }])
+    expect(here.available()).to.deep.equal(['a'])
+    here.topic.dispose()
+  })
+})
+
+describe('an entry that cannot be read', () => {
+  it('names no target by either way of reading, is told once, and touches no other', async () => {
+    // Symptom: calls went to a target of which the newest entry was from another writer. A host that
+    // followed the topic kept what it had read before, one that loaded it anew waited for the entry.
+    const other = { born: 1 }
+    for (const broken of ['', '{', '\ufffd', '[]', entry({ born: 'x' }), entry({}), entry({ ...other, state: 'resting' }), entry({ ...other, slots: '8' })].filter((text) => text !== '')) {
+      const here = await scene(['a', other], ['b', other])
+      await here.write(['a', broken], ['a', broken], ['a', broken])
+      expect(here.available(), broken).to.deep.equal(['b'])
+      await here.reload()
+      expect(here.available(), broken).to.deep.equal(['b'])
+      expect(here.lines.filter((line) => line === "a target's entry cannot be read"), broken).to.have.length(1)
+      await here.write(['a', other])
+      expect(here.available(), broken).to.have.members(['a', 'b'])
+      await here.write(['a', broken])
+      expect(here.lines.filter((line) => line === "a target's entry cannot be read"), broken).to.have.length(2)
+      here.topic.dispose()
+      const anew = await scene(['a', other], ['b', other], ['a', broken])
+      expect(anew.available(), broken).to.deep.equal(['b'])
+      anew.topic.dispose()
+    }
+  })
+
+  it('is no matter of a start that no target tells', async () => {
+    const here = await scene(['a', {}], ['b', {}])
+    expect(here.available()).to.deep.equal(['a', 'b'])
+    const target = use(here.table.get('a'))
+    await here.write(['a', { addr: '10.0.0.9:90' }])
+    expect([here.table.get('a') === target, target.definition.address, here.lines]).to.deep.equal([true, '10.0.0.9:90', ['target registered', 'target registered']])
+    here.topic.dispose()
+  })
+})
