--- a/test/actors/weights/engineOrders.test.ts
+++ b/test/actors/weights/engineOrders.test.ts
@@ -5,6 +5,7 @@
 import { EngineBoard } from '../../../src/actors/common/steps/engineBoard.ts'
 import type { ModelWork } from '../../../src/actors/common/weights/engineOrders.ts'
 import { EngineOrders } from '../../../src/actors/common/weights/engineOrders.ts'
+import { asIncarnation } from '../../../src/base/common/ids.ts'
 import { Emitter } from '../../../src/base/common/lifecycle.ts'
 import { failure, success } from '../../../src/base/common/resultCode.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
@@ -23,14 +24,16 @@
   faults: ('lost' | 'late' | 'dead')[] = []
   /** How old what it reports is, but for the versions, in milliseconds. */
   reportLagMs = 0
+  /** Told in reports once it is set. */
+  born: number | undefined
   private until = 0
-  private readonly states: { readonly from: number, readonly busy: boolean, readonly seq: number }[] = [{ from: 0, busy: false, seq: 0 }]
+  private states: { readonly from: number, readonly busy: boolean, readonly seq: number }[] = [{ from: 0, busy: false, seq: 0 }]
 
   constructor (private readonly clock: ManualClock) {}
 
   answer (request: TargetRequest): { status: number, body: object } | 'none' {
     const { busy, seq } = this.states.findLast(({ from }) => from <= this.clock.now - this.reportLagMs) ?? { busy: false, seq: 0 }
-    if (request.path === '/report') return { status: 200, body: { models: [{ name: 'm', version: this.version }], busy, seq, running: 0, waiting: 0 } }
+    if (request.path === '/report') return { status: 200, body: { models: [{ name: 'm', version: this.version }], busy, seq, running: 0, waiting: 0, ...(this.born === undefined ? {} : { born: this.born }) } }
     const order = JSON.parse(new TextDecoder().decode(request.body)) as { version: number, fence: number, precondition: number }
     const fault = this.faults.shift()
     if (fault === 'dead') return 'none'
@@ -42,13 +45,23 @@
     return fault === 'lost' ? 'none' : { status, body: {} }
   }
 
+  /** Starts again: the order under way and all counts are gone. */
+  restart (born: number, version: number): void {
+    this.born = born
+    this.version = version
+    this.sequence = 0
+    this.until = 0
+    this.states = [{ from: 0, busy: false, seq: 0 }]
+  }
+
   private take ({ version, fence, precondition }: { version: number, fence: number, precondition: number }): boolean {
     if (this.clock.now < this.until || precondition !== this.sequence) return false
     this.sequence++
     this.accepted.push({ version, fence, at: this.clock.now })
     this.until = this.clock.now + 900
     this.states.push({ from: this.clock.now, busy: true, seq: this.sequence }, { from: this.until, busy: false, seq: this.sequence })
-    this.clock.after(900, () => { this.version = version })
+    const { born } = this
+    this.clock.after(900, () => { if (this.born === born) this.version = version })
     return true
   }
 }
@@ -60,11 +73,12 @@
   let demand: ModelWork
   let alone: boolean
   let dutyChanges: Emitter<void>
+  let table: TargetTable
 
   function start (count: number): void {
     clock = new ManualClock()
     engines = new Map(Array.from({ length: count }, (_, index) => [`e${index}`, new FakeEngine(clock)]))
-    const table = new TargetTable({ clock, stateLog: quietLog })
+    table = new TargetTable({ clock, stateLog: quietLog })
     for (const id of engines.keys()) table.set(targetDefinition({ id, service: 'engines', address: id, models: [{ model: 'm', version: 1 }] }))
     const routes = new RouteTable({ version: 1, routes: [], services: [{ name: 'engines', maximumConnections: 9, engine: { slots: 4, models: ['m'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
     const client: TargetClient = {
@@ -145,6 +159,27 @@
     expect(engine?.accepted.map(({ version }) => version)).to.deep.equal([2, 3])
   })
 
+  it('of a former life of an engine end with it, and the present life is ordered anew', async () => {
+    // Symptom: an engine that started again during a load stayed without the new version for five
+    // seconds, or was taken to have it. The holder waited for the order that the former life had taken.
+    for (const toldBy of ['entry', 'report']) {
+      start(1)
+      const engine = engines.get('e0')
+      const enter = (born: number): void => { table.set(targetDefinition({ id: 'e0', incarnation: asIncarnation(born), service: 'engines', address: 'e0', models: [{ model: 'm', version: 1 }] })) }
+      engine?.restart(1, 1)
+      enter(1)
+      await clock.advance(400)
+      expect(engine?.accepted, toldBy).to.have.length(1)
+      engine?.restart(2, 1)
+      if (toldBy === 'entry') enter(2)
+      await clock.advance(2300)
+      expect(versions(), toldBy).to.deep.equal([2])
+      expect(engine?.accepted.map(({ version }) => version), toldBy).to.deep.equal([2, 2])
+      expect(table.get('e0')?.definition.incarnation, toldBy).to.equal(2)
+      orders.dispose()
+    }
+  })
+
   it('go from an old version to the newest, not through those between', async () => {
     start(1)
     demand = { ...demand, named: 7 }
