Work and orders end with the life of the target that they were sent to

Cause: nothing told requests, streams and items' runs that their target had started again, and reports did not say of which life they are. Runs go on elsewhere at once from the last event held; a call that must not be repeated ends as unknown and is not sent again; an order of a former life is no longer waited for.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -169,6 +169,8 @@
     this.running.add(attempt)
     this.sent.add(target.definition.id)
     target.inFlight++
+    // No answer comes from a former life, and a connection to it may stay silent: the caller would wait in vain.
+    const restart = target.onRestart(() => { attempt.abort.abort() })
     services.client.exchange({
       address: target.definition.address,
       method: request.method,
@@ -177,7 +179,7 @@
       body: request.body,
       ownConnection: !this.repeatable,
       signal: attempt.abort.signal
-    }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) })
+    }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) }).finally(() => { restart.dispose() })
     if (this.repeatable && !request.background) this.timers.add(this.services.clock.after(request.route.objectiveMs * SECOND_TARGET_SHARE, () => { this.late(attempt) }))
   }
 
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -109,6 +109,8 @@
     const silence = new AbortController()
     const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
     let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
+    // No event comes from a former life: the caller would wait until the bound of silence.
+    const restart = target.onRestart(() => { silence.abort() })
     try {
       const opened = await client.open({
         address: target.definition.address,
@@ -149,6 +151,7 @@
       return this.failedRun(target, false)
     } finally {
       timer.dispose()
+      restart.dispose()
     }
   }
 
--- a/src/actors/common/steps/engineBoard.ts
+++ b/src/actors/common/steps/engineBoard.ts
@@ -2,6 +2,8 @@
 
 import type { EngineLoad } from '../../../core/common/steps/engineChoice.ts'
 import { EnginePace, slownessOf } from '../../../core/common/steps/enginePace.ts'
+import type { Incarnation } from '../../../base/common/ids.ts'
+import type { LifeVerdict } from '../../../core/common/routes/incarnation.ts'
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ModelVersion } from '../../../core/common/routes/target.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -17,6 +19,7 @@
   readonly sinceMs: number
 }
 
+/** One life of an engine: after a restart under its id there is another object, which knows nothing of this one. */
 export class Engine {
   running = 0
   order: OrderUnderway | undefined
@@ -80,6 +83,11 @@
     return present.map((target) => this.engine(target))
   }
 
+  /** What an engine's own report says about its life; after `newer` the engine is another one here too. */
+  tell (engine: Engine, incarnation: Incarnation | undefined, models: readonly ModelVersion[]): LifeVerdict {
+    return this.targets.tell(engine.target, incarnation, models)
+  }
+
   /** What the choice of an engine for an item of this model and group needs. */
   candidates (services: readonly string[], model: string, group: string | undefined): EngineCandidate[] {
     const engines = services.flatMap((service) => this.ofService(service))
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -72,6 +72,8 @@
   | { readonly type: 'broken', readonly why: string }
   /** It was ended here, to go on at another engine. */
   | { readonly type: 'moved' }
+  /** The engine has started again: nothing more comes of this run. */
+  | { readonly type: 'restarted' }
   /** The engine says that it did not run the item. */
   | { readonly type: 'refused' }
   /** The engine's own failure of the item. */
@@ -107,9 +109,12 @@
 /** Runs an item and adds what comes to its text. */
 export async function runItem (services: ItemRunServices, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions): Promise<RunEnd> {
   const silence = new SilenceGuard(services.clock, options)
-  const signal = AbortSignal.any([options.cancelled, silence.signal])
+  const { target } = engine
+  const restarted = new AbortController()
+  const restart = target.onRestart(() => { restarted.abort() })
+  const signal = AbortSignal.any([options.cancelled, silence.signal, restarted.signal])
   try {
-    const { address, id } = engine.target.definition
+    const { address, id } = target.definition
     const answer = await services.client.open({
       address,
       method: 'POST',
@@ -119,12 +124,15 @@
       ownConnection: false,
       signal
     })
+    if (!answer.ok && target.isOver) return { type: 'restarted' }
     if (!answer.ok) return { type: 'broken', why: silence.signal.aborted ? 'no answer in time' : answer.message }
     return await readAnswer(services, answer.value, engine, item, text, options, silence)
   } catch (error) {
+    if (target.isOver) return { type: 'restarted' }
     return { type: 'broken', why: silence.signal.aborted ? 'silent' : String(error) }
   } finally {
     silence.dispose()
+    restart.dispose()
   }
 }
 
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -312,6 +312,7 @@
         return this.again(work, itemWork, false)
       case 'moved':
       case 'too-old': return this.again(work, itemWork, false)
+      case 'restarted': return this.again(work, itemWork, route.singleVersion)
       case 'broken':
         engine.target.failed()
         this.services.client.distrust(engine.target.definition.address)
--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -126,7 +126,7 @@
   private async load (engine: Engine, load: PlannedLoad, mode: SwapMode): Promise<void> {
     const began = this.services.clock.monotonic()
     const before = await this.stateWithoutOrder(engine, load, began)
-    if (before === undefined || !this.services.duty.alone) return
+    if (before === undefined || engine.target.isOver || !this.services.duty.alone) return
     const verdict = await this.order(engine, load, mode, before.sequence)
     if (verdict === 'in-progress') {
       await this.pause(LOAD_MS)
@@ -148,10 +148,13 @@
    */
   private async stateWithoutOrder (engine: Engine, load: PlannedLoad, began: number): Promise<EngineState | undefined> {
     const { clock, duty } = this.services
-    while (duty.holds && clock.monotonic() - began < LONGEST_LOAD_MS) {
+    while (duty.holds && !engine.target.isOver && clock.monotonic() - began < LONGEST_LOAD_MS) {
       const state = await this.report(engine)
       if (!state.ok) return undefined
-      this.learn(engine, state.value)
+      if (!this.learn(engine, state.value)) {
+        await this.pause(REPORT_MS)
+        continue
+      }
       if (engine.version(load.model) >= load.version) return undefined
       if (!state.value.ordering) return state.value
       await this.pause(REPORT_MS)
@@ -178,11 +181,10 @@
   /** Waits until the engine reports the version, or no order any more. */
   private async awaitVersion (engine: Engine, load: PlannedLoad, began: number): Promise<void> {
     const { clock, duty, stateLog } = this.services
-    while (duty.holds && clock.monotonic() - began < LONGEST_LOAD_MS) {
+    while (duty.holds && !engine.target.isOver && clock.monotonic() - began < LONGEST_LOAD_MS) {
       const state = await this.report(engine)
       if (!state.ok && engine.target.suspect) return
-      if (state.ok) {
-        this.learn(engine, state.value)
+      if (state.ok && this.learn(engine, state.value)) {
         if (engine.version(load.model) >= load.version) {
           return stateLog.decided('load ended', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
         }
@@ -192,8 +194,14 @@
     stateLog.decided('load not seen to end', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
   }
 
-  private learn (engine: Engine, state: EngineState): void {
-    for (const version of state.models) engine.learnVersion(version)
+  /**
+   * Learns from a report of the engine's present life; false for one of another life. Taken for the
+   * same, the order of a former life would pass for done, or be waited for until `LONGEST_LOAD_MS`.
+   */
+  private learn (engine: Engine, { incarnation, models }: EngineState): boolean {
+    if (this.services.board.tell(engine, incarnation, models) !== 'same') return false
+    for (const version of models) engine.learnVersion(version)
+    return true
   }
 
   private async report (engine: Engine): Promise<Result<EngineState>> {
