Tests: whole paths of targets that start again, and beside another writer

The stand-in of targets tells its start and loses its power with restart(): its former connections stay open and silent. The stand-in of the store keeps bytes as they are.

--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -63,6 +63,11 @@
     this.add(topic, [Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, Buffer.from(value === undefined ? '' : JSON.stringify(value))])])
   }
 
+  /** Writes a record of any bytes, as another writer may. */
+  putBytes (topic: string, content: Uint8Array): void {
+    this.add(topic, [Buffer.from(content)])
+  }
+
   /** Drops the history of a topic; the newest record of each key stays readable. */
   compact (name: string): void {
     const topic = this.topic(name)
@@ -76,13 +81,19 @@
 
   /** Newest values of a keyed topic. */
   newest (name: string): Map<string, { value: string, offset: number }> {
-    const found = new Map<string, { value: string, offset: number }>()
+    return new Map([...this.newestBytes(name)].map(([key, { bytes, offset }]) => [key, { value: bytes.toString('utf8'), offset }]))
+  }
+
+  /** A record that ends before its key does belongs to no key. */
+  private newestBytes (name: string): Map<string, { bytes: Buffer, offset: number }> {
+    const found = new Map<string, { bytes: Buffer, offset: number }>()
     for (const [offset, { content }] of this.topic(name).records.entries()) {
-      const length = content.readUInt8(0)
-      const key = content.toString('utf8', 1, 1 + length)
-      const value = content.toString('utf8', 1 + length)
-      if (value === '') found.delete(key)
-      else found.set(key, { value, offset })
+      const valueAt = 1 + (content[0] ?? 0)
+      if (valueAt > content.length) continue
+      const key = content.toString('utf8', 1, valueAt)
+      const bytes = content.subarray(valueAt)
+      if (bytes.length === 0) found.delete(key)
+      else found.set(key, { bytes, offset })
     }
     return found
   }
@@ -171,10 +182,10 @@
   }
 
   private page (response: ServerResponse, name: string, after: string | undefined): void {
-    const sorted = [...this.newest(name)].sort(([a], [b]) => a < b ? -1 : 1).filter(([key]) => after === undefined || key > after)
+    const sorted = [...this.newestBytes(name)].sort(([a], [b]) => a < b ? -1 : 1).filter(([key]) => after === undefined || key > after)
     const page = sorted.slice(0, 20)
     json(response, 200, {
-      items: page.map(([key, { value, offset }]) => ({ key, value: Buffer.from(value).toString('base64'), offset })),
+      items: page.map(([key, { bytes, offset }]) => ({ key, value: bytes.toString('base64'), offset })),
       more: sorted.length > page.length,
       end: this.topic(name).records.length
     })
--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -48,6 +48,8 @@
   readonly engine?: { readonly models: readonly string[], readonly eventMs: number, readonly loadMs: number }
   /** Time for an answer of a plain worker, in milliseconds. */
   readonly answerMs?: number
+  /** Unix milliseconds of its first start; absent for targets that do not tell. */
+  readonly born?: number
 }
 
 export class TargetStandIn {
@@ -61,10 +63,25 @@
   draining = false
   private loading: string | undefined
   private server: Server | undefined
+  /** Servers of former lives: their connections stay open and are silent. */
+  private readonly formerServers: Server[] = []
+  private lives = 0
+  /** Orders of the present life. */
+  private accepted = 0
   address = ''
 
   constructor (readonly options: TargetOptions, private readonly store: StoreStandIn) {
-    for (const model of options.engine?.models ?? []) this.versions.set(model, 1)
+    this.beginLife()
+  }
+
+  private beginLife (): void {
+    this.accepted = 0
+    this.loading = undefined
+    for (const model of this.options.engine?.models ?? []) this.versions.set(model, 1)
+  }
+
+  private get toldStart (): object {
+    return this.options.born === undefined ? {} : { born: this.options.born + this.lives }
   }
 
   async start (): Promise<this> {
@@ -76,10 +93,18 @@
     return this
   }
 
+  /** Loses its power and starts again under its id at another port: whatever was under way is silent for good. */
+  async restart (): Promise<void> {
+    this.lives++
+    if (this.server !== undefined) this.formerServers.push(this.server)
+    this.beginLife()
+    await this.start()
+  }
+
   register (): void {
     const { id, service, place, slots = 4 } = this.options
     const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
-    this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...(models.length > 0 ? { stage: 'both', models } : {}) })
+    this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...this.toldStart, ...(models.length > 0 ? { stage: 'both', models } : {}) })
   }
 
   drain (): void {
@@ -93,8 +118,10 @@
 
   /** Dies without a word. */
   async kill (): Promise<void> {
-    this.server?.closeAllConnections()
-    await new Promise<void>((resolve) => { this.server === undefined ? resolve() : this.server.close(() => { resolve() }) })
+    for (const server of [...this.formerServers, this.server]) {
+      server?.closeAllConnections()
+      await new Promise<void>((resolve) => { server === undefined ? resolve() : server.close(() => { resolve() }) })
+    }
   }
 
   private async receive (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -110,14 +137,17 @@
 
   private report (response: ServerResponse): void {
     const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
-    answer(response, 200, { 'content-type': 'application/json' }, JSON.stringify({ stage: 'both', models, busy: this.loading !== undefined, seq: this.orders.length, waiting: 0, running: 0, kv_used: 0, kv_total: 1, handles: 0 }))
+    answer(response, 200, { 'content-type': 'application/json' }, JSON.stringify({ stage: 'both', models, busy: this.loading !== undefined, seq: this.accepted, ...this.toldStart, waiting: 0, running: 0, kv_used: 0, kv_total: 1, handles: 0 }))
   }
 
   private order (response: ServerResponse, { holder, fence, model, version, precondition }: OrderBody): void {
-    if (this.loading !== undefined || (precondition !== undefined && precondition !== this.orders.length)) return answer(response, 409, {}, '')
+    if (this.loading !== undefined || (precondition !== undefined && precondition !== this.accepted)) return answer(response, 409, {}, '')
+    this.accepted++
     this.orders.push({ holder, fence, model, version, at: Date.now() })
     this.loading = model
+    const { lives } = this
     setTimeout(() => {
+      if (lives !== this.lives) return
       this.versions.set(model, version)
       this.loading = undefined
       this.register()
@@ -170,10 +200,11 @@
     const count = Number(/events-(\d+)/.exec(record.path)?.[1] ?? 3)
     const begin = last === undefined ? 0 : Number(last) + 1
     let version = this.versions.get(model) ?? 1
+    const { lives } = this
     response.writeHead(200, { ...own, 'content-type': 'text/event-stream', 'bulrushvalve-weight-versions': String(version) })
     for (let number = begin; number < count; number++) {
       await delay(this.options.engine?.eventMs ?? 1)
-      if (response.destroyed) return
+      if (response.destroyed || lives !== this.lives) return
       const now = this.versions.get(model) ?? 1
       const changed = now === version ? '' : `bulrushvalve-weight-versions: ${now}\n`
       version = now
