Tests: payloads of another form (red)

One fails: six of eight payloads with missing or foreign fields are read ("expected [ false, false, true x 6 ] to deeply equal [ false x 8 ]").

--- a/test/core/steps/unreadableRecords.test.ts
+++ b/test/core/steps/unreadableRecords.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
+import { payloadRecords, readPayloads, readText } from '../../../src/core/common/steps/contentRecords.ts'
 import { readProgress } from '../../../src/core/common/steps/progress.ts'
 import { StepFold } from '../../../src/core/common/steps/stepFold.ts'
 import { claimRecord, readRecord, resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
@@ -49,4 +50,19 @@
       expect(readProgress([...records, part]).get('s/i')?.events).to.deep.equal(['e'])
     }))
   })
+
+  it('are no payloads and no texts where they are of another form', () => {
+    // An item whose payload has no body broke at every engine in turn, and each of them was taken to have failed.
+    const payload = { path: '/p', headers: { x: 'y' }, body: 'YQ==' }
+    const isRead = (value: unknown): boolean => readPayloads([JSON.stringify(value)]) !== undefined
+    expect(isRead([['i', payload]])).to.equal(true)
+    expect([{}, 'i', [['i']], [[1, payload]], [['i', { ...payload, body: 3 }]], [['i', { ...payload, path: undefined }]], [['i', { ...payload, headers: { x: 1 } }]], [['i', { ...payload, scorer: 'c' }]]].map(isRead)).to.deep.equal(Array(8).fill(false))
+    const items = [{ ...item('a', 'g'), path: '/p', headers: {}, body: '', scorer: { requestId: 'c', host: 'h', path: '/s', body: '' } }]
+    const read = readPayloads(payloadRecords('s', items, 'n').map(({ value }) => value ?? ''))
+    expect(read?.get('a')).to.deep.equal({ path: '/p', headers: {}, body: '', scorer: items[0]?.scorer })
+    fc.assert(fc.property(fc.array(text), text, (values, one) => {
+      readPayloads(values)
+      expect(readText(one) ?? '').to.be.a('string')
+    }))
+  })
 })
