Payloads are read with all their fields or not at all

Cause: readPayloads cast JSON to its type; a payload without a body made the run break at each engine in turn.

--- a/src/core/common/steps/contentRecords.ts
+++ b/src/core/common/steps/contentRecords.ts
@@ -5,12 +5,17 @@
  * and a store that gives 80 MB a second then keeps everybody waiting for seconds.
  */
 
+import { z } from 'zod'
 import type { KeyedRecord } from '../../../ports/common/keyedLog.ts'
 import type { ItemPayload, SubmittedItem } from './step.ts'
 
 /** Characters of one part of a long text: with four bytes a character it stays under 256 KiB, the least size of a record. */
 const PART_CHARACTERS = 60_000
 
+const scorerSchema = z.object({ requestId: z.string(), host: z.string(), path: z.string(), body: z.string() })
+const payloadSchema = z.object({ path: z.string(), headers: z.record(z.string(), z.string()), body: z.string(), scorer: scorerSchema.optional() })
+const payloadsSchema = z.array(z.tuple([z.string(), payloadSchema]))
+
 const encode = encodeURIComponent
 
 /** Decodes a part of a key; `undefined` where it is no percent-encoding, as other writers may leave it. */
@@ -39,10 +44,14 @@
   return payloadKeys(step, nonce, parts.length).map((key, index) => ({ key, value: parts[index] }))
 }
 
-/** Puts payloads together from the values of their records, in order; `undefined` where they cannot be read. */
+/**
+ * Puts payloads together from the values of their records, in order; `undefined` where they cannot be
+ * read. A payload without its fields would break at every engine, and each would be taken to have failed.
+ */
 export function readPayloads (values: readonly string[]): ReadonlyMap<string, ItemPayload> | undefined {
   try {
-    return new Map(JSON.parse(values.join('')) as [string, ItemPayload][])
+    const payloads = payloadsSchema.safeParse(JSON.parse(values.join(''))).data
+    return payloads === undefined ? undefined : new Map(payloads.map(([id, payload]) => [id, { ...payload, scorer: payload.scorer }]))
   } catch {
     return undefined
   }
