Tests: reports of a later life (red)

One fails: a target without an entry is available again after its report told of a later life ("expected [ 'newer', [ 'a' ] ] to deeply equal [ 'newer', [] ]").

--- a/test/actors/routes/targetLives.test.ts
+++ b/test/actors/routes/targetLives.test.ts
@@ -4,6 +4,7 @@
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import type { KnownTarget } from '../../../src/actors/common/routes/targetTable.ts'
 import { TargetTopic } from '../../../src/actors/common/routes/targetTopic.ts'
+import { asIncarnation } from '../../../src/base/common/ids.ts'
 import { toDisposable } from '../../../src/base/common/lifecycle.ts'
 import type { StateLog } from '../../../src/ports/common/observation.ts'
 import { registryProtocol } from '../../../platform/index.ts'
@@ -131,6 +132,30 @@
   })
 })
 
+describe('what a target reports of its life', () => {
+  it('counts if it is newer than its entry, but gives no target an entry', async () => {
+    // Symptom: a target that had left got work again. Its last report told of a later life than its
+    // entry, and was taken for an entry after that was gone.
+    const models = [{ model: 'm', version: 4 }]
+    const here = await scene(['a', { born: 2 }])
+    const target = use(here.table.get('a'))
+    const tell = (told: number | undefined): string => here.table.tell(target, told === undefined ? undefined : asIncarnation(told), models)
+    expect([tell(undefined), tell(2), tell(1)]).to.deep.equal(['same', 'same', 'older'])
+    expect(here.table.get('a')).to.equal(target)
+    await here.write(['a', 'gone'])
+    await here.clock.advance(3000)
+    expect([tell(3), here.available()]).to.deep.equal(['newer', []])
+    await here.write(['a', { born: 2 }])
+    expect(here.available()).to.deep.equal([])
+    await here.write(['a', { born: 3 }])
+    expect([here.available(), here.table.get('a') === target, target.isOver]).to.deep.equal([['a'], false, true])
+    const present = here.table.get('a')
+    expect(present === undefined ? '' : here.table.tell(present, asIncarnation(4), models)).to.equal('newer')
+    expect(here.table.get('a')?.definition).to.deep.include({ incarnation: 4, models })
+    here.topic.dispose()
+  })
+})
+
 describe('an entry that cannot be read', () => {
   it('names no target by either way of reading, is told once, and touches no other', async () => {
     // Symptom: calls went to a target of which the newest entry was from another writer. A host that
