A report of a later life ends the known one, but is no entry

Cause: TargetTable.tell registered the later life whether or not the target still had an entry. Before: 1 test red; after: test/actors and test/core/routes green.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -145,7 +145,8 @@
     const { definition } = target
     if (definition.incarnation === undefined || incarnation === undefined) return 'same'
     const verdict = judgeLife(definition.incarnation, incarnation)
-    if (verdict === 'newer') this.set({ ...definition, incarnation, models })
+    if (verdict === 'newer' && this.targets.get(definition.id) === target) this.set({ ...definition, incarnation, models })
+    else if (verdict === 'newer') this.endWithoutEntry(target, incarnation)
     return verdict
   }
 
@@ -212,6 +213,12 @@
     known.end()
   }
 
+  /** The later life gets no work before it has an entry: without one it may be about to leave. */
+  private endWithoutEntry (target: KnownTarget, incarnation: Incarnation): void {
+    this.lives.judge(target.definition.id, incarnation)
+    target.end()
+  }
+
   private dropMissing (): void {
     const now = this.services.clock.monotonic()
     for (const [id, until] of [...this.missing]) if (now >= until) this.drop(id, 'its entry did not come back')
