--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -180,6 +180,8 @@
     this.running.add(attempt)
     this.sent.set(target.definition.id, (this.sent.get(target.definition.id) ?? 0) + 1)
     target.inFlight++
+    // No answer comes from a former life, and a connection to it may stay silent: the caller would wait in vain.
+    const restart = target.onRestart(() => { attempt.abort.abort() })
     services.client.exchange({
       address: target.definition.address,
       method: request.method,
@@ -188,7 +190,7 @@
       body: request.body,
       ownConnection: !this.repeatable,
       signal: attempt.abort.signal
-    }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) })
+    }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) }).finally(() => { restart.dispose() })
     if (!this.repeatable) return
     const lateMs = lateAfterMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.answerMs, background: request.background })
     this.timers.add(services.clock.after(lateMs, () => { this.late(attempt) }))
--- a/test/actors/routes/targetTable.test.ts
+++ b/test/actors/routes/targetTable.test.ts
@@ -2,6 +2,7 @@
 
 import { expect } from 'chai'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
+import type { TargetDefinition } from '../../../src/core/common/routes/target.ts'
 import { quietLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { RecordedLog } from '../../support/recordedLog.ts'
@@ -37,7 +38,7 @@
     // Symptom: after an outage all engines stood idle for two seconds. Their entries had lapsed while
     // the store was away, and were taken for gone before they could be written again.
     const regainedAt = clock.now
-    table.replace([targetDefinition({ id: 'b' }), targetDefinition({ id: 'other', service: 'o' })], regainedAt)
+    table.removeAllBut(new Set(['b', 'other']), regainedAt)
     expect(available()).to.deep.equal(['a', 'b'])
     await clock.advance(2000)
     expect(available()).to.deep.equal(['a', 'b'])
@@ -79,10 +80,16 @@
     const log = new RecordedLog()
     const read = new TargetTable({ clock, stateLog: log })
     const first = [targetDefinition({ id: 'a' }), targetDefinition({ id: 'b', draining: true }), targetDefinition({ id: 'other', service: 'o' })]
-    read.replace(first, longAgo)
+    const replace = (definitions: readonly TargetDefinition[]): void => {
+      read.readAnew(() => {
+        for (const definition of definitions) read.set(definition)
+        read.removeAllBut(new Set(definitions.map(({ id }) => id)), longAgo)
+      })
+    }
+    replace(first)
     expect(log.lines).to.deep.equal([{ what: 'targets known', details: { targets: 3, draining: 1, services: 'o:1 s:2' } }])
     read.set(targetDefinition({ id: 'c' }))
-    read.replace([...first, targetDefinition({ id: 'c', draining: true }), targetDefinition({ id: 'd' })], longAgo)
+    replace([...first, targetDefinition({ id: 'c', draining: true }), targetDefinition({ id: 'd' })])
     read.remove('d', longAgo)
     expect(log.lines.slice(1).map(({ what, details }) => `${what} ${String(details.target)}`)).to.deep.equal(['target registered c', 'target drains c', 'target registered d', 'target gone d'])
   })
