--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -53,6 +53,15 @@
     expect([end.type, text.text, [...text.versions]]).to.deep.equal(['complete', 'd1\nd2\nd3\nd4', [2, 3]])
   })
 
+  for (const [name, numbers] of [['after a later event than it was asked to', [4, 5]], ['from the first event though it was not asked to', [1, 2, 3]], ['with the event that it was to follow', [2, 3]]] as const) {
+    it(`takes nothing from an engine that goes on ${name}`, async () => {
+      const text = newText()
+      text.restore({ events: ['d1', 'd2'], last: 2, versions: [2] })
+      const { end } = await run({ afterMs: 5, headers: own, events: events(...numbers) }, { text })
+      expect([end.type, text.text, [...text.versions], text.last]).to.deep.equal(['broken', 'd1\nd2', [2], 2])
+    })
+  }
+
   for (const { name, answer, expected, held } of [
     { name: 'a torn event', answer: { afterMs: 5, headers: own, events: [...events(1, 2) ?? [], { afterMs: 5, raw: 'id: 3\nda' }], breaks: true }, expected: 'broken', held: 'd1\nd2' },
     { name: 'an end within an event', answer: { afterMs: 5, headers: own, events: [...events(1) ?? [], { afterMs: 5, raw: 'id: 2\nda' }] }, expected: 'broken', held: 'd1' },
