--- a/src/actors/common/steps/heldTexts.ts
+++ b/src/actors/common/steps/heldTexts.ts
@@ -8,8 +8,8 @@
 import { progressKey } from '../../../core/common/steps/progress.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
-import type { UnsavedPart } from './itemRun.ts'
-import { ItemText } from './itemRun.ts'
+import type { UnsavedPart } from './itemText.ts'
+import { ItemText } from './itemText.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 
@@ -30,9 +30,23 @@
 export class HeldTexts {
   /** Texts of items whose steps ended before them, by what was asked. */
   private readonly unfinished = new Map<string, SavedText>()
+  /** What the store has, read since this host asked for the duty. */
+  private ahead: Promise<SavedTexts> | undefined
 
   constructor (private readonly services: HeldTextsServices) {}
 
+  /** Begins to read what the store has, while it is not known yet whether this host gets the duty. */
+  readAhead (wanted: boolean): void {
+    this.ahead = this.read(wanted)
+  }
+
+  /** What the store has of running items, for a host that takes over; nothing is read where no step is open. */
+  async saved (wanted: boolean): Promise<SavedTexts> {
+    const saved = this.ahead ?? this.read(wanted)
+    this.ahead = undefined
+    return await saved
+  }
+
   /** An empty text for an item. */
   begin (): ItemText {
     return new ItemText(() => asTextId(this.services.nonce()))
@@ -81,6 +95,10 @@
     if (parts.length === 0 || !await this.services.progress.save(parts)) return
     for (const { text, part } of taken) text.noteSaved(part, since)
   }
+
+  private async read (wanted: boolean): Promise<SavedTexts> {
+    return wanted ? await this.services.progress.load() : new Map()
+  }
 }
 
 /**
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -27,6 +27,7 @@
 import { HeldTexts } from './heldTexts.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
+import { modelDemand } from './modelDemand.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
 import type { SampleScorer } from './sampleScorer.ts'
 import type { StepContents } from './stepContents.ts'
@@ -61,8 +62,6 @@
 const LIST_MS = 60_000
 /** Pause before payloads that the store did not give are asked for again, in milliseconds. */
 const PAYLOADS_RETRY_MS = 200
-/** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
-const LEAST_WORK = 1
 
 export class StepHome implements Disposable {
   private readonly disposables = new DisposableStore()
@@ -72,8 +71,6 @@
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
   private stopping = false
-  /** Progress that is being read since this host asked for the duty. */
-  private saved: Promise<SavedTexts> | undefined
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
   private reading: Disposable | undefined
@@ -112,21 +109,10 @@
     this.disposables.dispose()
   }
 
-  /** Before its first version is named, a model needs engines but no loads. */
   private demand (model: string): ModelWork {
-    const named = this.services.version(model)
     const works = [...this.works.values()].filter(({ step }) => step.submission.model === model)
-    const minimum = works.reduce((most, { step }) => Math.max(most, step.submission.minimumVersion), 0)
-    const single = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
-    return {
-      model,
-      named: named?.version ?? 0,
-      namedAgeMs: named === undefined ? 0 : this.services.clock.monotonic() - named.learnedAt,
-      minimumVersion: Math.min(minimum, named?.version ?? 0),
-      waiting: works.reduce((sum, { waiting }) => sum + waiting.length, 0),
-      work: this.workOfModels.get(model) ?? LEAST_WORK,
-      mode: single ? 'finish-first' : 'keep-running'
-    }
+    const singleVersion = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
+    return modelDemand({ model, named: this.services.version(model), works, singleVersion, newestWork: this.workOfModels.get(model) }, this.services.clock.monotonic())
   }
 
   private take (change: StepChange): void {
@@ -153,8 +139,7 @@
 
   /** Goes on with the steps of a former holder from the progress that it saved. */
   private async takeOver (): Promise<void> {
-    const saved = await (this.saved ?? this.readProgress())
-    this.saved = undefined
+    const saved = await this.texts.saved(this.openSteps().length > 0)
     if (!this.services.duty.holds) return
     for (const step of this.openSteps()) this.adopt(step, saved)
     this.schedule()
@@ -162,16 +147,12 @@
 
   /** Reads what the open steps need while the claim of the duty is under way; another host may win it. */
   private prepare (): void {
-    this.saved = this.readProgress()
+    this.texts.readAhead(this.openSteps().length > 0)
     for (const step of this.openSteps()) {
       this.services.contents.prepare(step).catch((error: unknown) => { this.services.stateLog.alarm('items of a step cannot be read', { step: step.submission.id, error: String(error) }) })
     }
   }
 
-  private async readProgress (): Promise<SavedTexts> {
-    return this.openSteps().length === 0 ? new Map() : await this.services.progress.load()
-  }
-
   private openSteps (): FoldedStep[] {
     return [...this.services.topic.steps()].filter((step) => !step.ended && step.results.length < step.items.size)
   }
@@ -199,9 +180,8 @@
         return
       }
       work.payloads = payloads
-      const singleVersion = this.routeOf(work.step)?.singleVersion === true
       for (const itemWork of [...work.waiting]) {
-        this.texts.restore(work, itemWork, saved, singleVersion)
+        this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true)
         this.useEarlier(work, itemWork)
       }
       this.schedule()
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -3,7 +3,7 @@
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Engine } from './engineBoard.ts'
-import type { ItemText } from './itemRun.ts'
+import type { ItemText } from './itemText.ts'
 
 export type ItemState = 'waiting' | 'running' | 'scoring' | 'listing'
 
--- a/test/actors/steps/heldTexts.test.ts
+++ b/test/actors/steps/heldTexts.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
-import type { ItemText } from '../../../src/actors/common/steps/itemRun.ts'
+import type { ItemText } from '../../../src/actors/common/steps/itemText.ts'
 import type { ItemWork } from '../../../src/actors/common/steps/stepWork.ts'
 import type { SavedText } from '../../../src/core/common/steps/progress.ts'
 import { progressKey } from '../../../src/core/common/steps/progress.ts'
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -1,7 +1,7 @@
 /** Held texts for tests: their hosts, work on a step, and a history whose appends a test lets through. */
 
 import { HeldTexts } from '../../src/actors/common/steps/heldTexts.ts'
-import { ItemText } from '../../src/actors/common/steps/itemRun.ts'
+import { ItemText } from '../../src/actors/common/steps/itemText.ts'
 import { ProgressKeeper } from '../../src/actors/common/steps/progressKeeper.ts'
 import type { ItemWork, StepWork } from '../../src/actors/common/steps/stepWork.ts'
 import { newWork } from '../../src/actors/common/steps/stepWork.ts'
