--- a/tools/days/writeDays.ts
+++ b/tools/days/writeDays.ts
@@ -53,12 +53,18 @@
 const FIRST_S = 5
 const SECOND_S = 17
 
-const pairs: readonly { readonly name: string, readonly faults: readonly Trouble[] }[] = [
+const pairs: readonly { readonly name: string, readonly faults: readonly Trouble[], readonly plan?: readonly Trouble[] }[] = [
   { name: 'pair-kill-and-outage', faults: [{ kind: 'platform_down', how: 'silent', for_s: 4, at: 8 }, { kind: 'node_kill', on: 'core', count: 1, how: 'leader', for_s: 3, at: 9 }] },
   { name: 'pair-freeze-and-late-orders', faults: [{ kind: 'applied_late', how: 'orders', x: 0.5, for_s: 8, at: 6 }, { kind: 'node_freeze', on: 'core', count: 1, how: 'leader', for_s: 4, at: 8 }] },
   { name: 'pair-cut-and-slow-engine', faults: [{ kind: 'srv_slow', share: 0.2, x: 4, for_s: 8, at: 6 }, { kind: 'core_cut', count: 1, how: 'leader', for_s: 6, at: 8 }] },
   { name: 'pair-lost-answers-and-herd', faults: [{ kind: 'platform_lost', how: 'late', x: 0.35, for_s: 6, at: 6 }, { kind: 'herd_kill', share: 0.6, for_s: 2, at: 8 }] },
-  { name: 'pair-slow-store-and-crash', faults: [{ kind: 'platform_slow', x: 60, for_s: 6, at: 6 }, { kind: 'srv_crash', how: 'dark', share: 0.2, for_s: 5, at: 8 }] }
+  { name: 'pair-slow-store-and-crash', faults: [{ kind: 'platform_slow', x: 60, for_s: 6, at: 6 }, { kind: 'srv_crash', how: 'dark', share: 0.2, for_s: 5, at: 8 }] },
+  // Appends done late while hosts go around the store, and then every host loads its topics anew.
+  {
+    name: 'pair-lost-answers-and-restarts',
+    faults: [{ kind: 'platform_down', how: 'busy', for_s: 4.5, at: 3.4 }, { kind: 'platform_lost', how: 'late', x: 0.35, for_s: 4.5, at: 8.2 }, { kind: 'platform_down', how: 'nodes many', share: 0.35, for_s: 5, at: 12.9 }],
+    plan: [{ kind: 'roll_term', share: 1, x: 1, gap_s: 1, at: 20 }]
+  }
 ]
 
 const closings: readonly Trouble[] = [
@@ -78,5 +84,5 @@
     write([trouble.kind, ...how.split(' ')].filter((word) => word !== '').join('-').replaceAll('_', '-'), plan ? { plan: entries } : { faults: entries })
   }
 }
-for (const { name, faults } of pairs) write(name, { faults })
+for (const { name, ...day } of pairs) write(name, day)
 for (const closing of closings) write(['closing', closing.kind, ...String(closing.how ?? '').split(' ')].filter((word) => word !== '').join('-').replaceAll('_', '-'), { closing })
