--- a/test/actors/steps/sampleScorer.test.ts
+++ b/test/actors/steps/sampleScorer.test.ts
@@ -64,6 +64,19 @@
     expect((await outcome).type).to.equal('scored')
   })
 
+  it('lets calls of other routes pass one whose route is not there or has no free slot', async () => {
+    // Nothing of any step was scored while one scorer's route was missing. All calls waited in one line behind
+    // the first, whose route no configuration had, until its step was over.
+    const { clock, scorer } = stage({ a: [sealed()] })
+    const gone = new AbortController()
+    scorer.score({ ...call('first'), host: 'nowhere.example' }, gone.signal).catch(() => undefined)
+    let outcome: ScoreOutcome | undefined
+    scorer.score(call('second'), new AbortController().signal).then((scored) => { outcome = scored }, () => undefined)
+    await clock.advance(500)
+    gone.abort()
+    expect(outcome).to.deep.equal({ type: 'scored', score: 'seal' })
+  })
+
   it('forgets what was cancelled', async () => {
     const { clock, client, scorer } = stage({})
     const cancel = new AbortController()
