Calls to scorers wait for slots of their own route only

Cause: one line for all routes; a call whose route is missing or full kept all samples of all steps unscored. Before: the test got no outcome; after: scored (5 of sampleScorer.test.ts).

--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -1,7 +1,7 @@
 /**
  * Has finished samples scored by calls through the routes. Load pattern: all samples of a step end
  * within a second and want many times the slots of a service that also serves callers who wait. So
- * the calls queue here, first come first served, and leave a slot of each target free.
+ * the calls queue here, first come first served on each route, and leave a slot of each target free.
  */
 
 import { decodeBase64 } from '../../../base/common/base64.ts'
@@ -65,16 +65,16 @@
   }
 
   private startWhatFits (): void {
-    while (this.queue.length > 0) {
-      const next = this.queue[0]
-      if (next === undefined) return
-      if (next.cancelled.aborted) {
-        this.queue.shift()
+    const full = new Set<Route>()
+    for (const next of this.queue.splice(0)) {
+      if (next.cancelled.aborted) continue
+      const route = this.services.routes()?.find(next.call.host, next.call.path)
+      // Calls of other routes go on: one route that is missing or full would otherwise keep all samples unscored.
+      if (route === undefined || full.has(route) || !this.services.calls.hasRoom(route)) {
+        if (route !== undefined) full.add(route)
+        this.queue.push(next)
         continue
       }
-      const route = this.services.routes()?.find(next.call.host, next.call.path)
-      if (route === undefined || !this.services.calls.hasRoom(route)) return
-      this.queue.shift()
       this.ask(next, route).catch((error: unknown) => { this.services.stateLog.alarm('call to a scorer failed', { request: next.call.requestId, error: String(error) }) })
     }
   }
