A target that is silent twice with no answer between counts as failed

Now the first silence of a kept connection is the connection's, the next one without an answer between the target's. An unanswered attempt is judged once, when its call ends; on a timeout after 1.5 s it was judged twice, so a target was asked last for twice as long.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -221,10 +221,7 @@
     const tookMs = this.services.clock.monotonic() - attempt.beganAt
     release(attempt)
     this.running.delete(attempt)
-    if (this.settled) {
-      if (attempt.fresh && tookMs > SILENT_MS && !result.ok) target.failed()
-      return
-    }
+    if (this.settled) return
     const note = (end: string): void => { this.story.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
       note(result.code)
@@ -273,11 +270,9 @@
   }
 
   private timeOut (): void {
-    // The silence of a kept connection is no fault of its target: targets in order were asked last for seconds.
-    for (const { target, fresh } of this.running) if (fresh) target.failed()
     this.settle(this.lastOr(this.sent.size === 0
       ? failure('overloaded', 'no target took the request in time', { retryAfterMs: RETRY_AFTER_MS })
-      : failure('unknownOutcome', 'no target answered in time')))
+      : failure('unknownOutcome', 'no target answered in time')), 0)
   }
 
   /** A target's own failure goes before one of this host. */
@@ -285,12 +280,14 @@
     return this.lastFailure === undefined ? failed : success(this.lastFailure)
   }
 
-  private settle (result: Result<RoutedAnswer>): void {
+  /** Ends the call; attempts that have lasted for `silentMs` by then count as unanswered. */
+  private settle (result: Result<RoutedAnswer>, silentMs: number = SILENT_MS): void {
     if (this.settled) return
     this.settled = true
     this.timers.dispose()
     for (const attempt of this.running) {
       this.story.push(`${attempt.target.definition.id}:${attempt.known}:ended`)
+      if (this.services.clock.monotonic() - attempt.beganAt >= silentMs) unanswered(attempt)
       attempt.abort.abort()
       // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
       release(attempt)
@@ -325,6 +322,12 @@
   attempt.holdsSlot = false
 }
 
+/** One silence of a kept connection is no fault of its target: targets in order were asked last for seconds. */
+function unanswered ({ target, fresh }: Attempt): void {
+  if (fresh) target.failed()
+  else target.silent()
+}
+
 function knownOf ({ inFlight, report, reportAgeMs }: KnownTarget): string {
   return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms`
 }
--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -26,6 +26,7 @@
   private reportedAt = Number.NEGATIVE_INFINITY
   private suspectUntil = Number.NEGATIVE_INFINITY
   private failures = 0
+  private silentOnce = false
 
   constructor (public definition: TargetDefinition, private readonly clock: Clock) {}
 
@@ -39,6 +40,7 @@
 
   answered (tookMs: number): void {
     this.failures = 0
+    this.silentOnce = false
     this.suspectUntil = Number.NEGATIVE_INFINITY
     this.answerMs = this.answerMs === undefined ? tookMs : this.answerMs + (tookMs - this.answerMs) * ANSWER_WEIGHT
   }
@@ -48,6 +50,12 @@
     this.reportedAt = this.clock.monotonic()
   }
 
+  /** A kept connection to it was silent: the connection's fault at first, the target's if no answer has come since. */
+  silent (): void {
+    if (this.silentOnce) this.failed()
+    this.silentOnce = true
+  }
+
   failed (): void {
     this.suspectUntil = this.clock.monotonic() + Math.min(LONGEST_SUSPECT_MS, SUSPECT_MS * 2 ** this.failures)
     this.failures++
--- a/test/actors/routes/silence.test.ts
+++ b/test/actors/routes/silence.test.ts
@@ -65,13 +65,15 @@
    * Targets in order were asked last for up to four seconds after connections to them had gone silent.
    * The timeout of a call marked every target that it still waited for as failed.
    */
-  it('on a kept connection is no word on its target; one on a new connection is', async () => {
-    const clock = new ManualClock()
-    const stage = begin(clock, new ScriptedClient(clock, { a: [silent], b: [silent] }), ['a', 'b'], { timeoutMs: 700 })
-    await clock.advance(710)
-    expect(outcome(stage)).to.equal('unknownOutcome')
-    expect(stage.table.available('s').filter(({ suspect }) => suspect)).to.have.length(1)
-  })
+  for (const timeoutMs of [700, 1900]) {
+    it(`on a kept connection is no word on its target after ${timeoutMs} ms; one on a new connection is`, async () => {
+      const clock = new ManualClock()
+      const stage = begin(clock, new ScriptedClient(clock, { a: [silent], b: [silent] }), ['a', 'b'], { timeoutMs })
+      await clock.advance(timeoutMs + 10)
+      expect(outcome(stage)).to.equal('unknownOutcome')
+      expect(stage.table.available('s').filter(({ suspect }) => suspect)).to.have.length(1)
+    })
+  }
 
   it('of the background leaves its slot to its second send', async () => {
     const clock = new ManualClock()
--- a/test/actors/routes/targetTable.test.ts
+++ b/test/actors/routes/targetTable.test.ts
@@ -71,4 +71,16 @@
     target?.answered(30)
     expect(target?.suspect).to.equal(false)
   })
+
+  it('suspects a target that was silent twice with no answer between', () => {
+    const target = table.get('a')
+    for (let round = 0; round < 2; round++) {
+      target?.silent()
+      expect(target?.suspect).to.equal(false)
+      target?.answered(30)
+    }
+    target?.silent()
+    target?.silent()
+    expect(target?.suspect).to.equal(true)
+  })
 })
