A stream that was silent goes on over a new connection

Cause: after the silence of a kept connection the next run went over a kept connection to the next target, silent by the same cause.

Neither target is marked as failed. Left: the first run still waits 1.5 s (three objectives), as a run broken off at work is dear; a resumable stream with one target only does not ask it once more.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -8,6 +8,7 @@
 import { failure } from '../../../base/common/resultCode.ts'
 import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
+import { YOUNG_POOL_MS } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { ReadEvent } from '../../../core/common/streams/eventReader.ts'
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
@@ -52,6 +53,8 @@
   private readonly began: number
   private headSent = false
   private mayHaveRun = false
+  /** Whether a run was silent on a kept connection: the next ones go over new connections. */
+  private wentSilent = false
   private last: number | undefined
 
   constructor (private readonly services: RouteCallServices, private readonly request: StreamRequest, private readonly sink: StreamSink) {
@@ -106,12 +109,16 @@
   private async runAt (target: KnownTarget): Promise<RunEnd> {
     const { client, clock, protocol } = this.services
     const { request } = this
+    const { address } = target.definition
+    const kept = request.route.resumable && !this.wentSilent
+    // Connections to the next target went silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
+    if (this.wentSilent) client.distrust(address, clock.monotonic() - this.began)
     const silence = new AbortController()
     const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
     let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
     try {
       const opened = await client.open({
-        address: target.definition.address,
+        address,
         method: request.method,
         path: request.path,
         headers: request.headers({ expectedTarget: target.definition.id, remainingMs: this.remainingMs, ...(this.last === undefined ? {} : { resumeAfter: this.last }) }),
@@ -119,7 +126,7 @@
         ownConnection: !request.route.resumable,
         signal: AbortSignal.any([request.gone, silence.signal])
       })
-      if (!opened.ok) return this.failedRun(target, opened.code === 'targetUnreachable')
+      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target) : this.failedRun(target, opened.code === 'targetUnreachable')
       const { status, headers, pieces, cancel } = opened.value
       const head = protocol.answerHead(status, headers)
       if (head.load !== undefined) target.reported(head.load)
@@ -146,7 +153,7 @@
       }
       return 'broken'
     } catch {
-      return this.failedRun(target, false)
+      return kept && silence.signal.aborted ? this.silentRun(target) : this.failedRun(target, false)
     } finally {
       timer.dispose()
     }
@@ -161,6 +168,16 @@
     this.sink.write(raw)
   }
 
+  /** A kept connection said nothing for too long. */
+  private silentRun (target: KnownTarget): RunEnd {
+    if (this.request.gone.aborted) return 'gone'
+    this.services.client.distrust(target.definition.address, YOUNG_POOL_MS)
+    target.silent()
+    this.wentSilent = true
+    this.mayHaveRun = true
+    return 'broken'
+  }
+
   private failedRun (target: KnownTarget, notRun: boolean): RunEnd {
     if (this.request.gone.aborted) return 'gone'
     if (!notRun) {
