Reports are asked once more over a new connection; orders put silent ones aside

Cause: reports and orders to engines waited 0.6 s on a silent kept connection, marked the engine as failed, and went into the next silent connection afterwards. A report is now asked once more after 0.2 s, over a new connection; an order is never sent again by itself (its number of accepted orders decides), but its connections are put aside. Both limits go by the host's clock instead of AbortSignal.timeout.

Checked, no change: the store's caller puts its pool aside after its timeout of 1.2 s and probes after 0.5 s; calls between hosts do after their own limit; item runs do as they end as broken.

--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -14,7 +14,7 @@
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { EngineState, OrderVerdict, SwapMode, TargetProtocol } from '../../../ports/common/protocols.ts'
-import type { TargetClient } from '../../../ports/common/targetClient.ts'
+import type { TargetAnswer, TargetClient, TargetRequest } from '../../../ports/common/targetClient.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
 import type { Engine, EngineBoard } from '../steps/engineBoard.ts'
 
@@ -43,6 +43,8 @@
 const LOOK_MS = 50
 /** Longest wait for an engine's answer to an order or a question, in milliseconds. */
 const ANSWER_MS = 600
+/** Time for a report after which its connection is taken for silent, in milliseconds: a hundred times the usual one. */
+const REPORT_LATE_MS = 200
 /** Usual time of a load, in milliseconds: no look is worth its price before. */
 const LOAD_MS = 850
 /** Time between looks at an engine that loads, in milliseconds: its reports are some hundred milliseconds old anyway. */
@@ -160,18 +162,10 @@
   }
 
   private async order (engine: Engine, load: PlannedLoad, mode: SwapMode, ifSequence: number): Promise<OrderVerdict | 'no-answer'> {
-    const { client, protocol, duty, machine, metrics } = this.services
+    const { protocol, duty, machine, metrics } = this.services
     const message = protocol.order({ named: { model: load.model, version: load.version }, mode, holder: machine, term: duty.term, ifSequence })
     metrics.count('orders.sent')
-    const answer = await client.exchange({
-      address: engine.target.definition.address,
-      method: 'POST',
-      path: message.path,
-      headers: message.headers(engine.id),
-      body: new TextEncoder().encode(message.body),
-      ownConnection: false,
-      signal: AbortSignal.timeout(ANSWER_MS)
-    })
+    const answer = await this.exchange(engine, { method: 'POST', path: message.path, headers: message.headers(engine.id), body: new TextEncoder().encode(message.body) }, ANSWER_MS)
     return answer.ok ? protocol.orderVerdict(answer.value.status) : 'no-answer'
   }
 
@@ -197,18 +191,15 @@
   }
 
   private async report (engine: Engine): Promise<Result<EngineState>> {
-    const { client, protocol, metrics } = this.services
+    const { protocol, metrics } = this.services
+    const question = { method: 'GET', path: protocol.reportPath, headers: protocol.reportHeaders(engine.target.definition.id), body: undefined }
     metrics.count('orders.reports')
-    const { address, id } = engine.target.definition
-    const answer = await client.exchange({
-      address,
-      method: 'GET',
-      path: protocol.reportPath,
-      headers: protocol.reportHeaders(id),
-      body: undefined,
-      ownConnection: false,
-      signal: AbortSignal.timeout(ANSWER_MS)
-    })
+    let answer = await this.exchange(engine, question, REPORT_LATE_MS)
+    if (!answer.ok && answer.code !== 'targetUnreachable') {
+      // The connection may be silent, not the engine: reports went into one silent connection after the other, and the engine was neither loaded nor given items.
+      metrics.count('orders.reports')
+      answer = await this.exchange(engine, question, ANSWER_MS)
+    }
     if (!answer.ok) {
       engine.target.failed()
       return answer
@@ -216,6 +207,18 @@
     return protocol.report(answer.value.status, new TextDecoder().decode(answer.value.body))
   }
 
+  /** Asks an engine; without an answer in time the kept connections to it are put aside. */
+  private async exchange (engine: Engine, message: Pick<TargetRequest, 'method' | 'path' | 'headers' | 'body'>, limitMs: number): Promise<Result<TargetAnswer>> {
+    const { client, clock } = this.services
+    const { address } = engine.target.definition
+    const limit = new AbortController()
+    const timer = clock.after(limitMs, () => { limit.abort() })
+    const answer = await client.exchange({ ...message, address, ownConnection: false, signal: limit.signal })
+    timer.dispose()
+    if (limit.signal.aborted) client.distrust(address, limitMs)
+    return answer
+  }
+
   private async pause (milliseconds: number): Promise<void> {
     await new Promise<void>((resolve) => { this.services.clock.after(milliseconds, resolve) })
   }
