--- a/test/adapters/silentConnections.test.ts
+++ b/test/adapters/silentConnections.test.ts
@@ -100,4 +100,18 @@
     expect(scene.secondSends).to.be.at.most(ends.length / 20)
     expect(scene.connectionsMade - made).to.be.at.most(ends.length / 20)
   })
+
+  /*
+   * A target that was slow cost many new connections: with each late request all kept connections to it
+   * and to the second target were given up, though answers kept coming over them.
+   */
+  it('cost few new connections while a target is slow and answers others', async () => {
+    await scene.background(0, 10, 500)
+    scene.slowness = 6
+    const made = scene.connectionsMade
+    const ends = await scene.background(0, 10, 4000)
+    const figures = `${scene.connectionsMade - made} connections for ${ends.length} calls, ${scene.secondSends} sent once more`
+    expect(shareWithin(ends, scoring.timeoutMs), figures).to.equal(1)
+    expect(scene.connectionsMade - made, figures).to.be.at.most(ends.length / 20)
+  })
 })
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -45,6 +45,8 @@
   /** How often targets got each request. */
   readonly arrivals = new Map<string, number>()
   secondSends = 0
+  /** How many times as long as usual the first target works. */
+  slowness = 1
   /** Calls without an answer yet, now and at most. */
   waiting = 0
   mostWaiting = 0
@@ -54,16 +56,16 @@
 
   static async start (hosts: number, targets: number): Promise<SilentScene> {
     const scene = new SilentScene()
-    for (let index = 0; index < targets; index++) await scene.addTarget()
+    for (let index = 0; index < targets; index++) await scene.addTarget(index)
     for (let index = 0; index < hosts; index++) scene.addHost(index)
     return scene
   }
 
-  private async addTarget (): Promise<void> {
+  private async addTarget (number: number): Promise<void> {
     const target = await startStandIn(async ({ path, headers, response }) => {
       const id = String(headers['bulrushvalve-request-id'])
       this.arrivals.set(id, (this.arrivals.get(id) ?? 0) + 1)
-      await pause(WORK_MS[path] ?? 0)
+      await pause((WORK_MS[path] ?? 0) * (number === 0 ? this.slowness : 1))
       response.writeHead(200, { 'bulrushvalve-request-id': id, 'bulrushvalve-response-seal': 's' })
       response.end(path === '/streaming/' ? 'id: 0\ndata: done\n\n' : 'done')
     })
