A silent connection is told by a new one that is answered sooner

Cause: each late attempt put the whole pool of its target aside, and that of the second target. At a target that was only slow, connections that worked were closed for it. Now a second send goes over one connection of its own, and the pool of the first attempt is put aside once the new connection is answered sooner, or time is up. Background calls ask the same target first, so that a slow target isn't taken for a silent one; streams go on over a connection of their own.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -10,7 +10,7 @@
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
 import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
-import { YOUNG_POOL_MS, lateAfterMs } from '../../../core/common/routes/silence.ts'
+import { lateAfterMs } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -186,7 +186,7 @@
       path: request.path,
       headers: request.headers({ expectedTarget: target.definition.id, remainingMs: this.allowedMs - this.elapsedMs }),
       body: request.body,
-      ownConnection: !this.repeatable,
+      ownConnection: fresh,
       signal: attempt.abort.signal
     }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) })
     if (!this.repeatable) return
@@ -202,17 +202,14 @@
    */
   private late (attempt: Attempt): void {
     if (this.settled || !this.running.has(attempt)) return
-    const { client, metrics } = this.services
-    const { target } = attempt
-    if (!attempt.fresh) client.distrust(target.definition.address, YOUNG_POOL_MS)
     // A background call leaves its slot to its second send: else silent ones hold all that such calls may have.
     if (this.request.background) release(attempt)
-    const other = this.mayTryAnother ? this.choose().target : undefined
-    const next = other ?? (this.freshSent ? undefined : target)
+    // The same target tells a silent connection from a slow target; who waits has no time to learn that.
+    const other = this.mayTryAnother && (!this.request.background || this.freshSent) ? this.choose().target : undefined
+    const next = other ?? (this.freshSent ? undefined : attempt.target)
     if (next === undefined) return
-    metrics.count('calls.second_target')
+    this.services.metrics.count('calls.second_target')
     this.freshSent = true
-    client.distrust(next.definition.address, this.elapsedMs)
     this.launch(next, true)
   }
 
@@ -238,7 +235,7 @@
     switch (verdict) {
       case 'answer':
         target.answered(tookMs)
-        return this.settle(success(answer))
+        return this.settle(success(answer), attempt.fresh ? 'new connection was sooner' : 'other')
       case 'target-failed':
         target.answered(tookMs)
         this.failures++
@@ -272,7 +269,7 @@
   private timeOut (): void {
     this.settle(this.lastOr(this.sent.size === 0
       ? failure('overloaded', 'no target took the request in time', { retryAfterMs: RETRY_AFTER_MS })
-      : failure('unknownOutcome', 'no target answered in time')), 0)
+      : failure('unknownOutcome', 'no target answered in time')), 'out of time')
   }
 
   /** A target's own failure goes before one of this host. */
@@ -280,14 +277,17 @@
     return this.lastFailure === undefined ? failed : success(this.lastFailure)
   }
 
-  /** Ends the call; attempts that have lasted for `silentMs` by then count as unanswered. */
-  private settle (result: Result<RoutedAnswer>, silentMs: number = SILENT_MS): void {
+  /** Ends the call; why it ends says what its running attempts mean. */
+  private settle (result: Result<RoutedAnswer>, why: 'out of time' | 'new connection was sooner' | 'other' = 'other'): void {
     if (this.settled) return
     this.settled = true
     this.timers.dispose()
+    const now = this.services.clock.monotonic()
     for (const attempt of this.running) {
       this.story.push(`${attempt.target.definition.id}:${attempt.known}:ended`)
-      if (this.services.clock.monotonic() - attempt.beganAt >= silentMs) unanswered(attempt)
+      if (why === 'out of time' || now - attempt.beganAt > SILENT_MS) unanswered(attempt)
+      // Its brothers are taken for silent too. Where no new connection was sooner the target is slow: giving its connections up for each late request cost 15 to 26 new ones for 6 requests, 6 to 9 so.
+      if (!attempt.fresh && why !== 'other') this.services.client.distrust(attempt.target.definition.address, now - attempt.beganAt)
       attempt.abort.abort()
       // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
       release(attempt)
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -8,7 +8,6 @@
 import { failure } from '../../../base/common/resultCode.ts'
 import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
-import { YOUNG_POOL_MS } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { ReadEvent } from '../../../core/common/streams/eventReader.ts'
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
@@ -110,9 +109,8 @@
     const { client, clock, protocol } = this.services
     const { request } = this
     const { address } = target.definition
+    // After a silence connections to the next target are silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
     const kept = request.route.resumable && !this.wentSilent
-    // Connections to the next target went silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
-    if (this.wentSilent) client.distrust(address, clock.monotonic() - this.began)
     const silence = new AbortController()
     const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
     let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
@@ -123,10 +121,10 @@
         path: request.path,
         headers: request.headers({ expectedTarget: target.definition.id, remainingMs: this.remainingMs, ...(this.last === undefined ? {} : { resumeAfter: this.last }) }),
         body: request.body,
-        ownConnection: !request.route.resumable,
+        ownConnection: !kept,
         signal: AbortSignal.any([request.gone, silence.signal])
       })
-      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target) : this.failedRun(target, opened.code === 'targetUnreachable')
+      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target, silenceMs) : this.failedRun(target, opened.code === 'targetUnreachable')
       const { status, headers, pieces, cancel } = opened.value
       const head = protocol.answerHead(status, headers)
       if (head.load !== undefined) target.reported(head.load)
@@ -153,7 +151,7 @@
       }
       return 'broken'
     } catch {
-      return kept && silence.signal.aborted ? this.silentRun(target) : this.failedRun(target, false)
+      return kept && silence.signal.aborted ? this.silentRun(target, silenceMs) : this.failedRun(target, false)
     } finally {
       timer.dispose()
     }
@@ -169,9 +167,9 @@
   }
 
   /** A kept connection said nothing for too long. */
-  private silentRun (target: KnownTarget): RunEnd {
+  private silentRun (target: KnownTarget, silentMs: number): RunEnd {
     if (this.request.gone.aborted) return 'gone'
-    this.services.client.distrust(target.definition.address, YOUNG_POOL_MS)
+    this.services.client.distrust(target.definition.address, silentMs)
     target.silent()
     this.wentSilent = true
     this.mayHaveRun = true
--- a/src/core/common/routes/silence.ts
+++ b/src/core/common/routes/silence.ts
@@ -1,7 +1,8 @@
 /**
  * When an attempt without a sign of life is taken for one on a silent connection. Kept connections
  * can go silent for good while new ones work. So what may be repeated is sent once more over a new
- * connection; the first is left running, as its target may be at work.
+ * connection; the first is left running, as its target may be at work. If the second is answered while
+ * the first is not, the pool of the first is put aside.
  */
 
 export interface AttemptTimes {
@@ -20,8 +21,6 @@
 const USUAL_ANSWERS = 3
 /** Share of the whole time after which a background call is sent once more at the latest: so that the second has twice that. */
 const LATEST_SHARE = 1 / 3
-/** Pools of connections that were opened within this time are kept, in milliseconds: a target that is slow for each request would cost new connections for each. */
-export const YOUNG_POOL_MS = 500
 
 /** Time after which an attempt is sent once more, in milliseconds. */
 export function lateAfterMs ({ objectiveMs, allowedMs, answerMs, background }: AttemptTimes): number {
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -14,7 +14,11 @@
   readonly path: string
   readonly headers: HeaderPairs
   readonly body: Uint8Array | undefined
-  /** True for a request that must not run twice: it goes over a connection of its own, so that a failure to connect is told apart from a failure to answer. */
+  /**
+   * True for a request that goes over a new connection of its own: one that must not run twice, so that
+   * a failure to connect is told apart from a failure to answer, and one that is sent once more because a
+   * kept connection may be silent.
+   */
   readonly ownConnection: boolean
   /** Ends the request at the target when it is aborted. */
   readonly signal: AbortSignal
