--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -54,6 +54,8 @@
   private lost = false
   private regained = Number.NEGATIVE_INFINITY
   private stopped = false
+  /** Failed calls in a row. */
+  private failures = 0
   private hurried: (() => boolean) | undefined
   private wake: (() => void) | undefined
 
@@ -63,6 +65,8 @@
 
   constructor (private readonly services: TailServices, private readonly settings: TailSettings, private readonly listener: TailListener) {
     this.subscription = services.onRegained(() => {
+      // The read that is given up here fails too, and is no sign that the outage goes on.
+      this.failures = 0
       this.reading.abort()
       this.hurry()
     })
@@ -138,15 +142,14 @@
   }
 
   private async follow (): Promise<void> {
-    let failures = 0
     while (!this.stopped) {
       const began = this.services.clock.monotonic()
       const from = this.offset
       const answered = from === undefined ? await this.load() : await this.readOn(from)
       if (this.stopped) return
       this.note(answered, began)
-      failures = answered ? 0 : failures + 1
-      if (failures > 0) await this.pause(Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (failures - 1)))
+      this.failures = answered ? 0 : this.failures + 1
+      if (this.failures > 0) await this.pause(Math.min(LONGEST_RETRY_MS, RETRY_MS * 2 ** (this.failures - 1)))
       else if (this.position !== from && this.hurried?.() !== true) await this.pause(this.settings.pauseMs)
     }
   }
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -155,9 +155,11 @@
     const parts = this.parts.get(id) ?? []
     parts[index] = text
     this.parts.set(id, parts)
-    if (Array.from({ length: count }, (_, place) => parts[place]).includes(undefined)) return []
+    // An outline may be written again in fewer parts, and the last of the former stay: they are none of it.
+    const own = Array.from({ length: count }, (_, place) => parts[place])
+    if (own.includes(undefined)) return []
     this.parts.delete(id)
-    const submitted = readSubmission(id, parts)
+    const submitted = readSubmission(id, own as string[])
     if (submitted === undefined) return []
     const payloadKeys = payloadKeysOf(submitted)
     this.noteContents(id, payloadKeys)
