--- a/test/actors/steps/stepContents.test.ts
+++ b/test/actors/steps/stepContents.test.ts
@@ -11,6 +11,7 @@
 import { submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
 import type { KeyedLog, NewestPage } from '../../../src/ports/common/keyedLog.ts'
 import type { Result } from '../../../src/base/common/resultCode.ts'
+import { failure } from '../../../src/base/common/resultCode.ts'
 import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
@@ -21,18 +22,23 @@
   let log: MemoryKeyedLog
   let hosts: number
   let pages: number
+  let stretches: number
   beforeEach(() => {
     clock = new ManualClock()
     log = new MemoryKeyedLog()
     hosts = 0
     pages = 0
+    stretches = 0
   })
 
   function counted (): KeyedLog {
     return {
       append: async (records) => await log.append(records),
       read: async (from) => await log.read(from),
-      readSome: async (from, kilobytes) => await log.readSome(from, kilobytes),
+      readSome: async (from, kilobytes) => {
+        stretches++
+        return await log.readSome(from, kilobytes)
+      },
       newest: async (after): Promise<Result<NewestPage>> => {
         pages++
         return await log.newest(after)
@@ -40,14 +46,14 @@
     }
   }
 
-  function host (): StepContents {
+  function host (keyed: KeyedLog = counted()): StepContents {
     let drawn = 0
     const own = hosts++
     const id = (): string => {
       drawn++
       return `${own}-nonce-${drawn}`
     }
-    const services = { log: counted(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
+    const services = { log: keyed, clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
     return new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
   }
 
@@ -99,6 +105,49 @@
     expect(pages).to.equal(0)
   })
 
+  it('that a host holds are not read again with one that it does not', async () => {
+    // A trainer that reads a step from its start costs a host one call for each text that stands alone; the next read, of
+    // one text more, cost all of them again.
+    const [writer, reader] = [host(), host()]
+    const references: ContentReference[] = []
+    for (let index = 0; index < 12; index++) {
+      references.push(await saved(writer, `i${index}`, 'text'))
+      log.write(Array.from({ length: 20 }, (_, other) => textRecord(`other${other}`, `i${index}`, 'y', 'n')))
+    }
+    await soon(reader.texts('s', references.slice(0, 11)))
+    const before = stretches
+    expect(await soon(reader.texts('s', references))).to.deep.equal(Array(12).fill('text'))
+    expect([before, stretches - before]).to.deep.equal([11, 1])
+  })
+
+  it('older than the history of the store are searched for once a step, however they are asked for', async () => {
+    // The texts of a step that had ended a minute before were read one page after the other, and each page searched for what it
+    // wanted among the newest records, a megabyte at a time, and held nothing else of what it found.
+    const records = Array.from({ length: 30 }, (_, index) => textRecord('s', `i${String(index).padStart(2, '0')}`, 'x', 'n'))
+    log.write(records)
+    log.first = log.entries.length
+    const reader = host()
+    for (const [offset, { key }] of records.entries()) expect(await soon(reader.texts('s', [{ key, at: { offset, characters: 3 } }]))).to.deep.equal(['x'])
+    expect(pages).to.equal(10)
+    expect(stretches).to.be.at.most(1)
+  })
+
+  it('do not keep readers of one step in a line while the store is silent', async () => {
+    // Eight trainers read one step from one host in an outage, and the last was refused after 14 s: each began to ask
+    // when the one before had given up.
+    const silence = async <T>(): Promise<Result<T>> => {
+      await new Promise<void>((resolve) => { clock.after(900, resolve) })
+      return failure('commandUnknown', 'silent')
+    }
+    const reader = host({ ...counted(), readSome: silence, newest: silence })
+    const began = clock.now
+    const ends: number[] = []
+    for (let index = 0; index < 8; index++) reader.texts('s', [{ key: `text/s/i${index}/n`, at: { offset: index, characters: 10 } }]).then(() => ends.push(clock.now - began), () => undefined)
+    await clock.advance(4000)
+    expect(ends).to.have.length(8)
+    expect(Math.max(...ends)).to.be.at.most(1800)
+  })
+
   it('are found among the newest records once the store has no history of their places', async () => {
     const [writer, reader] = [host(), host()]
     const reference = await saved(writer, 'a', 'text of a')
