Readers of a step share what is read for it

Held texts are not read again with new ones, a search keeps all that it finds of its step, stretches are read four at a time and only where the store has the history, who waited for a reader without an answer has none either, and a step that is being read is not forgotten for others.

--- a/src/actors/common/steps/stepContents.ts
+++ b/src/actors/common/steps/stepContents.ts
@@ -7,13 +7,14 @@
 
 import type { Result } from '../../../base/common/resultCode.ts'
 import { success } from '../../../base/common/resultCode.ts'
+import type { TopicStretch } from '../../../core/common/steps/contentPlaces.ts'
 import { stretchesOf } from '../../../core/common/steps/contentPlaces.ts'
 import { keyPrefix, readPayloads, readText, textRecord } from '../../../core/common/steps/contentRecords.ts'
 import type { ContentPlace, ItemPayload } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
-import type { KeyedEntry, KeyedLog, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
+import type { KeyedLog, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import { keyNonce } from '../store/groupAppender.ts'
@@ -38,6 +39,8 @@
 const DROP_MS = 10_000
 /** Characters that are held of all steps, at most: some twenty steps, a tenth of a small host's memory. */
 const HELD_CHARACTERS = 16_000_000
+/** Stretches of a topic that are read at once for one reader: a store that takes 50 ms a call is asked for a step's 60 texts within a second. */
+const READS_AT_ONCE = 4
 /**
  * How long a record that the store does not have is taken to be missing without another question, in milliseconds. A
  * page of newest records is up to a megabyte; whoever waits for a record asks several times a second.
@@ -48,8 +51,10 @@
   /** Values held, by step and key; the steps in the order in which they came. */
   private readonly held = new Map<string, Map<string, string>>()
   private heldCharacters = 0
-  /** Steps whose records are being read from the store. */
-  private readonly reading = new Map<string, Promise<void>>()
+  /** Steps whose records are being read from the store; whether the store answered. */
+  private readonly reading = new Map<string, Promise<boolean>>()
+  /** First offset of which the store may still have the history. */
+  private firstKept = 0
   /** Keys that the store did not have, with the monotonic time until which they count as missing. */
   private readonly missing = new Map<string, number>()
 
@@ -87,7 +92,9 @@
 
   /** Texts of a step at these places, in order; those that the store does not give now are absent. */
   async texts (step: string, references: readonly ContentReference[]): Promise<(string | undefined)[]> {
-    return (await this.values(step, references.map(({ key }) => key), references.flatMap(({ at }) => at ?? []))).map((value) => value === undefined ? undefined : readText(value))
+    const missing = references.filter(({ key }) => this.held.get(step)?.has(key) !== true)
+    if (missing.length > 0) await this.readOnce(step, missing.map(({ key }) => key), missing.flatMap(({ at }) => at ?? []))
+    return this.values(step, references.map(({ key }) => key)).map((value) => value === undefined ? undefined : readText(value))
   }
 
   /** Forgets a step here. */
@@ -102,11 +109,11 @@
   }
 
   private async payloadValues ({ submission, payloadKeys, payloadsAt }: FoldedStep): Promise<(string | undefined)[]> {
-    return await this.values(submission.id, payloadKeys, payloadsAt === undefined ? [] : [payloadsAt])
+    if (!this.holds(submission.id, payloadKeys)) await this.readOnce(submission.id, payloadKeys, payloadsAt === undefined ? [] : [payloadsAt])
+    return this.values(submission.id, payloadKeys)
   }
 
-  private async values (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<(string | undefined)[]> {
-    if (!this.holds(step, keys)) await this.readOnce(step, keys, places)
+  private values (step: string, keys: readonly string[]): (string | undefined)[] {
     const held = this.held.get(step)
     return keys.map((key) => held?.get(key))
   }
@@ -116,61 +123,73 @@
     return keys.every((key) => held?.has(key) === true)
   }
 
-  /** One reader at a time for a step: a trainer that starts over and a holder that takes over ask for the same. */
+  /**
+   * One reader at a time for a step: a trainer that starts over and a holder that takes over ask for the same. Those who
+   * waited for a reader that the store did not answer are not answered either; were each to ask anew, the last would
+   * wait for all before it.
+   */
   private async readOnce (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
     for (let underway = this.reading.get(step); underway !== undefined; underway = this.reading.get(step)) {
-      await underway
-      if (this.holds(step, keys)) return
+      if (!await underway || this.holds(step, keys)) return
     }
     const reading = this.read(step, keys, places).finally(() => { this.reading.delete(step) })
     this.reading.set(step, reading)
     await reading
   }
 
-  private async read (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+  /** Reads records of a step; whether the store answered. */
+  private async read (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<boolean> {
     const { clock, metrics, stateLog } = this.services
     const now = clock.monotonic()
-    if (keys.some((key) => (this.missing.get(key) ?? now) > now)) return
+    if (keys.some((key) => (this.missing.get(key) ?? now) > now)) return true
     metrics.count('steps.contents_read')
-    await this.readPlaces(step, keys, places)
-    if (this.holds(step, keys)) return
+    if (!await this.readPlaces(step, keys, places)) return false
+    if (this.holds(step, keys)) return true
     metrics.count('steps.contents_searched')
     const searched = await this.search(step, keys)
-    if (searched !== 'absent') return
+    if (searched !== 'absent') return searched === 'found'
     for (const key of keys) if (this.held.get(step)?.has(key) !== true) this.missing.set(key, clock.monotonic() + MISSING_MS)
     this.forgetMissing()
     stateLog.alarm('contents of a step are missing', { step, wanted: keys.length, held: this.held.get(step)?.size ?? 0 })
+    return true
   }
 
-  /** Reads the stretches of the topic in which the records stand. */
-  private async readPlaces (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+  /** Reads the stretches of the topic in which the records stand and that the store still has, some at a time; whether it answered. */
+  private async readPlaces (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<boolean> {
     const wanted = new Set(keys)
-    for (const { from, kilobytes } of stretchesOf(places)) {
-      const page = await this.services.log.readSome(from, kilobytes)
-      if (!page.ok || page.value.type === 'forgotten') return
-      this.takeWanted(step, wanted, page.value.entries)
+    const stretches = stretchesOf(places)
+    let answered = true
+    const readNext = async (): Promise<void> => {
+      // The newest first: if the history of one is gone, so is that of all before it.
+      for (let stretch = stretches.pop(); stretch !== undefined && answered; stretch = stretches.pop()) {
+        if (stretch.from >= this.firstKept) answered = await this.readStretch(step, wanted, stretch)
+      }
     }
+    await Promise.all(Array.from({ length: Math.min(READS_AT_ONCE, stretches.length) }, readNext))
+    return answered
   }
 
-  /** Looks for keys among the newest records, of which those of a step stand together. */
+  private async readStretch (step: string, wanted: ReadonlySet<string>, { from, kilobytes }: TopicStretch): Promise<boolean> {
+    const page = await this.services.log.readSome(from, kilobytes)
+    if (!page.ok) return false
+    if (page.value.type === 'forgotten') this.firstKept = Math.max(this.firstKept, from + 1)
+    else for (const { key, value } of page.value.entries) if (wanted.has(key)) this.hold(step, key, value)
+    return true
+  }
+
+  /** Looks for keys among the newest records, of which those of a step stand together; all of the step's are held, as the next reader wants the others. */
   private async search (step: string, keys: readonly string[]): Promise<'found' | 'absent' | 'not-answered'> {
-    const wanted = new Set(keys)
     const prefix = keyPrefix(keys[0] ?? '')
     let after = prefix
     for (;;) {
       const page = await this.services.log.newest(after)
       if (!page.ok) return 'not-answered'
-      this.takeWanted(step, wanted, page.value.entries)
-      if (this.holds(step, keys)) return 'found'
-      if (page.value.next === undefined || isPast(page.value, prefix)) return 'absent'
+      for (const { key, value } of page.value.entries) if (key.startsWith(prefix)) this.hold(step, key, value)
+      if (page.value.next === undefined || isPast(page.value, prefix)) return this.holds(step, keys) ? 'found' : 'absent'
       after = page.value.next
     }
   }
 
-  private takeWanted (step: string, wanted: ReadonlySet<string>, entries: readonly KeyedEntry[]): void {
-    for (const { key, value } of entries) if (wanted.has(key)) this.hold(step, key, value)
-  }
-
   private hold (step: string, key: string, value: string | undefined): void {
     if (value === undefined) return
     const held = this.held.get(step) ?? new Map<string, string>()
@@ -179,8 +198,9 @@
     this.held.set(step, held)
     this.missing.delete(key)
     for (const oldest of this.held.keys()) {
-      if (this.heldCharacters <= HELD_CHARACTERS || oldest === step) break
-      this.forget(oldest)
+      if (this.heldCharacters <= HELD_CHARACTERS) break
+      // What a reader has found so far must stay until it has all.
+      if (oldest !== step && !this.reading.has(oldest)) this.forget(oldest)
     }
   }
 
--- a/test/actors/steps/stepContents.test.ts
+++ b/test/actors/steps/stepContents.test.ts
@@ -148,6 +148,24 @@
     expect(Math.max(...ends)).to.be.at.most(1800)
   })
 
+  it('of a step that is being read stay until all are found, whatever is held meanwhile', async () => {
+    // A step was called missing while it was searched for: texts of other steps took the place of what had been found.
+    const slow: KeyedLog = {
+      ...counted(),
+      newest: async (after) => {
+        await new Promise<void>((resolve) => { clock.after(50, resolve) })
+        return await log.newest(after)
+      }
+    }
+    const records = Array.from({ length: 9 }, (_, index) => textRecord('s', `i${index}`, 'x', 'n'))
+    log.write(records)
+    const reader = host(slow)
+    const reading = reader.texts('s', records.map(({ key }) => ({ key, at: undefined })))
+    await clock.advance(120)
+    for (let index = 0; index < 17; index++) reader.save([textRecord(`other${index}`, 'i', 'z'.repeat(999_000), 'n')], 1000).catch(() => undefined)
+    expect(await soon(reading)).to.deep.equal(Array(9).fill('x'))
+  })
+
   it('are found among the newest records once the store has no history of their places', async () => {
     const [writer, reader] = [host(), host()]
     const reference = await saved(writer, 'a', 'text of a')
