--- a/test/actors/steps/contentsLoad.test.ts
+++ b/test/actors/steps/contentsLoad.test.ts
@@ -68,7 +68,7 @@
   it('cost the store what is asked for, not that times the hosts', async () => {
     // Two accepted steps could not be read at the end of a day on 84 hosts. Every host followed the topic of all texts,
     // so that each text was read 84 times and most were never asked for: from the third second on the hosts
-    // together took 72 to 110 MB a second from a store that gives 80. Whatever was asked for had to wait behind that,
+    // together took in 56 to 110 MB a second, and a store gives 80. Whatever was asked for had to wait behind that,
     // ran into its time limit, was asked for again, and so made the queue longer.
     const clock = new ManualClock()
     const store = new SharedStore(clock)
