--- a/test/actors/steps/contentsLoad.test.ts
+++ b/test/actors/steps/contentsLoad.test.ts
@@ -66,10 +66,10 @@
   this.timeout(60_000)
 
   it('cost the store what is asked for, not that times the hosts', async () => {
-    // Two accepted steps could not be read at the end of a day on 84 hosts. Every host followed the topic of all texts,
-    // so that each text was read 84 times and most were never asked for: from the third second on the hosts
-    // together took in 56 to 110 MB a second, and a store gives 80. Whatever was asked for had to wait behind that,
-    // ran into its time limit, was asked for again, and so made the queue longer.
+    // On a day of 84 hosts after which two accepted steps could not be read the store was at its limit. Every host followed
+    // the topic of all texts, so that each text was read 84 times and most were never asked for: from the third second on
+    // the hosts together took in 56 to 110 MB a second, and a store gives 80. Whatever is asked for waits behind that,
+    // runs into its time limit, is asked for again, and so makes the queue longer.
     const clock = new ManualClock()
     const store = new SharedStore(clock)
     const contents = Array.from({ length: HOSTS }, (_, index) => {
