--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -32,8 +32,6 @@
   readonly longPollMs: number
   /** Pause after a read that brought records, in milliseconds: what comes within it is read together, which spares calls where many write often. */
   readonly pauseMs: number
-  /** Whether to follow the topic from its present end on, without loading what is kept. */
-  readonly fromEnd?: boolean
 }
 
 /** A key after all others: the page of newest records after it is empty, which makes it the cheapest call. */
@@ -155,7 +153,6 @@
   }
 
   private async load (): Promise<boolean> {
-    if (this.settings.fromEnd === true) return await this.startAtEnd()
     const found: KeyedEntry[] = []
     let after: string | undefined
     let end: number | undefined
@@ -175,15 +172,6 @@
     return true
   }
 
-  private async startAtEnd (): Promise<boolean> {
-    const page = await this.services.log.newest(LAST_KEY)
-    if (!page.ok) return false
-    this.offset = page.value.end
-    this.services.stateLog.changed('topic loaded', { topic: this.settings.name, records: 0, offset: this.offset })
-    this.loads.fire()
-    return true
-  }
-
   private async readOn (from: number): Promise<boolean> {
     this.reading = new AbortController()
     const page = await this.services.log.read(from, this.settings.longPollMs, this.reading.signal)
