Where the time of items and steps goes: phases in lines and histograms, losses ranked from a log

Cause: a step was late and no line told which item it had waited for, nor what that item had waited for; whoever looked read thousands of lines by hand. Lines of results carry the milliseconds of each phase now, one line tells when a step has what its trainer waits for, reads of results have a line, and 'losses' ranks late steps by part and by what happened meanwhile. Ruled out: a line for each phase of an item (some 7 times the lines, over the 100 a second that are written). Conclusion: the test found that a batch of results read at once told the wanted groups three times; it is told by position now. Groups carried over count as wanted whatever else is whole.

--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -46,6 +46,8 @@
   /** Longest wait for another event, in milliseconds. */
   readonly silenceMs: number
   readonly cancelled: AbortSignal
+  /** Called at the first event of the run. */
+  readonly onBegin: () => void
 }
 
 /** The engine's own failure, and its word that the item can never be done. */
@@ -117,8 +119,12 @@
       }
       if (event.version !== undefined) engine.learnVersion({ model: options.model, version: event.version })
       const now = services.clock.monotonic()
-      if (lastAt === undefined) engine.notePrompt(item.group)
-      else engine.pace.noteGap(now - lastAt, now)
+      if (lastAt === undefined) {
+        engine.notePrompt(item.group)
+        options.onBegin()
+      } else {
+        engine.pace.noteGap(now - lastAt, now)
+      }
       firstAt ??= now
       lastAt = now
       count++
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -96,6 +96,15 @@
 
   /** Reads results from a position on; waits for one up to `waitMs`. */
   async results (id: string, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
+    const began = this.services.clock.monotonic()
+    const read = await this.read(id, after, waitMs, gone)
+    if (!read.ok || read.value.results.length > 0) {
+      this.services.stateLog.decided('results read', { step: id, failed: !read.ok, after, results: read.ok ? read.value.results.length : 0, why: read.ok ? '' : `${read.code}: ${read.message}`, tookMs: Math.round(this.services.clock.monotonic() - began) })
+    }
+    return read
+  }
+
+  private async read (id: string, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
     const found = await this.known(id)
     if (!found.ok) return found
     const step = found.value
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -11,7 +11,9 @@
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
+import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
+import { carriedGroups } from '../../../core/common/steps/wantedGroups.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -93,6 +95,11 @@
     return this.items.filter(({ state }) => state !== 'waiting').length
   }
 
+  /** Where the time of an item of a step went that this host runs; `undefined` where it does not run it. */
+  phasesOf (step: string, item: string): PhaseTimes | undefined {
+    return this.works.get(step)?.items.get(item)?.phases.times(this.services.clock.monotonic())
+  }
+
   /** What models need of the engines. */
   demands (): ModelWork[] {
     const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
@@ -163,9 +170,11 @@
   private adopt (step: FoldedStep, saved: SavedTexts = new Map()): void {
     const { submission } = step
     if (step.ended || this.works.has(submission.id)) return
-    const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
+    const carried = carriedGroups(step, this.services.topic.steps())
+    const order = planOrder(submission, (group) => carried.has(group))
     const open = order.filter(({ id }) => !step.positions.has(id))
-    const waiting = open.map((item) => newWork(item, this.texts.begin()))
+    const now = this.services.clock.monotonic()
+    const waiting = open.map((item) => newWork(item, this.texts.begin(), now))
     const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
@@ -183,6 +192,8 @@
         return
       }
       work.payloads = payloads
+      const now = this.services.clock.monotonic()
+      for (const { phases } of work.items.values()) phases.enter('waiting', now)
       for (const itemWork of [...work.waiting]) {
         this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true)
         this.useEarlier(work, itemWork)
@@ -191,13 +202,6 @@
     }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { step: id, error: String(error) }) })
   }
 
-  private isCarried (group: string, step: string): boolean {
-    for (const other of this.services.topic.steps()) {
-      if (other.submission.id !== step && other.submission.items.some((item) => item.group === group)) return true
-    }
-    return false
-  }
-
   /** A text of an earlier step serves if its versions fit; its score too, if the scorer is asked the same. */
   private useEarlier (work: StepWork, itemWork: ItemWork): void {
     const { submission } = work.step
@@ -208,6 +212,7 @@
     if (textKey === undefined) return
     removeFrom(work.waiting, itemWork)
     itemWork.state = 'scoring'
+    itemWork.phases.enter('scoring', this.services.clock.monotonic())
     this.services.contents.texts(earlier.step, [{ key: textKey, at: textAt }]).then(([text]) => {
       if (itemWork.cancel.signal.aborted) return
       if (text === undefined) {
@@ -246,6 +251,7 @@
     itemWork.stopRun = stopRun
     itemWork.engine = engine
     itemWork.startedAt = began
+    itemWork.phases.enter('starting', began)
     engine.running++
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
@@ -254,7 +260,8 @@
       payload,
       firstEventMs: this.settings.firstEventMs,
       silenceMs: this.settings.silenceMs,
-      cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal])
+      cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal]),
+      onBegin: () => { itemWork.phases.enter('running', this.services.clock.monotonic()) }
     }).then((end) => {
       engine.running--
       itemWork.engine = undefined
@@ -296,6 +303,7 @@
   private again (work: StepWork, itemWork: ItemWork, fromStart: boolean): void {
     if (fromStart) itemWork.text.clear()
     itemWork.state = 'waiting'
+    itemWork.phases.enter('waiting', this.services.clock.monotonic())
     work.waiting.unshift(itemWork)
   }
 
@@ -303,6 +311,7 @@
     const scorer = work.payloads?.get(itemWork.item.id)?.scorer
     if (scorer === undefined) return this.list(work, itemWork, result)
     itemWork.state = 'scoring'
+    itemWork.phases.enter('scoring', this.services.clock.monotonic())
     this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
       if (itemWork.cancel.signal.aborted) return
       if (outcome.type === 'scored') this.list(work, itemWork, { ...result, score: outcome.score })
@@ -321,17 +330,19 @@
   private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
     const step = work.step.submission.id
     itemWork.state = 'listing'
-    this.write(step, result, itemWork.cancel.signal).then((written) => {
+    itemWork.phases.enter('writing', this.services.clock.monotonic())
+    this.write(step, result, itemWork).then((written) => {
       if (written.ok || itemWork.cancel.signal.aborted) return
       this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: written.message })
       this.list(work, itemWork, result)
     }).catch((error: unknown) => { this.services.stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
   }
 
-  private async write (step: string, { text, ...result }: SampleResult, cancelled: AbortSignal): Promise<Result<unknown>> {
+  private async write (step: string, { text, ...result }: SampleResult, { cancel, phases }: ItemWork): Promise<Result<unknown>> {
     const { contents, appender } = this.services
     const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
-    if (saved?.ok === false || cancelled.aborted) return saved ?? success(undefined)
+    if (saved?.ok === false || cancel.signal.aborted) return saved ?? success(undefined)
+    phases.enter('listing', this.services.clock.monotonic())
     return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at }, nonce)], LIST_MS)
   }
 
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -2,6 +2,7 @@
 
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
+import { PhaseTimer } from '../../../core/common/steps/itemPhases.ts'
 import type { Engine } from './engineBoard.ts'
 import type { ItemText } from './itemText.ts'
 
@@ -19,6 +20,7 @@
   /** Answers of engines that said that they failed. */
   failures: number
   runs: number
+  readonly phases: PhaseTimer
 }
 
 export interface StepWork {
@@ -32,8 +34,9 @@
   readonly waiting: ItemWork[]
 }
 
-export function newWork (item: StepItem, text: ItemText): ItemWork {
-  return { item, text, cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0 }
+/** An item that this host takes up at this monotonic time, in milliseconds. */
+export function newWork (item: StepItem, text: ItemText, nowMs: number): ItemWork {
+  return { item, text, cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0, phases: new PhaseTimer(nowMs) }
 }
 
 /** Takes a value out of a list, if it is there. */
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -104,6 +104,14 @@
   'completions.time': 'time of a whole completion',
   'services.time': 'time of a call to a service',
   'steps.accept': 'time from a submission to its acceptance',
+  'steps.payloads': 'items: until what their runs need has been read',
+  'steps.waiting': 'items: until an engine took them',
+  'steps.starting': 'items: from there to the first event of the run',
+  'steps.running': 'items: from the first event of a run to its end',
+  'steps.scoring': 'items: until the scorer has answered',
+  'steps.writing': 'items: until the store has the text',
+  'steps.listing': 'items: until the result is read back from the topic',
+  'steps.wanted': 'time from a submission until the wanted groups are listed',
   'steps.run': "time of an item's run at an engine"
 } as const
 
--- a/src/commandLine/node/explainCommand.ts
+++ b/src/commandLine/node/explainCommand.ts
@@ -1,4 +1,4 @@
-/** `explain`: reads log files and prints the story of an id. */
+/** `explain` reads log files and prints the story of an id; `losses` ranks what of their steps was late. */
 
 import { createReadStream } from 'node:fs'
 import { createInterface } from 'node:readline'
@@ -6,27 +6,52 @@
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { LogLine } from '../../core/common/explanation/explanation.ts'
 import { explain, formatStory } from '../../core/common/explanation/explanation.ts'
+import { formatLosses, lossesOf } from '../../core/common/explanation/losses.ts'
+import { formatAccount, stepAccounts } from '../../core/common/explanation/stepAccount.ts'
 
-/** Reads files and gives the story of a request, an item or a step as text. */
+/** Reads files and gives the story of a request, an item or a step as text; that of a step begins with its account. */
 export async function explainFromFiles (id: string, files: readonly string[]): Promise<Result<string>> {
+  const read = await readFiles(files)
+  if (!read.ok) return read
+  const lines = read.value
+  const story = explain(lines, id)
+  if (story.length === 0) return failure('notFound', `no line of ${lines.length} names ${id}`)
+  const account = stepAccounts(lines).find(({ step }) => step === id)
+  return success(account === undefined ? formatStory(story) : `${formatAccount(account)}\n\n${formatStory(story)}`)
+}
+
+/** Reads files and ranks what was late or missing of their steps, as text. A line that is cut is an error: what it told would be missing from the sums. */
+export async function lossesFromFiles (files: readonly string[]): Promise<Result<string>> {
+  const read = await readFiles(files, (file, number) => failure('malformed', `${file}:${number}: the line is cut or is not JSON`))
+  if (!read.ok) return read
+  const report = lossesOf(read.value)
+  return report.steps === 0 ? failure('notFound', `no line of ${read.value.length} tells that a step was accepted`) : success(formatLosses(report))
+}
+
+/** Reads all log lines; `onCut` says what a line means that begins as one and cannot be read, which is passed over without it. */
+async function readFiles (files: readonly string[], onCut?: (file: string, number: number) => Result<LogLine[]>): Promise<Result<LogLine[]>> {
   const lines: LogLine[] = []
   for (const file of files) {
+    let number = 0
     try {
       for await (const text of createInterface({ input: createReadStream(file, 'utf8'), crlfDelay: Number.POSITIVE_INFINITY })) {
+        number++
         const line = readLine(text)
         if (line !== undefined) lines.push(line)
+        else if (onCut !== undefined && text.includes(LINE_BEGIN)) return onCut(file, number)
       }
     } catch (error) {
       return failure('notFound', `${file}: ${(error as Error).message}`)
     }
   }
-  const story = explain(lines, id)
-  return story.length === 0 ? failure('notFound', `no line of ${lines.length} names ${id}`) : success(formatStory(story))
+  return success(lines)
 }
 
+const LINE_BEGIN = '{"time"'
+
 /** Reads a line; anything before its opening brace is passed over, and what is not a log line is `undefined`. */
 export function readLine (text: string): LogLine | undefined {
-  const begin = text.indexOf('{"time"')
+  const begin = text.indexOf(LINE_BEGIN)
   if (begin < 0) return undefined
   let parsed: unknown
   try {
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -173,7 +173,7 @@
     doubtMs: settings.duty.doubt,
     claimDelayMs: settings.host.processor_share * settings.host.processor_speed < 1 ? SMALL_HOST_DELAY_MS : 0
   }))
-  disposables.add(noteResults({ topic, duty, stateLog }))
+  disposables.add(noteResults({ topic, duty, clock, metrics, stateLog, routes: () => operator.routes, phasesOf: (step, item) => home.phasesOf(step, item) }))
   const board = new EngineBoard(targets, clock, () => operator.routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes: () => operator.routes }))
   const home: StepHome = disposables.add(new StepHome({
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,13 +1,15 @@
 /**
  * The program: `serve` runs an entry host, `check` reads a settings file, `query` and `order` are
- * for operators, `explain` is for whoever asks what became of a request.
+ * for operators, `explain` is for whoever asks what became of a request, `losses` for whoever asks why
+ * steps were late.
  */
 
 import { randomUUID } from 'node:crypto'
 import yargs from 'yargs'
 import { hideBin } from 'yargs/helpers'
+import type { Result } from './base/common/resultCode.ts'
 import { resultCodes } from './base/common/resultCode.ts'
-import { explainFromFiles } from './commandLine/node/explainCommand.ts'
+import { explainFromFiles, lossesFromFiles } from './commandLine/node/explainCommand.ts'
 import { formatAnswer, formatRefusal, sendStatement } from './commandLine/node/operatorClient.ts'
 import { startEntryHost } from './host/node/entryHost.ts'
 import { startRoutedHost } from './host/node/routedHost.ts'
@@ -41,13 +43,12 @@
   process.exitCode = EXIT_USAGE
 }
 
-async function explain (id: string, files: readonly string[]): Promise<void> {
-  const story = await explainFromFiles(id, files)
-  if (story.ok) {
-    process.stdout.write(`${story.value}\n`)
+function print (text: Result<string>): void {
+  if (text.ok) {
+    process.stdout.write(`${text.value}\n`)
     return
   }
-  process.stderr.write(`${resultCodes[story.code].number} ${story.code}: ${story.message}\n`)
+  process.stderr.write(`${resultCodes[text.code].number} ${text.code}: ${text.message}\n`)
   process.exitCode = EXIT_FAILED
 }
 
@@ -93,8 +94,9 @@
     .command('check', 'check a settings file', (command) => command.option('settings', { type: 'string', demandOption: true }), ({ settings }) => { check(settings) })
     .command('query <statement..>', 'ask: show targets where place = "Abdali"', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
     .command('order <statement..>', 'change: set lane desk priority 2 if revision = 118', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
-    .command('explain <id> <files..>', 'tell from log files what became of a request, an item or a step', (command) => command.positional('id', { type: 'string', demandOption: true }).positional('files', { type: 'string', array: true, demandOption: true }), async ({ id, files }) => { await explain(id, files) })
-    .demandCommand(1, 'one of: serve, check, query, order, explain')
+    .command('explain <id> <files..>', 'tell from log files what became of a request, an item or a step', (command) => command.positional('id', { type: 'string', demandOption: true }).positional('files', { type: 'string', array: true, demandOption: true }), async ({ id, files }) => { print(await explainFromFiles(id, files)) })
+    .command('losses <files..>', 'rank from log files what of the steps was late, and where the time went', (command) => command.positional('files', { type: 'string', array: true, demandOption: true }), async ({ files }) => { print(await lossesFromFiles(files)) })
+    .demandCommand(1, 'one of: serve, check, query, order, explain, losses')
     .strict()
     .help()
     .fail((message, error) => {
--- a/src/settings/node/readSettings.ts
+++ b/src/settings/node/readSettings.ts
@@ -28,19 +28,29 @@
 
 /** Checks the text of a settings file. */
 export function parseSettings (text: string): Result<HostSettings> {
-  let parsed: Record<string, unknown>
+  const parsed = parseToml(text)
+  if (!parsed.ok) return parsed
+  if ('store' in parsed.value) {
+    const routed = check(text, parsed.value, routedSettingsSchema)
+    return routed.ok ? success({ type: 'routes', settings: routed.value }) : routed
+  }
+  const pooled = check(text, parsed.value, settingsSchema)
+  return pooled.ok ? success({ type: 'pools', settings: pooled.value }) : pooled
+}
+
+/** Checks a TOML text against a schema; every mistake is told with its line. */
+export function parseChecked<Schema extends z.ZodType> (text: string, schema: Schema): Result<z.infer<Schema>> {
+  const parsed = parseToml(text)
+  return parsed.ok ? check(text, parsed.value, schema) : parsed
+}
+
+function parseToml (text: string): Result<Record<string, unknown>> {
   try {
-    parsed = parse(text)
+    return success(parse(text))
   } catch (error) {
     if (!(error instanceof TomlError)) throw error
     return failure('invalidSettings', `line ${error.line}: ${error.message.split('\n')[0] ?? ''}`)
   }
-  if ('store' in parsed) {
-    const routed = check(text, parsed, routedSettingsSchema)
-    return routed.ok ? success({ type: 'routes', settings: routed.value }) : routed
-  }
-  const pooled = check(text, parsed, settingsSchema)
-  return pooled.ok ? success({ type: 'pools', settings: pooled.value }) : pooled
 }
 
 function check<Schema extends z.ZodType> (text: string, parsed: unknown, schema: Schema): Result<z.infer<Schema>> {
--- a/test/actors/routes/workOfFormerLives.test.ts
+++ b/test/actors/routes/workOfFormerLives.test.ts
@@ -88,7 +88,7 @@
     const [engine] = new EngineBoard(run.table, run.clock, () => new RouteTable({ version: 1, routes: [], services: [{ name: 's', maximumConnections: 9, engine: { slots: 4, models: ['m'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })).all()
     if (engine === undefined) throw new Error('no engine')
     const held = newText()
-    const ended = await run.timed(runItem(run.services, engine, item('i', 'g'), held, { host: 'h', model: 'm', minimumVersion: 1, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: new AbortController().signal }))
+    const ended = await run.timed(runItem(run.services, engine, item('i', 'g'), held, { host: 'h', model: 'm', minimumVersion: 1, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: new AbortController().signal, onBegin: () => undefined }))
     expect([ended.value, ended.tookMs, held.text, [...held.versions]]).to.deep.equal([{ type: 'restarted' }, RESTART_MS, 'd0\nd1', [3]])
   })
 })
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -22,7 +22,7 @@
 const event = (id: number, version?: number): string => `${version === undefined ? '' : `bulrushvalve-weight-versions: ${version}\n`}id: ${id}\ndata: d${id}\n\n`
 const events = (...ids: number[]): ScriptedAnswer['events'] => ids.map((id) => ({ afterMs: 30, raw: event(id) }))
 
-async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunEnd, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number }> {
+async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunEnd, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number, firstMs: number }> {
   const clock = new ManualClock()
   const table = new TargetTable({ clock, stateLog: quietLog })
   table.set(targetDefinition({ id: 'e', service: 'engines', address: 'e', models: [{ model: 'm', version: 2 }] }))
@@ -33,14 +33,20 @@
   const cancel = new AbortController()
   if (Number.isFinite(cancelAfterMs)) clock.after(cancelAfterMs, () => { cancel.abort() })
   let tookMs = Number.POSITIVE_INFINITY
+  let firstMs = Number.POSITIVE_INFINITY
   const began = clock.now
-  const ended = runItem({ client, protocol: targetProtocol, clock }, engine, item('i', 'g'), text, { host: 'h', model: 'm', minimumVersion, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal })
+  const ended = runItem({ client, protocol: targetProtocol, clock }, engine, item('i', 'g'), text, { host: 'h', model: 'm', minimumVersion, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal, onBegin: () => { firstMs = clock.now - began } })
   ended.then(() => { tookMs = clock.now - began }).catch(() => undefined)
   await clock.advance(5000)
-  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs }
+  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs }
 }
 
 describe('the run of an item', () => {
+  it('tells of its first event, and of no other', async () => {
+    expect((await run({ afterMs: 5, headers: own, events: [{ afterMs: 5, raw: event(1) }, { afterMs: 5, raw: event(2) }] })).firstMs).to.equal(10)
+    expect((await run({ afterMs: 5, headers: own, events: [] })).firstMs).to.equal(Number.POSITIVE_INFINITY)
+  })
+
   it('collects events and the versions that made them', async () => {
     const { end, text, version } = await run({ afterMs: 5, headers: own, events: [{ afterMs: 5, raw: event(1) }, { afterMs: 5, raw: event(2, 4) }, { afterMs: 5, raw: event(3) }] })
     expect([end.type, text.text, [...text.versions], version]).to.deep.equal(['complete', 'd1\nd2\nd3', [3, 4], 4])
--- a/test/actors/steps/resultNotes.test.ts
+++ b/test/actors/steps/resultNotes.test.ts
@@ -5,6 +5,8 @@
 import { StepTopic } from '../../../src/actors/common/store/stepTopic.ts'
 import { toDisposable } from '../../../src/base/common/lifecycle.ts'
 import { resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
+import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
+import type { PhaseTimes } from '../../../src/core/common/steps/itemPhases.ts'
 import { quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
@@ -46,7 +48,7 @@
 
   it('is told by the holder of the duty for each result, and by nobody else', async () => {
     const duty = { holds: false, term: 4 }
-    const notes = noteResults({ topic, duty, stateLog: log })
+    const notes = noteResults({ topic, duty, clock, metrics: quietMetrics, stateLog: log, routes: () => undefined, phasesOf: () => undefined })
     store.write([result('a', '1')])
     await clock.advance(50)
     duty.holds = true
@@ -59,6 +61,25 @@
     ])
   })
 
+  it('comes with where the time of its item went, and once with what the trainer waited for', async () => {
+    // A step was late and no line told which item it had waited for, nor what that one had waited for: the
+    // store, a free slot, its engine or its scorer.
+    // The topic is read each 20 ms, and the clock began at 1,000,000.
+    const tookMs = 1_000_060 - 1
+    const spent: Record<string, PhaseTimes> = { a: { payloads: 30, waiting: 200, running: 900 }, b: { running: 40 } }
+    const timings: [string, number][] = []
+    const metrics = { ...quietMetrics, timing: (name: string, milliseconds: number) => { timings.push([name, milliseconds]) } }
+    const route = { name: 'r', host: 'steps.example', pathPrefix: '/', kind: 'steps', destinations: [], timeoutMs: 1, objectiveMs: 1, priority: 0, attempts: 1, resumable: true, dueMs: 7500, retentionMs: 1, singleVersion: false } as const
+    const routes = new RouteTable({ version: 1, routes: [route], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    const notes = noteResults({ topic, duty: { holds: true, term: 4 }, clock, metrics, stateLog: log, routes: () => routes, phasesOf: (_, of) => spent[of] })
+    store.write([result('b', '1'), result('c', '1'), result('a', '1')])
+    await clock.advance(50)
+    notes.dispose()
+    expect(log.of('result listed').map(({ item, payloads, waiting, running }) => [item, payloads, waiting, running])).to.deep.equal([['b', undefined, undefined, 40], ['c', undefined, undefined, undefined], ['a', 30, 200, 900]])
+    expect(log.of('wanted groups listed')).to.deep.equal([{ step: 's', number: 0, model: 'm', tookMs, dueMs: 7500, listed: 3, item: 'a', payloads: 30, waiting: 200, running: 900 }])
+    expect(timings).to.deep.equal([['steps.running', 40], ['steps.payloads', 30], ['steps.waiting', 200], ['steps.running', 900], ['steps.wanted', tookMs]])
+  })
+
   it('is told by a host that finds it otherwise when it reads the topic anew', async () => {
     store.write([result('a', '1'), result('b', '1')])
     await clock.advance(50)
