--- /dev/null
+++ b/src/actors/common/steps/headStarts.ts
@@ -0,0 +1,184 @@
+/**
+ * Gives items a head start that a step to come will want: runs them once more, beside the runs of the open
+ * step, where nothing waits for the slots, and hands over what they came to when that step asks for them.
+ * They are in the memory of this host only: after a takeover the items begin with their step, as without them.
+ */
+
+import { headStartShare, planHeadStarts } from '../../../core/common/steps/headStart.ts'
+import type { SavedText } from '../../../core/common/steps/progress.ts'
+import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import { askedKey } from './heldTexts.ts'
+import type { ItemPlacement } from './itemPlacement.ts'
+import type { ItemRunServices, RunEnd } from './itemRun.ts'
+import { runItem } from './itemRun.ts'
+import type { ItemText } from './itemText.ts'
+import type { Engine } from './engineBoard.ts'
+import type { StepWork } from './stepWork.ts'
+
+export interface HeadStartServices extends ItemRunServices {
+  readonly placement: ItemPlacement
+  readonly metrics: Metrics
+  readonly stateLog: StateLog
+  readonly newText: () => ItemText
+}
+
+export interface HeadStartSettings {
+  readonly firstEventMs: number
+  readonly silenceMs: number
+}
+
+/** A step that is open, as the plan of its head starts needs it. */
+export interface OpenStep {
+  readonly work: StepWork
+  readonly route: Route
+  /** Oldest version that the step may use which will have what this one leaves over. */
+  readonly nextMinimum: number
+}
+
+interface HeadStart {
+  readonly step: string
+  readonly item: StepItem
+  readonly text: ItemText
+  /** Present while it runs. */
+  cancel: AbortController | undefined
+  /** Whether its text is whole. */
+  complete: boolean
+  /** Whether it is not begun again, since an engine said that it fails. */
+  failed: boolean
+  /** Monotonic time from which on its step is not open any more. */
+  leftAt: number | undefined
+}
+
+/** How long a head start outlasts its step, in milliseconds: the next step comes after the training, or at the trainer's own time. */
+const KEPT_MS = 5000
+/** Weight of the newest item in the relation of expected tokens to events: some fifty count. */
+const RATIO_WEIGHT = 0.02
+
+export class HeadStarts {
+  private readonly starts = new Map<string, HeadStart>()
+  /** Expected tokens for each event that was made, as a moving mean. */
+  private tokensPerEvent: number | undefined
+
+  constructor (private readonly services: HeadStartServices, private readonly settings: HeadStartSettings) {}
+
+  /** Learns from an item that is whole how long items are against what their trainers expect. */
+  noteWhole ({ expectedTokens }: StepItem, events: number): void {
+    if (events === 0) return
+    const ratio = expectedTokens / events
+    this.tokensPerEvent = this.tokensPerEvent === undefined ? ratio : this.tokensPerEvent + (ratio - this.tokensPerEvent) * RATIO_WEIGHT
+  }
+
+  /** Begins what is worth a head start and ends what is not any more. */
+  look (steps: readonly OpenStep[]): void {
+    this.dropUseless(steps)
+    // What waits needs the slots more: a head start is of use to a later step only.
+    if (this.tokensPerEvent === undefined || steps.some(({ work }) => work.waiting.length > 0)) return
+    for (const step of steps) this.beginOf(step, this.tokensPerEvent)
+  }
+
+  /** Ends the head start of an item that a step asks for, and gives what it came to. */
+  take (work: StepWork, item: string): SavedText | undefined {
+    const asked = askedKey(work, item)
+    const start = asked === undefined ? undefined : this.starts.get(asked)
+    if (asked === undefined || start === undefined || start.step === work.step.submission.id) return undefined
+    this.drop(asked, start)
+    const { text, complete } = start
+    // Whether a text is whole only the end of a stream tells, so the last event is made again.
+    const events = complete ? text.events.slice(0, -1) : [...text.events]
+    if (text.last === undefined || events.length === 0) return undefined
+    this.services.metrics.count('steps.head_starts_used')
+    this.services.stateLog.decided('head start used', { item, step: work.step.submission.id, events: events.length, versions: [...text.versions].join(' ') })
+    return { events, last: text.last - (text.events.length - events.length), versions: [...text.versions] }
+  }
+
+  dropAll (): void {
+    for (const [asked, start] of this.starts) this.drop(asked, start)
+  }
+
+  private get running (): number {
+    return [...this.starts.values()].filter(({ cancel }) => cancel !== undefined).length
+  }
+
+  private beginOf ({ work, route, nextMinimum }: OpenStep, tokensPerEvent: number): void {
+    if (route.singleVersion || work.payloads === undefined) return
+    for (const id of planHeadStarts(progressOf(work, tokensPerEvent), tokensPerEvent)) {
+      const asked = askedKey(work, id)
+      const item = work.step.items.get(id)
+      if (asked === undefined || item === undefined) continue
+      const known = this.starts.get(asked)
+      if (known !== undefined && (known.cancel !== undefined || known.complete || known.failed)) continue
+      const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, nextMinimum)
+      if (candidate === undefined || this.running >= slots * headStartShare) return
+      const start = known ?? { step: work.step.submission.id, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
+      this.starts.set(asked, start)
+      this.begin(start, work, candidate.engine, nextMinimum)
+    }
+  }
+
+  private begin (start: HeadStart, work: StepWork, engine: Engine, minimumVersion: number): void {
+    const { host, model } = work.step.submission
+    const payload = work.payloads?.get(start.item.id)
+    if (payload === undefined) return
+    const cancel = new AbortController()
+    start.cancel = cancel
+    engine.running++
+    this.services.metrics.count('steps.head_starts')
+    this.services.stateLog.decided('head start begins', { item: start.item.id, step: start.step, engine: engine.id, minimumVersion, events: start.text.events.length })
+    runItem(this.services, engine, start.item, start.text, { host, model, minimumVersion, payload, ...this.settings, cancelled: cancel.signal, onBegin: () => undefined }).then((end) => {
+      engine.running--
+      if (cancel.signal.aborted) return
+      start.cancel = undefined
+      this.ended(start, engine, end)
+    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: start.item.id, error: String(error) }) })
+  }
+
+  /** What a run says of its engine counts as for the runs of the open step; the item itself is only tried again where an engine did not refuse it for good. */
+  private ended (start: HeadStart, engine: Engine, end: RunEnd): void {
+    switch (end.type) {
+      case 'complete':
+        start.complete = true
+        return
+      case 'failed':
+      case 'impossible':
+        start.failed = true
+        return
+      case 'refused':
+        return engine.refused()
+      case 'broken':
+        engine.target.failed()
+        return this.services.client.distrust(engine.target.definition.address)
+      case 'moved':
+      case 'too-old':
+      case 'restarted':
+    }
+  }
+
+  /** A group that is whole does not come again, and neither does what no step asked for in time. */
+  private dropUseless (steps: readonly OpenStep[]): void {
+    const now = this.services.clock.monotonic()
+    for (const [asked, start] of this.starts) {
+      const open = steps.find(({ work }) => work.step.submission.id === start.step)?.work
+      if (open === undefined) start.leftAt ??= now
+      if (open !== undefined ? isWhole(open, start.item.group) : now - (start.leftAt ?? now) > KEPT_MS) this.drop(asked, start)
+    }
+  }
+
+  private drop (asked: string, start: HeadStart): void {
+    start.cancel?.abort()
+    this.starts.delete(asked)
+  }
+}
+
+function isWhole ({ step: { submission, positions } }: StepWork, group: string): boolean {
+  return submission.items.every((item) => item.group !== group || positions.has(item.id))
+}
+
+function progressOf ({ step: { submission, positions }, items, finished, carried }: StepWork, tokensPerEvent: number): Parameters<typeof planHeadStarts>[0] {
+  return {
+    wantedGroups: submission.wantedGroups,
+    carried,
+    items: submission.items.map(({ id, group, expectedTokens }) => ({ id, group, expectedTokens, events: finished.get(id) ?? items.get(id)?.text.events.length ?? expectedTokens / tokensPerEvent, listed: positions.has(id) }))
+  }
+}
--- a/src/actors/common/steps/heldTexts.ts
+++ b/src/actors/common/steps/heldTexts.ts
@@ -54,12 +54,12 @@
 
   /**
    * Goes on from what is held of an item's text, if its versions fit; `saved` is what the store has of its
-   * step. A host that held the duty before may know less of an item than the store, or more: the longer counts.
+   * step, `ahead` what was made for it before it was asked. A host that held the duty before may know less of an item than the store, or more: the longer counts.
    */
-  restore (work: StepWork, itemWork: ItemWork, saved: SavedTexts, singleVersion: boolean): void {
+  restore (work: StepWork, itemWork: ItemWork, saved: SavedTexts, singleVersion: boolean, ahead?: SavedText): void {
     const { submission } = work.step
     const asked = askedKey(work, itemWork.item.id)
-    const found = [saved.get(progressKey(submission.id, itemWork.item.id)), asked === undefined ? undefined : this.unfinished.get(asked)]
+    const found = [ahead, saved.get(progressKey(submission.id, itemWork.item.id)), asked === undefined ? undefined : this.unfinished.get(asked)]
     const fitting = found.filter((text) => text !== undefined).filter(({ versions }) => versions.every((version) => version >= submission.minimumVersion))
     const longest = fitting.sort((a, b) => b.events.length - a.events.length)[0]
     if (longest === undefined || longest.events.length === 0 || singleVersion || itemWork.state !== 'waiting') return
@@ -105,7 +105,7 @@
  * What an engine is asked for an item; `undefined` while its payload is not read. An id alone would let an
  * item go on from the text of another prompt, where a later step uses the id again.
  */
-function askedKey ({ step: { submission: { host, model } }, payloads }: StepWork, item: string): string | undefined {
+export function askedKey ({ step: { submission: { host, model } }, payloads }: StepWork, item: string): string | undefined {
   const payload = payloads?.get(item)
   if (payload === undefined) return undefined
   const headers = Object.entries(payload.headers).sort(([a], [b]) => a < b ? -1 : 1)
--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -26,6 +26,13 @@
     return this.best(this.candidates(work, route, itemWork.item.group), work, itemWork)
   }
 
+  /** The engine for an item that is run for a step to come, and the slots of all engines that might run it. */
+  chooseAhead (work: StepWork, route: Route, group: string, minimumVersion: number): { readonly candidate: EngineCandidate | undefined, readonly slots: number } {
+    const candidates = this.candidates(work, route, group)
+    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? work.step.submission.model) === work.step.submission.model)
+    return { candidate: chooseEngine(following, minimumVersion, 'long'), slots: following.reduce((sum, { slots }) => sum + slots, 0) }
+  }
+
   /** A run of this step that a faster engine with a free slot should take over. */
   nextMove (work: StepWork, route: Route, nowMs: number): PlannedMove | undefined {
     const candidates = this.candidates(work, route, undefined)
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -24,6 +24,9 @@
 import type { ModelWork } from '../weights/engineOrders.ts'
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
 import { longFrom } from '../../../core/common/steps/engineChoice.ts'
+import { minimumAfter } from '../../../core/common/steps/headStart.ts'
+import type { OpenStep } from './headStarts.ts'
+import { HeadStarts } from './headStarts.ts'
 import { ItemPlacement } from './itemPlacement.ts'
 import type { SavedTexts } from './heldTexts.ts'
 import { HeldTexts } from './heldTexts.ts'
@@ -72,6 +75,9 @@
   private readonly workOfModels = new Map<string, number>()
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
+  private readonly headStarts: HeadStarts
+  /** Steps of a model that came while its last one that has ended was open. */
+  private readonly overlaps = new Map<string, number>()
   private stopping = false
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
@@ -80,6 +86,7 @@
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
     this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin() }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -132,7 +139,9 @@
         if (this.services.duty.holds) this.adopt(change.step)
         return this.schedule()
       case 'listed': return this.dropItem(change.step.submission.id, change.result.item)
-      case 'ended': return this.dropStep(change.step.submission.id, 'ended')
+      case 'ended':
+        this.overlaps.set(change.step.submission.model, this.newerOpen(change.step))
+        return this.dropStep(change.step.submission.id, 'ended')
       case 'forgotten': return this.dropStep(change.step, 'forgotten')
       case 'duty': return undefined
     }
@@ -175,7 +184,7 @@
     const open = order.filter(({ id }) => !step.positions.has(id))
     const now = this.services.clock.monotonic()
     const waiting = open.map((item) => newWork(item, this.texts.begin(), now))
-    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, carried, finished: new Map(), waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
     this.readPayloads(work, saved)
@@ -195,7 +204,7 @@
       const now = this.services.clock.monotonic()
       for (const { phases } of work.items.values()) phases.enter('waiting', now)
       for (const itemWork of [...work.waiting]) {
-        this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true)
+        this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true, this.headStarts.take(work, itemWork.item.id))
         this.useEarlier(work, itemWork)
       }
       this.schedule()
@@ -279,6 +288,8 @@
     switch (end.type) {
       case 'complete':
         engine.target.answered(tookMs)
+        work.finished.set(item.id, text.events.length)
+        this.headStarts.noteWhole(item, text.events.length)
         if (route.singleVersion && text.versions.size > 1) return this.again(work, itemWork, true)
         return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: [...text.versions].sort((a, b) => a - b), score: undefined })
       case 'refused':
@@ -369,12 +380,15 @@
   }
 
   private dropAll (): void {
+    this.headStarts.dropAll()
     for (const step of [...this.works.keys()]) this.dropStep(step, 'duty lost')
   }
 
   /** Gives up what is too old, and starts what became possible without an event. */
   private look (): void {
-    if (!this.services.duty.holds || this.works.size === 0) return
+    if (!this.services.duty.holds) return
+    this.headStarts.look(this.openWorks())
+    if (this.works.size === 0) return
     const now = this.services.clock.wall()
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
@@ -385,6 +399,20 @@
     this.texts.save(this.works.values()).catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
   }
 
+  private openWorks (): OpenStep[] {
+    const works = [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
+    return works.flatMap((work) => {
+      const route = this.routeOf(work.step)
+      const { minimumVersion, model } = work.step.submission
+      return route === undefined ? [] : [{ work, route, nextMinimum: minimumAfter(minimumVersion, this.newerOpen(work.step), this.overlaps.get(model) ?? 0) }]
+    })
+  }
+
+  /** Open steps of the same model that came after this one. */
+  private newerOpen ({ submission, submittedAt }: FoldedStep): number {
+    return [...this.services.topic.steps()].filter((other) => !other.ended && other.submission.model === submission.model && other.submittedAt > submittedAt).length
+  }
+
   /** Lets one run go on at a faster engine; a text of one version only would have to begin anew there. */
   private moveToFaster (work: StepWork, route: Route): void {
     if (route.singleVersion || work.waiting.length > 0) return
@@ -400,6 +428,7 @@
   /** Saves all progress before another host takes over. */
   async handOver (): Promise<void> {
     this.stopping = true
+    this.headStarts.dropAll()
     await this.texts.save(this.works.values(), true)
   }
 
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -30,6 +30,10 @@
   payloads: ReadonlyMap<string, ItemPayload> | undefined
   /** Expected tokens from which on an item of this step counts as long. */
   readonly longFrom: number
+  /** Groups that an earlier step left over. */
+  readonly carried: ReadonlySet<string>
+  /** Events of items whose texts are whole. */
+  readonly finished: Map<string, number>
   /** Items that wait, in the order in which they are started. */
   readonly waiting: ItemWork[]
 }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -87,6 +87,8 @@
     'step dropped': 'a step is no longer run here, and why; with the items still open',
     'step forgotten': 'the records of an old step are dropped from the store',
     'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
+    'head start begins': 'an item of an open step is run once more, for the step to come that will have it; with the engine and the oldest version that step may use',
+    'head start used': 'a step goes on from what an item came to before it was asked; with the events and versions',
     'run moved to a faster engine': 'a run goes on at another engine; with the slowness of both that decided it',
     'item listed as lost': 'an item was given up, and why',
     'duty claimed': 'the holder was silent, or released the duty; with its silence',
