A store that goes silent for one host is left within 0.6 s, so that a holder keeps its duty through other hosts

Cause: calls over a cut link waited for their 1.2 s, as long as the lease of the duty. A late call has the store asked something cheap now, and once that is not answered either, no call waits and the next goes through another host. Ruled out: a shorter time limit for all calls, which a slow store would break.

--- a/src/actors/common/store/relayedKeyedLog.ts
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -47,7 +47,7 @@
   }
 
   async read (from: number, waitMs: number, givenUp?: AbortSignal): Promise<Result<KeyedPage>> {
-    const straight = await this.straight(async () => await this.direct.read(from, waitMs, givenUp))
+    const straight = await this.straight(async () => await this.direct.read(from, waitMs, givenUp), waitMs)
     if (straight?.ok === true) return straight
     const poll = Math.min(waitMs, RELAYED_POLL_MS)
     const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.read', { topic: this.topic, from, waitMs: poll }, HELPER_MS + poll))
@@ -69,9 +69,9 @@
   }
 
   /** Calls the store itself, unless it failed a moment ago. */
-  private async straight<T> (call: () => Promise<Result<T>>): Promise<Result<T> | undefined> {
+  private async straight<T> (call: () => Promise<Result<T>>, keptMs = 0): Promise<Result<T> | undefined> {
     if (!this.services.reach.reached) return undefined
-    const result = await call()
+    const result = await this.services.reach.answered(call(), keptMs) ?? failure('commandUnknown', 'the store is silent')
     if (!result.ok) this.services.reach.failed()
     return result
   }
--- a/src/actors/common/store/storeReach.ts
+++ b/src/actors/common/store/storeReach.ts
@@ -3,6 +3,10 @@
  * silence: short probes find out when the store answers again, and whoever waits hears it at once.
  * Otherwise each waiting call would run into its own time limit, and a host would notice the end of
  * an outage seconds late.
+ *
+ * A link may also be cut without a word. A call that is late then has the store asked something cheap beside it;
+ * if that is not answered either, the store is silent for this host, and no call waits for it any longer. Otherwise a
+ * host that holds a duty would lose it while its renewal waits, though other hosts could pass it on.
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
@@ -13,12 +17,23 @@
 const PROBE_MS = 150
 /** Probes without an answer yet, at most. */
 const MOST_PROBES = 3
+/** Time for an answer after which a call is late, in milliseconds: fifty times the usual one. */
+const LATE_MS = 200
+/** Time for the answer to the probe that a late call brings about, in milliseconds; with `LATE_MS` and a renewal's period it ends before a lease does. */
+const DOUBT_MS = 350
+/** A store is given this many times the answers' mean time, where that is more: one that is slow is not silent. */
+const PATIENCE = 1.8
+/** Weight of the newest answer in the mean time: a store that turns slow shows it within a few calls. */
+const ANSWER_WEIGHT = 0.3
 
 export class StoreReach implements Disposable {
   private readonly regains = new Emitter<void>()
   readonly onRegained = this.regains.event
+  private readonly silences = new Emitter<void>()
   private timer: Disposable | undefined
   private probes = 0
+  private doubted = false
+  private answerMs = 0
 
   /** @param probe asks the store something cheap; true if it answers within a short time */
   constructor (private readonly clock: Clock, private readonly probe: () => Promise<boolean>) {}
@@ -32,9 +47,59 @@
     this.timer ??= this.clock.every(PROBE_MS, () => { this.probeOnce() })
   }
 
+  /**
+   * Waits for a call, which the store itself may keep waiting for so long; `undefined` once the store is silent. What
+   * became of a call that is left so is not known.
+   */
+  async answered<T> (call: Promise<T>, keptMs = 0): Promise<T | undefined> {
+    const began = this.clock.monotonic()
+    return await new Promise((resolve, reject) => {
+      const done = (): void => {
+        timer.dispose()
+        silence.dispose()
+      }
+      const timer = this.clock.after(keptMs + Math.max(LATE_MS, this.answerMs * PATIENCE), () => { this.doubt() })
+      const silence = this.silences.event(() => {
+        done()
+        resolve(undefined)
+      })
+      call.then((result) => {
+        done()
+        if (keptMs === 0) this.noteAnswer(began)
+        resolve(result)
+      }, (error: unknown) => {
+        done()
+        reject(error instanceof Error ? error : new Error(String(error)))
+      })
+    })
+  }
+
   dispose (): void {
     this.timer?.dispose()
     this.regains.dispose()
+    this.silences.dispose()
+  }
+
+  private noteAnswer (began: number): void {
+    this.answerMs += (this.clock.monotonic() - began - this.answerMs) * ANSWER_WEIGHT
+  }
+
+  /** A call is late: the store is silent unless it answers a probe in time. */
+  private doubt (): void {
+    if (!this.reached || this.doubted) return
+    this.doubted = true
+    const began = this.clock.monotonic()
+    const timer = this.clock.after(Math.max(DOUBT_MS, this.answerMs * PATIENCE), () => {
+      this.doubted = false
+      this.failed()
+      this.silences.fire()
+    })
+    this.probe().then((answered) => {
+      if (!answered) return
+      timer.dispose()
+      this.doubted = false
+      this.noteAnswer(began)
+    }, () => undefined)
   }
 
   private probeOnce (): void {
