--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -4,7 +4,7 @@
  * They are in the memory of this host only: after a takeover the items begin with their step, as without them.
  */
 
-import { headStartShare, planHeadStarts } from '../../../core/common/steps/headStart.ts'
+import { mostHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
 import type { SavedText } from '../../../core/common/steps/progress.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { StepItem } from '../../../core/common/steps/step.ts'
@@ -51,6 +51,12 @@
   leftAt: number | undefined
 }
 
+interface PlannedStart {
+  readonly step: OpenStep
+  readonly asked: string
+  readonly item: StepItem
+}
+
 /** How long a head start outlasts its step, in milliseconds: the next step comes after the training, or at the trainer's own time. */
 const KEPT_MS = 5000
 /** Weight of the newest item in the relation of expected tokens to events: some fifty count. */
@@ -58,6 +64,8 @@
 
 export class HeadStarts {
   private readonly starts = new Map<string, HeadStart>()
+  /** What is to begin once there is a slot, those that need the longest first. */
+  private planned: PlannedStart[] = []
   /** Expected tokens for each event that was made, as a moving mean. */
   private tokensPerEvent: number | undefined
 
@@ -70,12 +78,24 @@
     this.tokensPerEvent = this.tokensPerEvent === undefined ? ratio : this.tokensPerEvent + (ratio - this.tokensPerEvent) * RATIO_WEIGHT
   }
 
-  /** Begins what is worth a head start and ends what is not any more. */
+  /** Plans what is worth a head start and ends what is not any more. */
   look (steps: readonly OpenStep[]): void {
     this.dropUseless(steps)
-    // What waits needs the slots more: a head start is of use to a later step only.
-    if (this.tokensPerEvent === undefined || steps.some(({ work }) => work.waiting.length > 0)) return
-    for (const step of steps) this.beginOf(step, this.tokensPerEvent)
+    const { tokensPerEvent } = this
+    this.planned = tokensPerEvent === undefined ? [] : steps.flatMap((step) => this.planOf(step, tokensPerEvent))
+  }
+
+  /** Begins what is planned, as far as there are slots; `waiting`: items of open steps wait for them too. */
+  begin (waiting: boolean): void {
+    while (this.planned[0] !== undefined) {
+      const { step: { work, route, nextMinimum }, asked, item } = this.planned[0]
+      const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, nextMinimum)
+      if (candidate === undefined || this.running >= mostHeadStarts(slots, waiting)) return
+      this.planned.shift()
+      const start = this.starts.get(asked) ?? { step: work.step.submission.id, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
+      this.starts.set(asked, start)
+      this.run(start, work, candidate.engine, nextMinimum)
+    }
   }
 
   /** Ends the head start of an item that a step asks for, and gives what it came to. */
@@ -94,6 +114,7 @@
   }
 
   dropAll (): void {
+    this.planned = []
     for (const [asked, start] of this.starts) this.drop(asked, start)
   }
 
@@ -101,23 +122,19 @@
     return [...this.starts.values()].filter(({ cancel }) => cancel !== undefined).length
   }
 
-  private beginOf ({ work, route, nextMinimum }: OpenStep, tokensPerEvent: number): void {
-    if (route.singleVersion || work.payloads === undefined) return
-    for (const id of planHeadStarts(progressOf(work, tokensPerEvent), tokensPerEvent)) {
+  private planOf (step: OpenStep, tokensPerEvent: number): PlannedStart[] {
+    const { work, route } = step
+    if (route.singleVersion || work.payloads === undefined) return []
+    return planHeadStarts(progressOf(work, tokensPerEvent), tokensPerEvent).flatMap((id): PlannedStart[] => {
       const asked = askedKey(work, id)
       const item = work.step.items.get(id)
-      if (asked === undefined || item === undefined) continue
-      const known = this.starts.get(asked)
-      if (known !== undefined && (known.cancel !== undefined || known.complete || known.failed)) continue
-      const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, nextMinimum)
-      if (candidate === undefined || this.running >= slots * headStartShare) return
-      const start = known ?? { step: work.step.submission.id, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
-      this.starts.set(asked, start)
-      this.begin(start, work, candidate.engine, nextMinimum)
-    }
+      const known = asked === undefined ? undefined : this.starts.get(asked)
+      if (asked === undefined || item === undefined || known?.cancel !== undefined || known?.complete === true || known?.failed === true) return []
+      return [{ step, asked, item }]
+    })
   }
 
-  private begin (start: HeadStart, work: StepWork, engine: Engine, minimumVersion: number): void {
+  private run (start: HeadStart, work: StepWork, engine: Engine, minimumVersion: number): void {
     const { host, model } = work.step.submission
     const payload = work.payloads?.get(start.item.id)
     if (payload === undefined) return
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -116,7 +116,8 @@
   /** Starts whatever can be started. */
   schedule (): void {
     if (!this.services.duty.holds || this.stopping) return
-    const works = [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
+    const works = this.inOrder()
+    this.headStarts.begin(works.some(({ waiting }) => waiting.length > 0))
     for (const work of works) this.startItems(work)
   }
 
@@ -399,9 +400,13 @@
     this.texts.save(this.works.values()).catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
   }
 
+  /** The steps that run here, the oldest first. */
+  private inOrder (): StepWork[] {
+    return [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
+  }
+
   private openWorks (): OpenStep[] {
-    const works = [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
-    return works.flatMap((work) => {
+    return this.inOrder().flatMap((work) => {
       const route = this.routeOf(work.step)
       const { minimumVersion, model } = work.step.submission
       return route === undefined ? [] : [{ work, route, nextMinimum: minimumAfter(minimumVersion, this.newerOpen(work.step), this.overlaps.get(model) ?? 0) }]
--- a/src/core/common/steps/headStart.ts
+++ b/src/core/common/steps/headStart.ts
@@ -33,8 +33,14 @@
 /** Shortest item, in relation to the longest that is still to come, that is worth a head start: the others are done sooner in any case. */
 const WORTH_SHARE = 0.4
 
-/** Part of an engine service's slots that head starts take at most. */
-export const headStartShare = 1 / 6
+/** Part of an engine service's slots that head starts take at most, and while items of an open step wait for slots. */
+const IDLE_SHARE = 1 / 6
+const BUSY_SHARE = 1 / 12
+
+/** Head starts that may run at once on so many slots. A few may while items wait: what is left over then is longer than what waits. */
+export function mostHeadStarts (slots: number, waiting: boolean): number {
+  return Math.floor(slots * (waiting ? BUSY_SHARE : IDLE_SHARE))
+}
 
 /** Items that should have a head start, those that need the longest first. `tokensPerEvent` is what engines made lately. */
 export function planHeadStarts ({ wantedGroups, items, carried }: StepProgress, tokensPerEvent: number): string[] {
--- a/test/core/steps/headStart.test.ts
+++ b/test/core/steps/headStart.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { minimumAfter, planHeadStarts } from '../../../src/core/common/steps/headStart.ts'
+import { minimumAfter, mostHeadStarts, planHeadStarts } from '../../../src/core/common/steps/headStart.ts'
 import type { ItemProgress } from '../../../src/core/common/steps/headStart.ts'
 import { allPolicies, ModelDay } from '../../../tools/bench/steps/day.ts'
 import { drawDay } from '../../../tools/bench/steps/draws.ts'
@@ -44,6 +44,10 @@
     expect(planHeadStarts({ wantedGroups: 1, items: [progress('a', 'a', 10, 10, true), progress('b', 'b', 90, 5)], carried: new Set() }, TOKENS)).to.deep.equal([])
   })
 
+  it('take a sixth of the slots, and half of that while items wait', () => {
+    expect([mostHeadStarts(48, false), mostHeadStarts(48, true), mostHeadStarts(5, false)]).to.deep.equal([8, 4, 0])
+  })
+
   it('name items of the step, each once', () => {
     fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c', 'd'), fc.nat(300), fc.nat(200), fc.boolean()), { maxLength: 30 }), fc.nat(5), (rows, wantedGroups) => {
       const items = rows.map(([group, expected, events, listed], index) => progress(`i${index}`, group, expected, events, listed))
