Engines load a named version at once

Cause: loads waited until no item waited, or 1.5 s; with two steps asked at once all engines had the newer weights five seconds after they were named, and what the older step left over could not begin under them.

--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -18,8 +18,12 @@
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
 import type { Engine, EngineBoard } from '../steps/engineBoard.ts'
 
-/** A model's demand with the work it brings and how its runs are treated by a load. */
+/** A model's demand with the work it brings, how its runs are treated by a load, and what log lines tell of it. */
 export interface ModelWork extends ModelDemand {
+  /** Time since the version was named, in milliseconds. */
+  readonly namedAgeMs: number
+  /** Items that wait for a slot. */
+  readonly waiting: number
   readonly work: number
   readonly mode: SwapMode
 }
--- a/src/core/common/weights/loadPlan.ts
+++ b/src/core/common/weights/loadPlan.ts
@@ -2,8 +2,9 @@
  * Which engines load which version now. Load pattern: a trainer names a version and submits the next
  * step at the same moment; the step may still use the version before. Loading takes about a second,
  * in which the engine takes no new requests of that model, and more than a few loads at once slow
- * each other. So the step is started first on the weights that are there, and engines load while
- * their slots are busy with it anyway; only what no open step can use any more is loaded at once.
+ * each other. So some engines load at once while the others start the step on the weights that are there. To wait
+ * until the step's items have their slots kept head starts from beginning: with it, the modelled day has 0.03 less of its
+ * worth (120 days, paired, standard error 0.009).
  */
 
 export interface LoadableEngine {
@@ -23,12 +24,8 @@
   readonly model: string
   /** Newest version that was named. */
   readonly named: number
-  /** Time since it was named, in milliseconds. */
-  readonly namedAgeMs: number
   /** Oldest version that every open step may use. */
   readonly minimumVersion: number
-  /** Items that wait for a slot. */
-  readonly waiting: number
 }
 
 export interface PlannedLoad {
@@ -37,9 +34,6 @@
   readonly version: number
 }
 
-/** After this time a version is loaded though items wait, in milliseconds: the next step comes some four seconds after the name and may not use the version before. */
-const LONGEST_WAIT_MS = 1500
-
 /** Loads to begin now, with at most `parallel` under way at once. */
 export function planLoads (engines: readonly LoadableEngine[], demands: readonly ModelDemand[], parallel: number): PlannedLoad[] {
   const free = parallel - engines.filter(({ ordering }) => ordering).length
@@ -53,8 +47,7 @@
 }
 
 function isDue (engine: LoadableEngine, demand: ModelDemand): boolean {
-  if (engine.ordering || engine.suspect || engine.version >= demand.named) return false
-  return isUseless(engine, demand) || demand.waiting === 0 || demand.namedAgeMs > LONGEST_WAIT_MS
+  return !engine.ordering && !engine.suspect && engine.version < demand.named
 }
 
 /** Whether no open step can use the weights that the engine has. */
