Waiting items of all steps start in the order of their latest starts

Cause: slots went to one step after the other. Lengths and paces are learned from whole items in one place now, which head starts use too.

--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -5,6 +5,7 @@
  */
 
 import { mostHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
+import type { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
 import type { SavedText } from '../../../core/common/steps/progress.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { StepItem } from '../../../core/common/steps/step.ts'
@@ -22,6 +23,7 @@
   readonly metrics: Metrics
   readonly stateLog: StateLog
   readonly newText: () => ItemText
+  readonly lengths: ItemLengths
 }
 
 export interface HeadStartSettings {
@@ -59,30 +61,18 @@
 
 /** How long a head start outlasts its step, in milliseconds: the next step comes after the training, or at the trainer's own time. */
 const KEPT_MS = 5000
-/** Weight of the newest item in the relation of expected tokens to events: some fifty count. */
-const RATIO_WEIGHT = 0.02
 
 export class HeadStarts {
   private readonly starts = new Map<string, HeadStart>()
   /** What is to begin once there is a slot, those that need the longest first. */
   private planned: PlannedStart[] = []
-  /** Expected tokens for each event that was made, as a moving mean. */
-  private tokensPerEvent: number | undefined
 
   constructor (private readonly services: HeadStartServices, private readonly settings: HeadStartSettings) {}
 
-  /** Learns from an item that is whole how long items are against what their trainers expect. */
-  noteWhole ({ expectedTokens }: StepItem, events: number): void {
-    if (events === 0) return
-    const ratio = expectedTokens / events
-    this.tokensPerEvent = this.tokensPerEvent === undefined ? ratio : this.tokensPerEvent + (ratio - this.tokensPerEvent) * RATIO_WEIGHT
-  }
-
   /** Plans what is worth a head start and ends what is not any more. */
   look (steps: readonly OpenStep[]): void {
     this.dropUseless(steps)
-    const { tokensPerEvent } = this
-    this.planned = tokensPerEvent === undefined ? [] : steps.flatMap((step) => this.planOf(step, tokensPerEvent))
+    this.planned = this.services.lengths.known ? steps.flatMap((step) => this.planOf(step)) : []
   }
 
   /** Begins what is planned, as far as there are slots; `waiting`: items of open steps wait for them too. */
@@ -122,10 +112,10 @@
     return [...this.starts.values()].filter(({ cancel }) => cancel !== undefined).length
   }
 
-  private planOf (step: OpenStep, tokensPerEvent: number): PlannedStart[] {
+  private planOf (step: OpenStep): PlannedStart[] {
     const { work, route } = step
     if (route.singleVersion || work.payloads === undefined) return []
-    return planHeadStarts(progressOf(work, tokensPerEvent), tokensPerEvent).flatMap((id): PlannedStart[] => {
+    return planHeadStarts(progressOf(work, this.services.lengths), this.services.lengths).flatMap((id): PlannedStart[] => {
       const asked = askedKey(work, id)
       const item = work.step.items.get(id)
       const known = asked === undefined ? undefined : this.starts.get(asked)
@@ -192,10 +182,11 @@
   return submission.items.every((item) => item.group !== group || positions.has(item.id))
 }
 
-function progressOf ({ step: { submission, positions }, items, finished, carried }: StepWork, tokensPerEvent: number): Parameters<typeof planHeadStarts>[0] {
+/** Of an item that was whole before this host took the step over, only what its trainer expects is known. */
+function progressOf ({ step: { submission, positions }, items, finished, carried }: StepWork, lengths: ItemLengths): Parameters<typeof planHeadStarts>[0] {
   return {
     wantedGroups: submission.wantedGroups,
     carried,
-    items: submission.items.map(({ id, group, expectedTokens }) => ({ id, group, expectedTokens, events: finished.get(id) ?? items.get(id)?.text.events.length ?? expectedTokens / tokensPerEvent, listed: positions.has(id) }))
+    items: submission.items.map(({ id, group, expectedTokens }) => ({ id, group, expectedTokens, events: finished.get(id) ?? items.get(id)?.text.events.length ?? lengths.remainingEvents({ expectedTokens, events: 0 }), listed: positions.has(id) }))
   }
 }
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -12,6 +12,8 @@
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
+import { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
+import { compareStarts } from '../../../core/common/steps/startOrder.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
 import { carriedGroups } from '../../../core/common/steps/wantedGroups.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
@@ -76,6 +78,7 @@
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
   private readonly headStarts: HeadStarts
+  private readonly lengths = new ItemLengths()
   /** Steps of a model that came while its last one that has ended was open. */
   private readonly overlaps = new Map<string, number>()
   private stopping = false
@@ -86,7 +89,7 @@
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
     this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
-    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin() }, settings)
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin(), lengths: this.lengths }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -118,7 +121,7 @@
     if (!this.services.duty.holds || this.stopping) return
     const works = this.inOrder()
     this.headStarts.begin(works.some(({ waiting }) => waiting.length > 0))
-    for (const work of works) this.startItems(work)
+    this.startItems(works)
   }
 
   dispose (): void {
@@ -182,9 +185,9 @@
     if (step.ended || this.works.has(submission.id)) return
     const carried = carriedGroups(step, this.services.topic.steps())
     const order = planOrder(submission, (group) => carried.has(group))
-    const open = order.filter(({ id }) => !step.positions.has(id))
+    const open = order.filter(({ item: { id } }) => !step.positions.has(id))
     const now = this.services.clock.monotonic()
-    const waiting = open.map((item) => newWork(item, this.texts.begin(), now))
+    const waiting = open.map((planned) => newWork(planned, this.texts.begin(), now))
     const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, carried, finished: new Map(), waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
@@ -239,18 +242,35 @@
     return this.services.routes()?.find(step.submission.host, step.submission.path)
   }
 
-  private startItems (work: StepWork): void {
-    const route = this.routeOf(work.step)
-    if (route === undefined || work.payloads === undefined) return
-    for (const itemWork of [...work.waiting]) {
-      const payload = work.payloads.get(itemWork.item.id)
+  /** Starts waiting items of all steps; engines that are full for one of a step are so for the others of that step. */
+  private startItems (works: readonly StepWork[]): void {
+    const full = new Set<StepWork>()
+    for (const { work, route, itemWork } of this.inStartOrder(works)) {
+      const payload = work.payloads?.get(itemWork.item.id)
+      if (payload === undefined || full.has(work)) continue
       const engine = this.placement.choose(work, route, itemWork)
-      if (engine === undefined || payload === undefined) return
+      if (engine === undefined) {
+        full.add(work)
+        continue
+      }
       removeFrom(work.waiting, itemWork)
       this.start(work, route, itemWork, payload, engine)
     }
   }
 
+  private inStartOrder (works: readonly StepWork[]): { readonly work: StepWork, readonly route: Route, readonly itemWork: ItemWork }[] {
+    return works.flatMap((work) => {
+      const route = this.routeOf(work.step)
+      if (route === undefined || work.payloads === undefined) return []
+      const dueAtMs = work.step.submittedAt + route.dueMs
+      return work.waiting.map((itemWork) => {
+        const { item, rank, runs, text } = itemWork
+        const remainingMs = this.lengths.remainingMs({ expectedTokens: item.expectedTokens, events: text.events.length })
+        return { work, route, itemWork, rank, ranBefore: runs > 0, remainingMs, dueAtMs }
+      })
+    }).sort(compareStarts)
+  }
+
   private start (work: StepWork, route: Route, itemWork: ItemWork, payload: ItemPayload, candidate: EngineCandidate): void {
     const { engine } = candidate
     const { submission } = work.step
@@ -261,6 +281,7 @@
     itemWork.stopRun = stopRun
     itemWork.engine = engine
     itemWork.startedAt = began
+    itemWork.beganWith = itemWork.text.events.length
     itemWork.phases.enter('starting', began)
     engine.running++
     runItem(this.services, engine, itemWork.item, itemWork.text, {
@@ -290,7 +311,7 @@
       case 'complete':
         engine.target.answered(tookMs)
         work.finished.set(item.id, text.events.length)
-        this.headStarts.noteWhole(item, text.events.length)
+        this.lengths.note(item.expectedTokens, text.events.length, itemWork.runs === 1 && itemWork.beganWith === 0 ? tookMs : undefined)
         if (route.singleVersion && text.versions.size > 1) return this.again(work, itemWork, true)
         return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: [...text.versions].sort((a, b) => a - b), score: undefined })
       case 'refused':
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -3,6 +3,7 @@
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import { PhaseTimer } from '../../../core/common/steps/itemPhases.ts'
+import type { ItemRank, PlannedItem } from '../../../core/common/steps/stepPlan.ts'
 import type { Engine } from './engineBoard.ts'
 import type { ItemText } from './itemText.ts'
 
@@ -10,12 +11,15 @@
 
 export interface ItemWork {
   readonly item: StepItem
+  readonly rank: ItemRank
   readonly text: ItemText
   readonly cancel: AbortController
   /** Ends the run that is under way and nothing else. */
   stopRun: AbortController | undefined
   engine: Engine | undefined
   startedAt: number
+  /** Events that its text had at the start of its newest run. */
+  beganWith: number
   state: ItemState
   /** Answers of engines that said that they failed. */
   failures: number
@@ -39,8 +43,8 @@
 }
 
 /** An item that this host takes up at this monotonic time, in milliseconds. */
-export function newWork (item: StepItem, text: ItemText, nowMs: number): ItemWork {
-  return { item, text, cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, state: 'waiting', failures: 0, runs: 0, phases: new PhaseTimer(nowMs) }
+export function newWork ({ item, rank }: PlannedItem, text: ItemText, nowMs: number): ItemWork {
+  return { item, rank, text, cancel: new AbortController(), stopRun: undefined, engine: undefined, startedAt: 0, beganWith: 0, state: 'waiting', failures: 0, runs: 0, phases: new PhaseTimer(nowMs) }
 }
 
 /** Takes a value out of a list, if it is there. */
--- a/src/core/common/steps/headStart.ts
+++ b/src/core/common/steps/headStart.ts
@@ -9,6 +9,8 @@
  * it, as no estimate tells for sure which groups it will end without.
  */
 
+import type { ItemLengths } from './itemLengths.ts'
+
 /** An item as far as it has come. */
 export interface ItemProgress {
   readonly id: string
@@ -26,8 +28,6 @@
   readonly carried: ReadonlySet<string>
 }
 
-/** What an item that has outrun its trainer's estimate is expected to need yet, as a part of what it has: lengths have a heavy tail. */
-const OVERRUN = 0.6
 /** Groups beyond those that the step can do without that get a head start too: which ones it ends without is known at its end only. */
 const MARGIN_GROUPS = 2
 /** Shortest item, in relation to the longest that is still to come, that is worth a head start: the others are done sooner in any case. */
@@ -42,25 +42,21 @@
   return Math.floor(slots * (waiting ? BUSY_SHARE : IDLE_SHARE))
 }
 
-/** Items that should have a head start, those that need the longest first. `tokensPerEvent` is what engines made lately. */
-export function planHeadStarts ({ wantedGroups, items, carried }: StepProgress, tokensPerEvent: number): string[] {
+/** Items that should have a head start, those that need the longest first. */
+export function planHeadStarts ({ wantedGroups, items, carried }: StepProgress, lengths: Pick<ItemLengths, 'remainingEvents'>): string[] {
   const groups = new Set(items.map(({ group }) => group))
   const open = items.filter(({ listed }) => !listed)
   const remaining = new Map<string, number>()
-  for (const item of open) remaining.set(item.group, Math.max(remaining.get(item.group) ?? 0, remainingEvents(item, tokensPerEvent)))
+  for (const item of open) remaining.set(item.group, Math.max(remaining.get(item.group) ?? 0, lengths.remainingEvents(item)))
   const missing = wantedGroups - (groups.size - remaining.size)
   if (missing <= 0) return []
   const ranked = [...remaining].filter(([group]) => !carried.has(group)).sort(([, a], [, b]) => b - a).map(([group]) => group)
   const spare = new Set(ranked.slice(0, remaining.size - missing + MARGIN_GROUPS))
-  const needs = items.filter(({ group }) => spare.has(group)).map((item) => ({ id: item.id, events: item.listed ? item.events : item.events + remainingEvents(item, tokensPerEvent) }))
+  const needs = items.filter(({ group }) => spare.has(group)).map((item) => ({ id: item.id, events: item.listed ? item.events : item.events + lengths.remainingEvents(item) }))
   const longest = Math.max(0, ...needs.map(({ events }) => events))
   return needs.filter(({ events }) => events >= longest * WORTH_SHARE).sort((a, b) => b.events - a.events).map(({ id }) => id)
 }
 
-function remainingEvents ({ expectedTokens, events }: ItemProgress, tokensPerEvent: number): number {
-  return Math.max(expectedTokens / tokensPerEvent - events, events * OVERRUN)
-}
-
 /** Versions by which the oldest usable one rises from one step to the next: a trainer names one for each step that it ends. */
 const VERSIONS_A_STEP = 1
 
--- a/src/core/common/steps/stepPlan.ts
+++ b/src/core/common/steps/stepPlan.ts
@@ -6,6 +6,14 @@
 
 import type { StepItem, StepSubmission } from './step.ts'
 
+/** What a group is to its step: its trainer waits for carried groups in any case, for wanted ones as far as the plan goes, and spare ones may be left over. */
+export type ItemRank = 'carried' | 'wanted' | 'spare'
+
+export interface PlannedItem {
+  readonly item: StepItem
+  readonly rank: ItemRank
+}
+
 /** What a group is expected to take: its longest item decides when it is complete. */
 interface Group {
   readonly id: string
@@ -20,11 +28,12 @@
  * before the others. Within the wanted ones the longest item starts first, so that it is not the one
  * that everybody waits for at the end. Groups beyond the wanted ones use what is left.
  */
-export function planOrder (submission: StepSubmission, isCarried: (group: string) => boolean): StepItem[] {
+export function planOrder (submission: StepSubmission, isCarried: (group: string) => boolean): PlannedItem[] {
   const groups = groupsOf(submission, isCarried).sort((a, b) => Number(b.carried) - Number(a.carried) || a.longest - b.longest)
   const wanted = groups.slice(0, submission.wantedGroups)
   const spare = groups.slice(submission.wantedGroups)
-  return [...longestFirst(wanted), ...longestFirst(spare)]
+  const ranked = (list: readonly Group[], rank: ItemRank): PlannedItem[] => longestFirst(list).map((item) => ({ item, rank: rank === 'wanted' && isCarried(item.group) ? 'carried' : rank }))
+  return [...ranked(wanted, 'wanted'), ...ranked(spare, 'spare')]
 }
 
 function groupsOf (submission: StepSubmission, isCarried: (group: string) => boolean): Group[] {
--- a/test/actors/steps/headStarts.test.ts
+++ b/test/actors/steps/headStarts.test.ts
@@ -7,6 +7,7 @@
 import { ItemPlacement } from '../../../src/actors/common/steps/itemPlacement.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import type { StepWork } from '../../../src/actors/common/steps/stepWork.ts'
+import { ItemLengths } from '../../../src/core/common/steps/itemLengths.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
 import type { Route } from '../../../src/core/common/routes/routeConfiguration.ts'
 import { quietMetrics } from '../../support/fakeHost.ts'
@@ -37,11 +38,12 @@
     table.set(targetDefinition({ id: 'e', service: 'engines', address: 'e', slots, models: [{ model: 'm', version }] }))
     const routes = new RouteTable({ version: 1, routes: [this.route], services: [{ name: 'engines', maximumConnections: 9, engine: { slots, models: ['m'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
     this.client = new ScriptedClient(clock, { e: answers })
+    const lengths = new ItemLengths()
+    lengths.note(100, 10, 400)
     const board = new EngineBoard(table, clock, () => routes)
-    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: () => 'm' }), newText }, { firstEventMs: 600, silenceMs: 500 })
+    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: () => 'm' }), newText, lengths }, { firstEventMs: 600, silenceMs: 500 })
     this.work = workOn('now', [item('short', 'a', 100), item('long', 'b', 900)], { wantedGroups: 1, minimumVersion: 3 })
     this.work.waiting.length = 0
-    this.starts.noteWhole(item('before', 'z', 100), 10)
   }
 
   look (): void {
--- a/test/core/steps/headStart.test.ts
+++ b/test/core/steps/headStart.test.ts
@@ -4,12 +4,15 @@
 import fc from 'fast-check'
 import { minimumAfter, mostHeadStarts, planHeadStarts } from '../../../src/core/common/steps/headStart.ts'
 import type { ItemProgress } from '../../../src/core/common/steps/headStart.ts'
+import { ItemLengths } from '../../../src/core/common/steps/itemLengths.ts'
 import { allPolicies, ModelDay } from '../../../tools/bench/steps/day.ts'
 import { drawDay } from '../../../tools/bench/steps/draws.ts'
 import type { Shape } from '../../../tools/bench/steps/shape.ts'
 import { readShape } from '../../../tools/bench/steps/shape.ts'
 
 const TOKENS = 10
+const lengths = new ItemLengths()
+lengths.note(TOKENS, 1, 40)
 const progress = (id: string, group: string, expectedEvents: number, events: number, listed = false): ItemProgress => ({ id, group, expectedTokens: expectedEvents * TOKENS, events, listed })
 
 describe('head starts', () => {
@@ -30,18 +33,18 @@
 
   it('are for the groups that need the longest yet, without those that were carried, the longest item first', () => {
     const items = [progress('a', 'a', 10, 10, true), progress('b', 'b', 20, 5), progress('c', 'c', 90, 5), progress('d', 'd', 100, 5), progress('e', 'e', 60, 5), progress('f', 'f', 70, 5)]
-    expect(planHeadStarts({ wantedGroups: 4, items, carried: new Set(['d']) }, TOKENS)).to.deep.equal(['c', 'f', 'e'])
+    expect(planHeadStarts({ wantedGroups: 4, items, carried: new Set(['d']) }, lengths)).to.deep.equal(['c', 'f', 'e'])
     // Fewer groups than the step waits for can be left over, so the smallest of them is certain to be among the wanted ones.
-    expect(planHeadStarts({ wantedGroups: 6, items, carried: new Set() }, TOKENS)).to.deep.equal(['d', 'c'])
+    expect(planHeadStarts({ wantedGroups: 6, items, carried: new Set() }, lengths)).to.deep.equal(['d', 'c'])
   })
 
   it('count what an item has outrun its estimate by, and items of a group that are listed already', () => {
     const items = [progress('short', 'a', 10, 80), progress('told', 'b', 60, 50), progress('done', 'a', 10, 150, true), progress('c', 'c', 10, 10, true)]
-    expect(planHeadStarts({ wantedGroups: 2, items, carried: new Set(['b']) }, TOKENS)).to.deep.equal(['done', 'short'])
+    expect(planHeadStarts({ wantedGroups: 2, items, carried: new Set(['b']) }, lengths)).to.deep.equal(['done', 'short'])
   })
 
   it('are none once the step has what is wanted', () => {
-    expect(planHeadStarts({ wantedGroups: 1, items: [progress('a', 'a', 10, 10, true), progress('b', 'b', 90, 5)], carried: new Set() }, TOKENS)).to.deep.equal([])
+    expect(planHeadStarts({ wantedGroups: 1, items: [progress('a', 'a', 10, 10, true), progress('b', 'b', 90, 5)], carried: new Set() }, lengths)).to.deep.equal([])
   })
 
   it('take a sixth of the slots, and half of that while items wait', () => {
@@ -51,7 +54,7 @@
   it('name items of the step, each once', () => {
     fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c', 'd'), fc.nat(300), fc.nat(200), fc.boolean()), { maxLength: 30 }), fc.nat(5), (rows, wantedGroups) => {
       const items = rows.map(([group, expected, events, listed], index) => progress(`i${index}`, group, expected, events, listed))
-      const ids = planHeadStarts({ wantedGroups, items, carried: new Set(['d']) }, TOKENS)
+      const ids = planHeadStarts({ wantedGroups, items, carried: new Set(['d']) }, lengths)
       expect(new Set(ids).size).to.equal(ids.length)
       for (const id of ids) expect(items.find((item) => item.id === id)?.group).to.be.a('string').and.not.equal('d')
     }))
--- a/test/core/steps/stepPlan.test.ts
+++ b/test/core/steps/stepPlan.test.ts
@@ -28,14 +28,15 @@
   it('begins with carried groups, then wanted ones without a long item, the longest item first', () => {
     const items = [item('a1', 'a', 50), item('a2', 'a', 900), item('b1', 'b', 60), item('b2', 'b', 70), item('c1', 'c', 10), item('c2', 'c', 20), item('d1', 'd', 500), item('d2', 'd', 5)]
     const order = planOrder(submission('s', items, { wantedGroups: 3 }), (group) => group === 'd')
-    expect(order.map(({ id }) => id)).to.deep.equal(['d1', 'b2', 'b1', 'c2', 'c1', 'd2', 'a2', 'a1'])
+    expect(order.map(({ item: { id } }) => id)).to.deep.equal(['d1', 'b2', 'b1', 'c2', 'c1', 'd2', 'a2', 'a1'])
+    expect(order.map(({ rank }) => rank)).to.deep.equal(['carried', 'wanted', 'wanted', 'wanted', 'wanted', 'carried', 'spare', 'spare'])
   })
 
   it('starts every item once', () => {
     fc.assert(fc.property(fc.array(fc.tuple(fc.constantFrom('a', 'b', 'c', 'd'), fc.integer({ min: 1, max: 3000 })), { minLength: 1, maxLength: 60 }), fc.integer({ min: 1, max: 4 }), (rows, wantedGroups) => {
       const items = rows.map(([group, tokens], index) => item(`i${index}`, group, tokens))
       const order = planOrder(submission('s', items, { wantedGroups }), never)
-      expect(order.map(({ id }) => id).sort()).to.deep.equal(items.map(({ id }) => id).sort())
+      expect(order.map(({ item: { id } }) => id).sort()).to.deep.equal(items.map(({ id }) => id).sort())
     }))
   })
 
@@ -50,7 +51,7 @@
     let given = 0
     for (let step = 0; step < 50; step++) {
       const items = Array.from({ length: 68 }, (_, index) => item(`i${index}`, `g${Math.floor(index / 4)}`, Math.round(60 * Math.exp(random() * 2) * (random() < 0.08 ? 5 : 1))))
-      planned += replay(planOrder(submission('s', items, { wantedGroups: 15 }), never), 24, 15)
+      planned += replay(planOrder(submission('s', items, { wantedGroups: 15 }), never).map((planned) => planned.item), 24, 15)
       given += replay(items, 24, 15)
     }
     expect(planned).to.be.lessThan(given * 0.85)
--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -20,7 +20,7 @@
     for (const id of ['a', 'b', 'c']) targets.set(targetDefinition({ id }))
     targets.get('b')?.failed()
     const states: ItemState[] = ['waiting', 'waiting', 'running', 'scoring', 'scoring', 'scoring', 'listing']
-    const items = countItems(states.map((state, index) => ({ ...newWork(item(`i${index}`, 'g'), newText(), 0), state })))
+    const items = countItems(states.map((state, index) => ({ ...newWork({ item: item(`i${index}`, 'g'), rank: 'wanted' }, newText(), 0), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...quietMetrics, gauge: (name, value) => { set[name] = value } }
     setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, backlog: 4, targets: targets.counts })
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -80,7 +80,7 @@
   fold.apply(submissionRecords(submission(id, items, details), 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
   const step = fold.step(id)
   if (step === undefined) throw new Error('the step is not accepted')
-  const waiting = items.map((submitted) => newWork(submitted, newText(), 0))
+  const waiting = items.map((submitted) => newWork({ item: submitted, rank: 'wanted' }, newText(), 0))
   return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longFrom: 0, carried: new Set(), finished: new Map(), waiting }
 }
 
--- a/tools/bench/steps/day.ts
+++ b/tools/bench/steps/day.ts
@@ -9,7 +9,10 @@
 import { EnginePace, slownessOf } from '../../../src/core/common/steps/enginePace.ts'
 import { minimumAfter, mostHeadStarts, planHeadStarts } from '../../../src/core/common/steps/headStart.ts'
 import type { StepItem } from '../../../src/core/common/steps/step.ts'
+import type { ItemRank, PlannedItem } from '../../../src/core/common/steps/stepPlan.ts'
 import { planOrder } from '../../../src/core/common/steps/stepPlan.ts'
+import { compareStarts } from '../../../src/core/common/steps/startOrder.ts'
+import { ItemLengths } from '../../../src/core/common/steps/itemLengths.ts'
 import { parallelLoads, planLoads } from '../../../src/core/common/weights/loadPlan.ts'
 import type { DayDraws, ModelItem } from './draws.ts'
 import { endOfInterval } from './draws.ts'
@@ -21,9 +24,10 @@
   readonly moves: boolean
   readonly longOnFast: boolean
   readonly order: boolean
+  readonly urgency: boolean
 }
 
-export const allPolicies: Policies = { headStarts: true, moves: true, longOnFast: true, order: true }
+export const allPolicies: Policies = { headStarts: true, moves: true, longOnFast: true, order: true, urgency: true }
 
 export interface StepOutcome {
   readonly number: number
@@ -44,6 +48,7 @@
 interface WorkItem {
   readonly model: ModelItem
   readonly step: StepItem
+  rank: ItemRank
   events: number
   /** Oldest version that made an event of its text. */
   oldest: number
@@ -92,6 +97,7 @@
   private finished = 0
   /** Steps that came while the one that ended last was open. */
   private overlap = 0
+  private readonly lengths = new ItemLengths()
   private readonly heads = new Map<string, WorkItem>()
   private trainedMs: number | undefined
   private readonly open: OpenStep[] = []
@@ -147,9 +153,10 @@
     const all = [...again, ...fresh]
     for (const item of again) this.takeHead(item, minimumVersion)
     const groups = new Set(carried.map(({ group }) => group))
-    const planned = this.policies.order ? planOrder(submissionOf(all, this.wanted), (group) => groups.has(group)) : all.map(({ step }) => step)
+    const planned = this.policies.order ? planOrder(submissionOf(all, this.wanted), (group) => groups.has(group)) : all.map(({ step }): PlannedItem => ({ item: step, rank: 'wanted' }))
     const byId = new Map(all.map((item) => [item.step.id, item]))
-    this.open.push({ number: this.next, askedMs: this.now, minimumVersion, carried: groups, items: all, order: planned.flatMap(({ id }) => byId.get(id) ?? []), longFrom: longFrom(planned), wantedMs: undefined })
+    for (const { item: { id }, rank } of planned) byId.set(id, Object.assign(byId.get(id) ?? {}, { rank }) as WorkItem)
+    this.open.push({ number: this.next, askedMs: this.now, minimumVersion, carried: groups, items: all, order: planned.flatMap(({ item: { id } }) => byId.get(id) ?? []), longFrom: longFrom(all.map(({ step }) => step)), wantedMs: undefined })
     this.next++
   }
 
@@ -197,6 +204,7 @@
       for (const item of step.items) {
         if (item.run === undefined || item.events < item.model.events) continue
         item.run.engine.pace.noteRun(this.now - item.run.beganMs, item.events)
+        this.lengths.note(item.step.expectedTokens, item.events, item.runs === 1 ? this.now - item.run.beganMs : undefined)
         this.stop(item)
         const done = this.now + engines.finish_ms
         item.listedMs = Math.max(done, (endOfInterval(this.draws.storeAway, done) ?? done - RETURN_MS) + RETURN_MS)
@@ -255,14 +263,22 @@
   }
 
   private startItems (): void {
-    for (const step of this.open) {
-      for (const item of step.order) {
-        if (item.run !== undefined || item.listedMs !== undefined || item.waitsUntilMs > this.now) continue
-        const length = this.policies.longOnFast && (item.runs > 0 || item.step.expectedTokens >= step.longFrom) ? 'long' : 'short'
-        const chosen = chooseEngine(this.loads(), step.minimumVersion, length)
-        if (chosen === undefined) break
-        this.start(item, chosen.engine)
-      }
+    const waiting = this.open.flatMap((step) => step.order.filter((item) => isWaiting(item) && item.waitsUntilMs <= this.now).map((item) => ({
+      step,
+      item,
+      rank: item.rank,
+      ranBefore: item.runs > 0,
+      remainingMs: this.lengths.remainingMs({ expectedTokens: item.step.expectedTokens, events: item.events }),
+      dueAtMs: step.askedMs + this.shape.trainer.due_s * 1000
+    })))
+    if (this.policies.urgency) waiting.sort(compareStarts)
+    const full = new Set<OpenStep>()
+    for (const { step, item } of waiting) {
+      if (full.has(step)) continue
+      const length = this.policies.longOnFast && (item.runs > 0 || item.step.expectedTokens >= step.longFrom) ? 'long' : 'short'
+      const chosen = chooseEngine(this.loads(), step.minimumVersion, length)
+      if (chosen === undefined) full.add(step)
+      else this.start(item, chosen.engine)
     }
   }
 
@@ -300,7 +316,7 @@
     for (const [index, step] of this.open.entries()) {
       const nextMinimum = minimumAfter(step.minimumVersion, this.open.length - 1 - index, this.overlap)
       const items = step.items.map((item) => ({ id: item.step.id, group: item.step.group, expectedTokens: item.step.expectedTokens, events: Math.floor(item.events), listed: item.listedMs !== undefined }))
-      for (const id of planHeadStarts({ wantedGroups: this.wanted, items, carried: step.carried }, 1)) {
+      for (const id of planHeadStarts({ wantedGroups: this.wanted, items, carried: step.carried }, this.lengths)) {
         if (this.heads.size >= most) return
         const item = step.items.find((other) => other.step.id === id)
         const known = this.heads.get(id)
@@ -342,7 +358,7 @@
 
 function newItem (model: ModelItem): WorkItem {
   const step: StepItem = { id: model.id, group: model.group, tokens: model.hint, expectedTokens: model.hint, scoredBy: undefined }
-  return { model, step, events: 0, oldest: 0, run: undefined, runs: 0, waitsUntilMs: 0, listedMs: undefined }
+  return { model, step, rank: 'wanted', events: 0, oldest: 0, run: undefined, runs: 0, waitsUntilMs: 0, listedMs: undefined }
 }
 
 function isWaiting (item: WorkItem): boolean {
