--- a/src/commandLine/node/explainCommand.ts
+++ b/src/commandLine/node/explainCommand.ts
@@ -20,26 +20,32 @@
   return success(account === undefined ? formatStory(story) : `${formatAccount(account)}\n\n${formatStory(story)}`)
 }
 
-/** Reads files and ranks what was late or missing of their steps, as text. A line that is cut is an error: what it told would be missing from the sums. */
+/**
+ * Reads files and ranks what was late or missing of their steps, as text. A file that ends within a line is an error:
+ * what came after it would be missing from the sums. A host that is killed cuts a line where others go on after it; such
+ * lines are passed over.
+ */
 export async function lossesFromFiles (files: readonly string[]): Promise<Result<string>> {
-  const read = await readFiles(files, (file, number) => failure('malformed', `${file}:${number}: the line is cut or is not JSON`))
+  const read = await readFiles(files, true)
   if (!read.ok) return read
   const report = lossesOf(read.value)
   return report.steps === 0 ? failure('notFound', `no line of ${read.value.length} tells that a step was accepted`) : success(formatLosses(report))
 }
 
-/** Reads all log lines; `onCut` says what a line means that begins as one and cannot be read, which is passed over without it. */
-async function readFiles (files: readonly string[], onCut?: (file: string, number: number) => Result<LogLine[]>): Promise<Result<LogLine[]>> {
+/** Reads all log lines and passes over what is none; with `whole`, a file must not end within a line. */
+async function readFiles (files: readonly string[], whole = false): Promise<Result<LogLine[]>> {
   const lines: LogLine[] = []
   for (const file of files) {
     let number = 0
+    let endsCut = false
     try {
       for await (const text of createInterface({ input: createReadStream(file, 'utf8'), crlfDelay: Number.POSITIVE_INFINITY })) {
         number++
         const line = readLine(text)
         if (line !== undefined) lines.push(line)
-        else if (onCut !== undefined && text.includes(LINE_BEGIN)) return onCut(file, number)
+        endsCut = line === undefined && text.includes(LINE_BEGIN)
       }
+      if (whole && endsCut) return failure('malformed', `${file}:${number}: the file ends within a line`)
     } catch (error) {
       return failure('notFound', `${file}: ${(error as Error).message}`)
     }
--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -4,10 +4,11 @@
 import { measureFold, measureResting } from './capacity.ts'
 import { measurePath } from './path.ts'
 import { measureRollouts } from './rollouts.ts'
+import { measureSteps } from './steps.ts'
 import type { Experiment } from './report.ts'
 import { writeExperiment } from './report.ts'
 
-const experiments: Readonly<Record<string, () => Promise<Experiment>>> = { fold: measureFold, resting: measureResting, path: measurePath, admission: measureAdmission, rollouts: measureRollouts }
+const experiments: Readonly<Record<string, () => Promise<Experiment>>> = { fold: measureFold, resting: measureResting, path: measurePath, admission: measureAdmission, rollouts: measureRollouts, steps: measureSteps }
 
 async function main (names: readonly string[]): Promise<void> {
   const unknown = names.filter((name) => experiments[name] === undefined)
