--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -4,11 +4,12 @@
  * They are in the memory of this host only: after a takeover the items begin with their step, as without them.
  */
 
-import { mostHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
+import { minimumAfter, mostHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
 import type { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
 import type { SavedText } from '../../../core/common/steps/progress.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { StepItem } from '../../../core/common/steps/step.ts'
+import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import { askedKey } from './heldTexts.ts'
 import type { ItemPlacement } from './itemPlacement.ts'
@@ -17,6 +18,7 @@
 import type { ItemText } from './itemText.ts'
 import type { Engine } from './engineBoard.ts'
 import type { StepWork } from './stepWork.ts'
+import type { StepTopic } from '../store/stepTopic.ts'
 
 export interface HeadStartServices extends ItemRunServices {
   readonly placement: ItemPlacement
@@ -24,6 +26,8 @@
   readonly stateLog: StateLog
   readonly newText: () => ItemText
   readonly lengths: ItemLengths
+  readonly topic: Pick<StepTopic, 'steps'>
+  readonly routeOf: (step: FoldedStep) => Route | undefined
 }
 
 export interface HeadStartSettings {
@@ -31,14 +35,6 @@
   readonly silenceMs: number
 }
 
-/** A step that is open, as the plan of its head starts needs it. */
-export interface OpenStep {
-  readonly work: StepWork
-  readonly route: Route
-  /** Oldest version that the step may use which will have what this one leaves over. */
-  readonly nextMinimum: number
-}
-
 interface HeadStart {
   readonly step: string
   readonly item: StepItem
@@ -54,9 +50,12 @@
 }
 
 interface PlannedStart {
-  readonly step: OpenStep
+  readonly work: StepWork
+  readonly route: Route
   readonly asked: string
   readonly item: StepItem
+  /** Oldest version that the step may use which will have the item. */
+  readonly minimumVersion: number
 }
 
 /** How long a head start outlasts its step, in milliseconds: the next step comes after the training, or at the trainer's own time. */
@@ -64,27 +63,34 @@
 
 export class HeadStarts {
   private readonly starts = new Map<string, HeadStart>()
+  /** Steps of a model that came while its last one that has ended was open. */
+  private readonly overlaps = new Map<string, number>()
   /** What is to begin once there is a slot, those that need the longest first. */
   private planned: PlannedStart[] = []
 
   constructor (private readonly services: HeadStartServices, private readonly settings: HeadStartSettings) {}
 
   /** Plans what is worth a head start and ends what is not any more. */
-  look (steps: readonly OpenStep[]): void {
-    this.dropUseless(steps)
-    this.planned = this.services.lengths.known ? steps.flatMap((step) => this.planOf(step)) : []
+  look (works: readonly StepWork[]): void {
+    this.dropUseless(works)
+    this.planned = this.services.lengths.known ? works.flatMap((work) => this.planOf(work)) : []
+  }
+
+  /** Learns how many steps come while one of the model is open. */
+  stepEnded (step: FoldedStep): void {
+    this.overlaps.set(step.submission.model, this.newerOpen(step))
   }
 
   /** Begins what is planned, as far as there are slots; `waiting`: items of open steps wait for them too. */
   begin (waiting: boolean): void {
     while (this.planned[0] !== undefined) {
-      const { step: { work, route, nextMinimum }, asked, item } = this.planned[0]
-      const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, nextMinimum)
+      const { work, route, asked, item, minimumVersion } = this.planned[0]
+      const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, minimumVersion)
       if (candidate === undefined || this.running >= mostHeadStarts(slots, waiting)) return
       this.planned.shift()
       const start = this.starts.get(asked) ?? { step: work.step.submission.id, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
       this.starts.set(asked, start)
-      this.run(start, work, candidate.engine, nextMinimum)
+      this.run(start, work, candidate.engine, minimumVersion)
     }
   }
 
@@ -112,18 +118,25 @@
     return [...this.starts.values()].filter(({ cancel }) => cancel !== undefined).length
   }
 
-  private planOf (step: OpenStep): PlannedStart[] {
-    const { work, route } = step
-    if (route.singleVersion || work.payloads === undefined) return []
+  private planOf (work: StepWork): PlannedStart[] {
+    const route = this.services.routeOf(work.step)
+    if (route === undefined || route.singleVersion || work.payloads === undefined) return []
+    const { minimumVersion, model } = work.step.submission
+    const nextMinimum = minimumAfter(minimumVersion, this.newerOpen(work.step), this.overlaps.get(model) ?? 0)
     return planHeadStarts(progressOf(work, this.services.lengths), this.services.lengths).flatMap((id): PlannedStart[] => {
       const asked = askedKey(work, id)
       const item = work.step.items.get(id)
       const known = asked === undefined ? undefined : this.starts.get(asked)
       if (asked === undefined || item === undefined || known?.cancel !== undefined || known?.complete === true || known?.failed === true) return []
-      return [{ step, asked, item }]
+      return [{ work, route, asked, item, minimumVersion: nextMinimum }]
     })
   }
 
+  /** Open steps of the same model that came after this one. */
+  private newerOpen ({ submission: { model }, submittedAt }: FoldedStep): number {
+    return [...this.services.topic.steps()].filter((other) => !other.ended && other.submission.model === model && other.submittedAt > submittedAt).length
+  }
+
   private run (start: HeadStart, work: StepWork, engine: Engine, minimumVersion: number): void {
     const { host, model } = work.step.submission
     const payload = work.payloads?.get(start.item.id)
@@ -163,10 +176,10 @@
   }
 
   /** A group that is whole does not come again, and neither does what no step asked for in time. */
-  private dropUseless (steps: readonly OpenStep[]): void {
+  private dropUseless (works: readonly StepWork[]): void {
     const now = this.services.clock.monotonic()
     for (const [asked, start] of this.starts) {
-      const open = steps.find(({ work }) => work.step.submission.id === start.step)?.work
+      const open = works.find(({ step }) => step.submission.id === start.step)
       if (open === undefined) start.leftAt ??= now
       if (open !== undefined ? isWhole(open, start.item.group) : now - (start.leftAt ?? now) > KEPT_MS) this.drop(asked, start)
     }
--- a/src/actors/common/steps/modelDemand.ts
+++ b/src/actors/common/steps/modelDemand.ts
@@ -1,5 +1,8 @@
 /** What a model needs of the engines, from the steps that are under way. */
 
+import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
+import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { NamedVersion } from '../routes/operatorTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
 import type { StepWork } from './stepWork.ts'
@@ -7,7 +10,7 @@
 /** Expected tokens of one item: what one slot-second stands for does not matter, only the relation of models. */
 const LEAST_WORK = 1
 
-export interface DemandFacts {
+interface DemandFacts {
   readonly model: string
   readonly named: NamedVersion | undefined
   /** Steps of the model that are under way. */
@@ -19,7 +22,7 @@
 }
 
 /** Before its first version is named, a model needs engines but no loads. */
-export function modelDemand ({ model, named, works, singleVersion, newestWork = LEAST_WORK }: DemandFacts, now: number): ModelWork {
+function modelDemand ({ model, named, works, singleVersion, newestWork = LEAST_WORK }: DemandFacts, now: number): ModelWork {
   const minimum = works.reduce((most, { step }) => Math.max(most, step.submission.minimumVersion), 0)
   return {
     model,
@@ -31,3 +34,32 @@
     mode: singleVersion ? 'finish-first' : 'keep-running'
   }
 }
+
+export interface ModelDemandServices {
+  readonly clock: Clock
+  readonly routes: () => RouteTable | undefined
+  readonly routeOf: (step: FoldedStep) => Route | undefined
+  readonly version: (model: string) => NamedVersion | undefined
+}
+
+/** What all models of the configuration need of their engines. */
+export class ModelDemands {
+  /** Work that the newest step of each model brought. */
+  private readonly newestWork = new Map<string, number>()
+
+  constructor (private readonly services: ModelDemandServices) {}
+
+  noteAccepted ({ submission: { model, items } }: FoldedStep): void {
+    this.newestWork.set(model, items.reduce((sum, { expectedTokens }) => sum + expectedTokens, 0))
+  }
+
+  all (works: readonly StepWork[]): ModelWork[] {
+    const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
+    return [...models].map((model) => this.one(model, works.filter(({ step }) => step.submission.model === model)))
+  }
+
+  private one (model: string, works: readonly StepWork[]): ModelWork {
+    const singleVersion = works.some(({ step }) => this.services.routeOf(step)?.singleVersion === true)
+    return modelDemand({ model, named: this.services.version(model), works, singleVersion, newestWork: this.newestWork.get(model) }, this.services.clock.monotonic())
+  }
+}
--- /dev/null
+++ b/src/actors/common/steps/startQueue.ts
@@ -0,0 +1,27 @@
+/** The waiting items of all steps in the order in which they start: puts what is known of each before the pure order. */
+
+import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
+import { compareStarts } from '../../../core/common/steps/startOrder.ts'
+import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import type { ItemWork, StepWork } from './stepWork.ts'
+
+export interface QueuedItem {
+  readonly work: StepWork
+  readonly route: Route
+  readonly itemWork: ItemWork
+}
+
+/** Items of steps whose payloads are read, the first to start first. */
+export function inStartOrder (works: readonly StepWork[], routeOf: (step: FoldedStep) => Route | undefined, lengths: ItemLengths): QueuedItem[] {
+  return works.flatMap((work) => {
+    const route = routeOf(work.step)
+    if (route === undefined || work.payloads === undefined) return []
+    const dueAtMs = work.step.submittedAt + route.dueMs
+    return work.waiting.map((itemWork) => {
+      const { item, rank, runs, text } = itemWork
+      const remainingMs = lengths.remainingMs({ expectedTokens: item.expectedTokens, events: text.events.length })
+      return { work, route, itemWork, rank, ranBefore: runs > 0, remainingMs, dueAtMs }
+    })
+  }).sort(compareStarts)
+}
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -6,14 +6,11 @@
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
-import type { Result } from '../../../base/common/resultCode.ts'
-import { success } from '../../../base/common/resultCode.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
-import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
+import { longFrom } from '../../../core/common/steps/engineChoice.ts'
 import { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
-import { compareStarts } from '../../../core/common/steps/startOrder.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
 import { carriedGroups } from '../../../core/common/steps/wantedGroups.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
@@ -25,18 +22,17 @@
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
-import { longFrom } from '../../../core/common/steps/engineChoice.ts'
-import { minimumAfter } from '../../../core/common/steps/headStart.ts'
-import type { OpenStep } from './headStarts.ts'
 import { HeadStarts } from './headStarts.ts'
 import { ItemPlacement } from './itemPlacement.ts'
 import type { SavedTexts } from './heldTexts.ts'
 import { HeldTexts } from './heldTexts.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
-import { modelDemand } from './modelDemand.ts'
+import { ModelDemands } from './modelDemand.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
+import { ResultLister } from './resultLister.ts'
 import type { SampleScorer } from './sampleScorer.ts'
+import { inStartOrder } from './startQueue.ts'
 import type { StepContents } from './stepContents.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 import { newWork, removeFrom } from './stepWork.ts'
@@ -65,22 +61,18 @@
 
 /** Time between two looks for what no event has started, in milliseconds. */
 const LOOK_MS = 50
-/** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
-const LIST_MS = 60_000
 /** Pause before payloads that the store did not give are asked for again, in milliseconds. */
 const PAYLOADS_RETRY_MS = 200
 
 export class StepHome implements Disposable {
   private readonly disposables = new DisposableStore()
   private readonly works = new Map<string, StepWork>()
-  /** Work that the newest step of each model brought. */
-  private readonly workOfModels = new Map<string, number>()
+  private readonly modelDemands: ModelDemands
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
   private readonly headStarts: HeadStarts
   private readonly lengths = new ItemLengths()
-  /** Steps of a model that came while its last one that has ended was open. */
-  private readonly overlaps = new Map<string, number>()
+  private readonly lister: ResultLister
   private stopping = false
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
@@ -88,8 +80,10 @@
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
+    this.lister = new ResultLister(services)
+    this.modelDemands = new ModelDemands({ ...services, routeOf: (step) => this.routeOf(step) })
     this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
-    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin(), lengths: this.lengths }, settings)
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -112,8 +106,7 @@
 
   /** What models need of the engines. */
   demands (): ModelWork[] {
-    const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
-    return [...models].map((model) => this.demand(model))
+    return this.modelDemands.all([...this.works.values()])
   }
 
   /** Starts whatever can be started. */
@@ -130,21 +123,15 @@
     this.disposables.dispose()
   }
 
-  private demand (model: string): ModelWork {
-    const works = [...this.works.values()].filter(({ step }) => step.submission.model === model)
-    const singleVersion = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
-    return modelDemand({ model, named: this.services.version(model), works, singleVersion, newestWork: this.workOfModels.get(model) }, this.services.clock.monotonic())
-  }
-
   private take (change: StepChange): void {
     switch (change.type) {
       case 'accepted':
-        this.workOfModels.set(change.step.submission.model, change.step.submission.items.reduce((sum, { expectedTokens }) => sum + expectedTokens, 0))
+        this.modelDemands.noteAccepted(change.step)
         if (this.services.duty.holds) this.adopt(change.step)
         return this.schedule()
       case 'listed': return this.dropItem(change.step.submission.id, change.result.item)
       case 'ended':
-        this.overlaps.set(change.step.submission.model, this.newerOpen(change.step))
+        this.headStarts.stepEnded(change.step)
         return this.dropStep(change.step.submission.id, 'ended')
       case 'forgotten': return this.dropStep(change.step, 'forgotten')
       case 'duty': return undefined
@@ -233,7 +220,7 @@
         return this.schedule()
       }
       this.services.metrics.count('steps.reused')
-      if (earlier.item.scoredBy === itemWork.item.scoredBy) this.list(work, itemWork, { ...result, text })
+      if (earlier.item.scoredBy === itemWork.item.scoredBy) this.lister.list(work, itemWork, { ...result, text })
       else this.score(work, itemWork, { ...result, text, score: undefined })
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
@@ -245,7 +232,7 @@
   /** Starts waiting items of all steps; engines that are full for one of a step are so for the others of that step. */
   private startItems (works: readonly StepWork[]): void {
     const full = new Set<StepWork>()
-    for (const { work, route, itemWork } of this.inStartOrder(works)) {
+    for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths)) {
       const payload = work.payloads?.get(itemWork.item.id)
       if (payload === undefined || full.has(work)) continue
       const engine = this.placement.choose(work, route, itemWork)
@@ -258,19 +245,6 @@
     }
   }
 
-  private inStartOrder (works: readonly StepWork[]): { readonly work: StepWork, readonly route: Route, readonly itemWork: ItemWork }[] {
-    return works.flatMap((work) => {
-      const route = this.routeOf(work.step)
-      if (route === undefined || work.payloads === undefined) return []
-      const dueAtMs = work.step.submittedAt + route.dueMs
-      return work.waiting.map((itemWork) => {
-        const { item, rank, runs, text } = itemWork
-        const remainingMs = this.lengths.remainingMs({ expectedTokens: item.expectedTokens, events: text.events.length })
-        return { work, route, itemWork, rank, ranBefore: runs > 0, remainingMs, dueAtMs }
-      })
-    }).sort(compareStarts)
-  }
-
   private start (work: StepWork, route: Route, itemWork: ItemWork, payload: ItemPayload, candidate: EngineCandidate): void {
     const { engine } = candidate
     const { submission } = work.step
@@ -342,12 +316,12 @@
 
   private score (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
     const scorer = work.payloads?.get(itemWork.item.id)?.scorer
-    if (scorer === undefined) return this.list(work, itemWork, result)
+    if (scorer === undefined) return this.lister.list(work, itemWork, result)
     itemWork.state = 'scoring'
     itemWork.phases.enter('scoring', this.services.clock.monotonic())
     this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
       if (itemWork.cancel.signal.aborted) return
-      if (outcome.type === 'scored') this.list(work, itemWork, { ...result, score: outcome.score })
+      if (outcome.type === 'scored') this.lister.list(work, itemWork, { ...result, score: outcome.score })
       else this.giveUpItem(work, itemWork, 'the scorer failed as often as its route allows')
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
@@ -356,27 +330,7 @@
     const { item, text, runs } = itemWork
     this.services.metrics.count('steps.lost')
     this.services.stateLog.decided('item listed as lost', { item: item.id, step: work.step.submission.id, failed: true, why, runs, events: text.events.length })
-    this.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
-  }
-
-  /** Writes a result: its text first, so that whoever reads of the result finds the text. */
-  private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
-    const step = work.step.submission.id
-    itemWork.state = 'listing'
-    itemWork.phases.enter('writing', this.services.clock.monotonic())
-    this.write(step, result, itemWork).then((written) => {
-      if (written.ok || itemWork.cancel.signal.aborted) return
-      this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: written.message })
-      this.list(work, itemWork, result)
-    }).catch((error: unknown) => { this.services.stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
-  }
-
-  private async write (step: string, { text, ...result }: SampleResult, { cancel, phases }: ItemWork): Promise<Result<unknown>> {
-    const { contents, appender } = this.services
-    const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
-    if (saved?.ok === false || cancel.signal.aborted) return saved ?? success(undefined)
-    phases.enter('listing', this.services.clock.monotonic())
-    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at }, nonce)], LIST_MS)
+    this.lister.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
   }
 
   private dropItem (step: string, item: string): void {
@@ -409,7 +363,7 @@
   /** Gives up what is too old, and starts what became possible without an event. */
   private look (): void {
     if (!this.services.duty.holds) return
-    this.headStarts.look(this.openWorks())
+    this.headStarts.look(this.inOrder())
     if (this.works.size === 0) return
     const now = this.services.clock.wall()
     for (const work of [...this.works.values()]) {
@@ -426,19 +380,6 @@
     return [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
   }
 
-  private openWorks (): OpenStep[] {
-    return this.inOrder().flatMap((work) => {
-      const route = this.routeOf(work.step)
-      const { minimumVersion, model } = work.step.submission
-      return route === undefined ? [] : [{ work, route, nextMinimum: minimumAfter(minimumVersion, this.newerOpen(work.step), this.overlaps.get(model) ?? 0) }]
-    })
-  }
-
-  /** Open steps of the same model that came after this one. */
-  private newerOpen ({ submission, submittedAt }: FoldedStep): number {
-    return [...this.services.topic.steps()].filter((other) => !other.ended && other.submission.model === submission.model && other.submittedAt > submittedAt).length
-  }
-
   /** Lets one run go on at a faster engine; a text of one version only would have to begin anew there. */
   private moveToFaster (work: StepWork, route: Route): void {
     if (route.singleVersion || work.waiting.length > 0) return
--- a/test/actors/steps/headStarts.test.ts
+++ b/test/actors/steps/headStarts.test.ts
@@ -14,6 +14,7 @@
 import { ManualClock } from '../../support/manualClock.ts'
 import { RecordedLog } from '../../support/recordedLog.ts'
 import { route, targetDefinition } from '../../support/routes.ts'
+import type { FoldedStep } from '../../../src/core/common/steps/stepFold.ts'
 import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
 import { item } from '../../support/steps.ts'
@@ -30,6 +31,8 @@
   readonly client: ScriptedClient
   readonly starts: HeadStarts
   readonly work: StepWork
+  /** A step that is open beside it, so that what it leaves over comes in the one after that, which may use version 5. */
+  private readonly next: FoldedStep
   readonly route: Route = route({ kind: 'steps', host: 'steps.example', pathPrefix: '/steps/', destinations: [{ service: 'engines', weight: 1 }] })
 
   constructor (answers: readonly ScriptedAnswer[], { version = 5, slots = 12 } = {}) {
@@ -41,13 +44,14 @@
     const lengths = new ItemLengths()
     lengths.note(100, 10, 400)
     const board = new EngineBoard(table, clock, () => routes)
-    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: () => 'm' }), newText, lengths }, { firstEventMs: 600, silenceMs: 500 })
+    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: () => 'm' }), newText, lengths, topic: { steps: () => [this.work.step, this.next] }, routeOf: () => this.route }, { firstEventMs: 600, silenceMs: 500 })
+    this.next = workOn('next', [item('other', 'c', 100)], { minimumVersion: 4 }).step
     this.work = workOn('now', [item('short', 'a', 100), item('long', 'b', 900)], { wantedGroups: 1, minimumVersion: 3 })
     this.work.waiting.length = 0
   }
 
   look (): void {
-    this.starts.look([{ work: this.work, route: this.route, nextMinimum: 5 }])
+    this.starts.look([this.work])
     this.starts.begin(this.work.waiting.length > 0)
   }
 
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -77,7 +77,7 @@
 /** A step as a host holds it that runs it, with all its items waiting and their payloads read. */
 export function workOn (id: string, items: readonly SubmittedItem[], details: Partial<TrainerSubmission> = {}): StepWork {
   const fold = new StepFold()
-  fold.apply(submissionRecords(submission(id, items, details), 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
+  fold.apply(submissionRecords(submission(id, items, details), details.minimumVersion ?? 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
   const step = fold.step(id)
   if (step === undefined) throw new Error('the step is not accepted')
   const waiting = items.map((submitted) => newWork({ item: submitted, rank: 'wanted' }, newText(), 0))
