--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -6,12 +6,13 @@
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
-import type { Result } from '../../../base/common/resultCode.ts'
-import { success } from '../../../base/common/resultCode.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
-import { resultRecord } from '../../../core/common/steps/stepRecords.ts'
+import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
+import { longFrom } from '../../../core/common/steps/engineChoice.ts'
+import { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
 import { planOrder } from '../../../core/common/steps/stepPlan.ts'
+import { carriedGroups } from '../../../core/common/steps/wantedGroups.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
@@ -21,15 +22,17 @@
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { ModelWork } from '../weights/engineOrders.ts'
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
-import { longFrom } from '../../../core/common/steps/engineChoice.ts'
+import { HeadStarts } from './headStarts.ts'
 import { ItemPlacement } from './itemPlacement.ts'
 import type { SavedTexts } from './heldTexts.ts'
 import { HeldTexts } from './heldTexts.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
-import { modelDemand } from './modelDemand.ts'
+import { ModelDemands } from './modelDemand.ts'
 import type { ProgressKeeper } from './progressKeeper.ts'
+import { ResultLister } from './resultLister.ts'
 import type { SampleScorer } from './sampleScorer.ts'
+import { inStartOrder } from './startQueue.ts'
 import type { StepContents } from './stepContents.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 import { newWork, removeFrom } from './stepWork.ts'
@@ -58,18 +61,18 @@
 
 /** Time between two looks for what no event has started, in milliseconds. */
 const LOOK_MS = 50
-/** How long a result is offered to the topic before it is made anew, in milliseconds: longer than outages of the store. */
-const LIST_MS = 60_000
 /** Pause before payloads that the store did not give are asked for again, in milliseconds. */
 const PAYLOADS_RETRY_MS = 200
 
 export class StepHome implements Disposable {
   private readonly disposables = new DisposableStore()
   private readonly works = new Map<string, StepWork>()
-  /** Work that the newest step of each model brought. */
-  private readonly workOfModels = new Map<string, number>()
+  private readonly modelDemands: ModelDemands
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
+  private readonly headStarts: HeadStarts
+  private readonly lengths = new ItemLengths()
+  private readonly lister: ResultLister
   private stopping = false
   /** Present while this host holds the duty. */
   private timer: Disposable | undefined
@@ -77,7 +80,10 @@
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
+    this.lister = new ResultLister(services)
+    this.modelDemands = new ModelDemands({ ...services, routeOf: (step) => this.routeOf(step) })
     this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -93,17 +99,22 @@
     return this.items.filter(({ state }) => state !== 'waiting').length
   }
 
+  /** Where the time of an item of a step went that this host runs; `undefined` where it does not run it. */
+  phasesOf (step: string, item: string): PhaseTimes | undefined {
+    return this.works.get(step)?.items.get(item)?.phases.times(this.services.clock.monotonic())
+  }
+
   /** What models need of the engines. */
   demands (): ModelWork[] {
-    const models = new Set([...(this.services.routes()?.engineServices() ?? [])].flatMap(({ engine }) => engine?.models ?? []))
-    return [...models].map((model) => this.demand(model))
+    return this.modelDemands.all([...this.works.values()])
   }
 
   /** Starts whatever can be started. */
   schedule (): void {
     if (!this.services.duty.holds || this.stopping) return
-    const works = [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
-    for (const work of works) this.startItems(work)
+    const works = this.inOrder()
+    this.headStarts.begin(works.some(({ waiting }) => waiting.length > 0))
+    this.startItems(works)
   }
 
   dispose (): void {
@@ -112,20 +123,16 @@
     this.disposables.dispose()
   }
 
-  private demand (model: string): ModelWork {
-    const works = [...this.works.values()].filter(({ step }) => step.submission.model === model)
-    const singleVersion = works.some(({ step }) => this.routeOf(step)?.singleVersion === true)
-    return modelDemand({ model, named: this.services.version(model), works, singleVersion, newestWork: this.workOfModels.get(model) }, this.services.clock.monotonic())
-  }
-
   private take (change: StepChange): void {
     switch (change.type) {
       case 'accepted':
-        this.workOfModels.set(change.step.submission.model, change.step.submission.items.reduce((sum, { expectedTokens }) => sum + expectedTokens, 0))
+        this.modelDemands.noteAccepted(change.step)
         if (this.services.duty.holds) this.adopt(change.step)
         return this.schedule()
       case 'listed': return this.dropItem(change.step.submission.id, change.result.item)
-      case 'ended': return this.dropStep(change.step.submission.id, 'ended')
+      case 'ended':
+        this.headStarts.stepEnded(change.step)
+        return this.dropStep(change.step.submission.id, 'ended')
       case 'forgotten': return this.dropStep(change.step, 'forgotten')
       case 'duty': return undefined
     }
@@ -163,10 +170,12 @@
   private adopt (step: FoldedStep, saved: SavedTexts = new Map()): void {
     const { submission } = step
     if (step.ended || this.works.has(submission.id)) return
-    const order = planOrder(submission, (group) => this.isCarried(group, submission.id))
-    const open = order.filter(({ id }) => !step.positions.has(id))
-    const waiting = open.map((item) => newWork(item, this.texts.begin()))
-    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, waiting }
+    const carried = carriedGroups(step, this.services.topic.steps())
+    const order = planOrder(submission, (group) => carried.has(group))
+    const open = order.filter(({ item: { id } }) => !step.positions.has(id))
+    const now = this.services.clock.monotonic()
+    const waiting = open.map((planned) => newWork(planned, this.texts.begin(), now))
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longFrom: longFrom(submission.items), payloads: undefined, carried, finished: new Map(), waiting }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
     this.readPayloads(work, saved)
@@ -183,21 +192,16 @@
         return
       }
       work.payloads = payloads
+      const now = this.services.clock.monotonic()
+      for (const { phases } of work.items.values()) phases.enter('waiting', now)
       for (const itemWork of [...work.waiting]) {
-        this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true)
+        this.texts.restore(work, itemWork, saved, this.routeOf(work.step)?.singleVersion === true, this.headStarts.take(work, itemWork.item.id))
         this.useEarlier(work, itemWork)
       }
       this.schedule()
     }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { step: id, error: String(error) }) })
   }
 
-  private isCarried (group: string, step: string): boolean {
-    for (const other of this.services.topic.steps()) {
-      if (other.submission.id !== step && other.submission.items.some((item) => item.group === group)) return true
-    }
-    return false
-  }
-
   /** A text of an earlier step serves if its versions fit; its score too, if the scorer is asked the same. */
   private useEarlier (work: StepWork, itemWork: ItemWork): void {
     const { submission } = work.step
@@ -208,6 +212,7 @@
     if (textKey === undefined) return
     removeFrom(work.waiting, itemWork)
     itemWork.state = 'scoring'
+    itemWork.phases.enter('scoring', this.services.clock.monotonic())
     this.services.contents.texts(earlier.step, [{ key: textKey, at: textAt }]).then(([text]) => {
       if (itemWork.cancel.signal.aborted) return
       if (text === undefined) {
@@ -215,7 +220,7 @@
         return this.schedule()
       }
       this.services.metrics.count('steps.reused')
-      if (earlier.item.scoredBy === itemWork.item.scoredBy) this.list(work, itemWork, { ...result, text })
+      if (earlier.item.scoredBy === itemWork.item.scoredBy) this.lister.list(work, itemWork, { ...result, text })
       else this.score(work, itemWork, { ...result, text, score: undefined })
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
@@ -224,13 +229,17 @@
     return this.services.routes()?.find(step.submission.host, step.submission.path)
   }
 
-  private startItems (work: StepWork): void {
-    const route = this.routeOf(work.step)
-    if (route === undefined || work.payloads === undefined) return
-    for (const itemWork of [...work.waiting]) {
-      const payload = work.payloads.get(itemWork.item.id)
+  /** Starts waiting items of all steps; engines that are full for one of a step are so for the others of that step. */
+  private startItems (works: readonly StepWork[]): void {
+    const full = new Set<StepWork>()
+    for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths)) {
+      const payload = work.payloads?.get(itemWork.item.id)
+      if (payload === undefined || full.has(work)) continue
       const engine = this.placement.choose(work, route, itemWork)
-      if (engine === undefined || payload === undefined) return
+      if (engine === undefined) {
+        full.add(work)
+        continue
+      }
       removeFrom(work.waiting, itemWork)
       this.start(work, route, itemWork, payload, engine)
     }
@@ -246,6 +255,8 @@
     itemWork.stopRun = stopRun
     itemWork.engine = engine
     itemWork.startedAt = began
+    itemWork.beganWith = itemWork.text.events.length
+    itemWork.phases.enter('starting', began)
     engine.running++
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
@@ -254,7 +265,8 @@
       payload,
       firstEventMs: this.settings.firstEventMs,
       silenceMs: this.settings.silenceMs,
-      cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal])
+      cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal]),
+      onBegin: () => { itemWork.phases.enter('running', this.services.clock.monotonic()) }
     }).then((end) => {
       engine.running--
       itemWork.engine = undefined
@@ -272,6 +284,8 @@
     switch (end.type) {
       case 'complete':
         engine.target.answered(tookMs)
+        work.finished.set(item.id, text.events.length)
+        this.lengths.note(item.expectedTokens, text.events.length, itemWork.runs === 1 && itemWork.beganWith === 0 ? tookMs : undefined)
         if (route.singleVersion && text.versions.size > 1) return this.again(work, itemWork, true)
         return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: [...text.versions].sort((a, b) => a - b), score: undefined })
       case 'refused':
@@ -296,16 +310,18 @@
   private again (work: StepWork, itemWork: ItemWork, fromStart: boolean): void {
     if (fromStart) itemWork.text.clear()
     itemWork.state = 'waiting'
+    itemWork.phases.enter('waiting', this.services.clock.monotonic())
     work.waiting.unshift(itemWork)
   }
 
   private score (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
     const scorer = work.payloads?.get(itemWork.item.id)?.scorer
-    if (scorer === undefined) return this.list(work, itemWork, result)
+    if (scorer === undefined) return this.lister.list(work, itemWork, result)
     itemWork.state = 'scoring'
+    itemWork.phases.enter('scoring', this.services.clock.monotonic())
     this.services.scorer.score(scorer, itemWork.cancel.signal).then((outcome) => {
       if (itemWork.cancel.signal.aborted) return
-      if (outcome.type === 'scored') this.list(work, itemWork, { ...result, score: outcome.score })
+      if (outcome.type === 'scored') this.lister.list(work, itemWork, { ...result, score: outcome.score })
       else this.giveUpItem(work, itemWork, 'the scorer failed as often as its route allows')
     }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
   }
@@ -314,25 +330,7 @@
     const { item, text, runs } = itemWork
     this.services.metrics.count('steps.lost')
     this.services.stateLog.decided('item listed as lost', { item: item.id, step: work.step.submission.id, failed: true, why, runs, events: text.events.length })
-    this.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
-  }
-
-  /** Writes a result: its text first, so that whoever reads of the result finds the text. */
-  private list (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
-    const step = work.step.submission.id
-    itemWork.state = 'listing'
-    this.write(step, result, itemWork.cancel.signal).then((written) => {
-      if (written.ok || itemWork.cancel.signal.aborted) return
-      this.services.stateLog.alarm('result not taken by the store', { step, item: result.item, error: written.message })
-      this.list(work, itemWork, result)
-    }).catch((error: unknown) => { this.services.stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
-  }
-
-  private async write (step: string, { text, ...result }: SampleResult, cancelled: AbortSignal): Promise<Result<unknown>> {
-    const { contents, appender } = this.services
-    const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
-    if (saved?.ok === false || cancelled.aborted) return saved ?? success(undefined)
-    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at }, nonce)], LIST_MS)
+    this.lister.list(work, itemWork, { item: item.id, state: 'lost', text: '', versions: [], score: undefined })
   }
 
   private dropItem (step: string, item: string): void {
@@ -358,12 +356,15 @@
   }
 
   private dropAll (): void {
+    this.headStarts.dropAll()
     for (const step of [...this.works.keys()]) this.dropStep(step, 'duty lost')
   }
 
   /** Gives up what is too old, and starts what became possible without an event. */
   private look (): void {
-    if (!this.services.duty.holds || this.works.size === 0) return
+    if (!this.services.duty.holds) return
+    this.headStarts.look(this.inOrder())
+    if (this.works.size === 0) return
     const now = this.services.clock.wall()
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
@@ -374,6 +375,11 @@
     this.texts.save(this.works.values()).catch((error: unknown) => { this.services.stateLog.alarm('progress not saved', { error: String(error) }) })
   }
 
+  /** The steps that run here, the oldest first. */
+  private inOrder (): StepWork[] {
+    return [...this.works.values()].sort((a, b) => a.step.submittedAt - b.step.submittedAt)
+  }
+
   /** Lets one run go on at a faster engine; a text of one version only would have to begin anew there. */
   private moveToFaster (work: StepWork, route: Route): void {
     if (route.singleVersion || work.waiting.length > 0) return
@@ -389,6 +395,7 @@
   /** Saves all progress before another host takes over. */
   async handOver (): Promise<void> {
     this.stopping = true
+    this.headStarts.dropAll()
     await this.texts.save(this.works.values(), true)
   }
 
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -68,6 +68,8 @@
   'steps.resumed': 'items that went on from saved events',
   'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
+  'steps.head_starts': 'runs begun for a step to come',
+  'steps.head_starts_used': 'items that went on from such a run',
   'steps.reused': 'items served by a result of an earlier step',
   'steps.lost': 'items listed as lost',
   'store.appends': 'appends to the store',
@@ -104,6 +106,14 @@
   'completions.time': 'time of a whole completion',
   'services.time': 'time of a call to a service',
   'steps.accept': 'time from a submission to its acceptance',
+  'steps.payloads': 'items: until what their runs need has been read',
+  'steps.waiting': 'items: until an engine took them',
+  'steps.starting': 'items: from there to the first event of the run',
+  'steps.running': 'items: from the first event of a run to its end',
+  'steps.scoring': 'items: until the scorer has answered',
+  'steps.writing': 'items: until the store has the text',
+  'steps.listing': 'items: until the result is read back from the topic',
+  'steps.wanted': 'time from a submission until the wanted groups are listed',
   'steps.run': "time of an item's run at an engine"
 } as const
 
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -77,11 +77,11 @@
 /** A step as a host holds it that runs it, with all its items waiting and their payloads read. */
 export function workOn (id: string, items: readonly SubmittedItem[], details: Partial<TrainerSubmission> = {}): StepWork {
   const fold = new StepFold()
-  fold.apply(submissionRecords(submission(id, items, details), 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
+  fold.apply(submissionRecords(submission(id, items, details), details.minimumVersion ?? 1, 'n').outline.map((record, offset) => ({ ...record, offset })))
   const step = fold.step(id)
   if (step === undefined) throw new Error('the step is not accepted')
-  const waiting = items.map((submitted) => newWork(submitted, newText()))
-  return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longFrom: 0, waiting }
+  const waiting = items.map((submitted) => newWork({ item: submitted, rank: 'wanted' }, newText(), 0))
+  return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longFrom: 0, carried: new Set(), finished: new Map(), waiting }
 }
 
 export function itemOf (work: StepWork, id: string): ItemWork {
