--- a/test/actors/steps/headStarts.test.ts
+++ b/test/actors/steps/headStarts.test.ts
@@ -31,23 +31,27 @@
   readonly client: ScriptedClient
   readonly starts: HeadStarts
   readonly work: StepWork
-  /** A step that is open beside it, so that what it leaves over comes in the one after that, which may use version 5. */
-  private readonly next: FoldedStep
   readonly route: Route = route({ kind: 'steps', host: 'steps.example', pathPrefix: '/steps/', destinations: [{ service: 'engines', weight: 1 }] })
 
-  constructor (answers: readonly ScriptedAnswer[], { version = 5, slots = 12 } = {}) {
+  /** Steps that are open. */
+  readonly steps: FoldedStep[]
+
+  /** @param otherVersion version of the model `n` at an engine of its own, which there is none of without it */
+  constructor (answers: readonly ScriptedAnswer[], { version = 5, slots = 12, otherVersion = 0 } = {}) {
     const { clock } = this
     const table = new TargetTable({ clock, stateLog: this.log })
     table.set(targetDefinition({ id: 'e', service: 'engines', address: 'e', slots, models: [{ model: 'm', version }] }))
-    const routes = new RouteTable({ version: 1, routes: [this.route], services: [{ name: 'engines', maximumConnections: 9, engine: { slots, models: ['m'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
-    this.client = new ScriptedClient(clock, { e: answers })
+    if (otherVersion > 0) table.set(targetDefinition({ id: 'f', service: 'engines', address: 'f', slots: 6, models: [{ model: 'n', version: otherVersion }] }))
+    const routes = new RouteTable({ version: 1, routes: [this.route], services: [{ name: 'engines', maximumConnections: 9, engine: { slots, models: ['m', 'n'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
+    this.client = new ScriptedClient(clock, { e: answers, f: answers })
     const lengths = new ItemLengths()
     lengths.note(100, 10, 400)
     const board = new EngineBoard(table, clock, () => routes)
-    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: () => 'm' }), newText, lengths, topic: { steps: () => [this.work.step, this.next] }, routeOf: () => this.route }, { firstEventMs: 600, silenceMs: 500 })
-    this.next = workOn('next', [item('other', 'c', 100)], { minimumVersion: 4 }).step
+    this.starts = new HeadStarts({ client: this.client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: (engine) => engine === 'f' ? 'n' : 'm' }), newText, lengths, topic: { steps: () => this.steps }, routeOf: () => this.route }, { firstEventMs: 600, silenceMs: 500 })
     this.work = workOn('now', [item('short', 'a', 100), item('long', 'b', 900)], { wantedGroups: 1, minimumVersion: 3 })
     this.work.waiting.length = 0
+    // A second step is open, so that what the first leaves over comes in the one after that, which may use version 5.
+    this.steps = [this.work.step, workOn('next', [item('other', 'c', 100)], { minimumVersion: 4 }).step]
   }
 
   look (): void {
@@ -111,6 +115,26 @@
     }
   })
 
+  it('of one model do not wait for the engines of another, nor take up its share of slots', async () => {
+    // Two trainers share the engines of a service. While those of the first had older weights, none of the second's
+    // items got a head start; and those of the first that ran left the second without a share.
+    const scene = new Scene([{ afterMs: 5, headers: own, events: events(50) }], { otherVersion: 9 })
+    const other = workOn('other', [item('brief', 'a', 100), item('lasting', 'b', 900)], { wantedGroups: 1, minimumVersion: 7, model: 'n' })
+    other.waiting.length = 0
+    const ahead = workOn('ahead', [item('third', 'c', 100)], { minimumVersion: 8, model: 'n' })
+    scene.steps.push(other.step, ahead.step)
+    scene.starts.look([scene.work, other])
+    scene.starts.begin(false)
+    await scene.clock.advance(50)
+    expect(scene.client.sent.map(({ address, path }) => `${address} ${path}`)).to.deep.equal(['e /items/long', 'f /items/lasting'])
+    const old = new Scene([{ afterMs: 5, headers: own, events: events(50) }], { version: 4, otherVersion: 9 })
+    old.steps.push(other.step, ahead.step)
+    old.starts.look([old.work, other])
+    old.starts.begin(false)
+    await old.clock.advance(50)
+    expect(old.client.sent.map(({ path }) => path)).to.deep.equal(['/items/lasting'])
+  })
+
   it('end once their group is whole, or some seconds after their step has ended', async () => {
     const whole = new Scene([{ afterMs: 5, headers: own, events: events(50) }])
     whole.look()
