Head starts of several models share no slots and do not wait for each other; their keys are made once

Cause: the first planned one without an engine ended the round for all, and the share of slots was counted over all models. What an item asks for was put together anew twenty times a second for each planned one.

--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -1,6 +1,6 @@
 /**
  * Gives items a head start that a step to come will want: runs them once more, beside the runs of the open
- * step, where nothing waits for the slots, and hands over what they came to when that step asks for them.
+ * step and on a small part of the slots, and hands over what they came to when that step asks for them.
  * They are in the memory of this host only: after a takeover the items begin with their step, as without them.
  */
 
@@ -37,6 +37,7 @@
 
 interface HeadStart {
   readonly step: string
+  readonly model: string
   readonly item: StepItem
   readonly text: ItemText
   /** Present while it runs. */
@@ -65,6 +66,8 @@
   private readonly starts = new Map<string, HeadStart>()
   /** Steps of a model that came while its last one that has ended was open. */
   private readonly overlaps = new Map<string, number>()
+  /** What is asked for items of steps whose payloads are read. */
+  private readonly askedKeys = new WeakMap<StepWork, Map<string, string | undefined>>()
   /** What is to begin once there is a slot, those that need the longest first. */
   private planned: PlannedStart[] = []
 
@@ -83,15 +86,20 @@
 
   /** Begins what is planned, as far as there are slots; `waiting`: items of open steps wait for them too. */
   begin (waiting: boolean): void {
-    while (this.planned[0] !== undefined) {
-      const { work, route, asked, item, minimumVersion } = this.planned[0]
+    const full = new Set<StepWork>()
+    this.planned = this.planned.filter(({ work, route, asked, item, minimumVersion }) => {
+      if (full.has(work)) return true
+      const { id, model } = work.step.submission
       const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, minimumVersion)
-      if (candidate === undefined || this.running >= mostHeadStarts(slots, waiting)) return
-      this.planned.shift()
-      const start = this.starts.get(asked) ?? { step: work.step.submission.id, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
+      if (candidate === undefined || this.runningOf(model) >= mostHeadStarts(slots, waiting)) {
+        full.add(work)
+        return true
+      }
+      const start = this.starts.get(asked) ?? { step: id, model, item, text: this.services.newText(), cancel: undefined, complete: false, failed: false, leftAt: undefined }
       this.starts.set(asked, start)
       this.run(start, work, candidate.engine, minimumVersion)
-    }
+      return false
+    })
   }
 
   /** Ends the head start of an item that a step asks for, and gives what it came to. */
@@ -114,8 +122,8 @@
     for (const [asked, start] of this.starts) this.drop(asked, start)
   }
 
-  private get running (): number {
-    return [...this.starts.values()].filter(({ cancel }) => cancel !== undefined).length
+  private runningOf (model: string): number {
+    return [...this.starts.values()].filter((start) => start.model === model && start.cancel !== undefined).length
   }
 
   private planOf (work: StepWork): PlannedStart[] {
@@ -124,7 +132,7 @@
     const { minimumVersion, model } = work.step.submission
     const nextMinimum = minimumAfter(minimumVersion, this.newerOpen(work.step), this.overlaps.get(model) ?? 0)
     return planHeadStarts(progressOf(work, this.services.lengths), this.services.lengths).flatMap((id): PlannedStart[] => {
-      const asked = askedKey(work, id)
+      const asked = this.askedKeyOf(work, id)
       const item = work.step.items.get(id)
       const known = asked === undefined ? undefined : this.starts.get(asked)
       if (asked === undefined || item === undefined || known?.cancel !== undefined || known?.complete === true || known?.failed === true) return []
@@ -132,6 +140,14 @@
     })
   }
 
+  /** Made once for each item: it holds the item's whole body, and the plan is made twenty times a second. */
+  private askedKeyOf (work: StepWork, item: string): string | undefined {
+    const keys = this.askedKeys.get(work) ?? new Map<string, string | undefined>()
+    this.askedKeys.set(work, keys)
+    if (!keys.has(item)) keys.set(item, askedKey(work, item))
+    return keys.get(item)
+  }
+
   /** Open steps of the same model that came after this one. */
   private newerOpen ({ submission: { model }, submittedAt }: FoldedStep): number {
     return [...this.services.topic.steps()].filter((other) => !other.ended && other.submission.model === model && other.submittedAt > submittedAt).length
--- a/src/core/common/explanation/losses.ts
+++ b/src/core/common/explanation/losses.ts
@@ -1,7 +1,7 @@
 /**
  * What of a log's steps was late or missing, ranked: in which part of its time each lost what the steps in
  * time did not need, and what happened meanwhile. A step is late if its wanted groups were listed after they
- * were due; how much later than usual the next steps are asked is told beside it, as a trainer that waits
+ * were due; how much later than undisturbed ones the next steps are asked is told beside it, as a trainer that waits
  * hands its delay on.
  */
 
@@ -28,8 +28,8 @@
   readonly steps: number
   readonly late: number
   readonly rows: readonly LossRow[]
-  /** Usual time from one step of a model to the next, and by how much the steps were asked later in all, in milliseconds. */
-  readonly usualIntervalMs: number
+  /** Time from one step of a model to the next where none was held up, and by how much the steps were asked later in all, in milliseconds. */
+  readonly undisturbedIntervalMs: number
   readonly handedOnMs: number
 }
 
@@ -88,23 +88,23 @@
   return disturbances.find((disturbance) => happened[disturbance]) ?? 'undisturbed'
 }
 
-/** Later than usual by how much a model's next steps were asked. */
-function intervals (accounts: readonly StepAccount[]): { usualIntervalMs: number, handedOnMs: number } {
+/** By how much a model's next steps were asked later than those that were not held up: a quarter of them at least is taken to be so. */
+function intervals (accounts: readonly StepAccount[]): { undisturbedIntervalMs: number, handedOnMs: number } {
   const gaps = [...new Set(accounts.map(({ model }) => model))].flatMap((model) => {
     const own = accounts.filter((account) => account.model === model)
     return own.slice(1).map(({ askedAt }, index) => askedAt - (own[index]?.askedAt ?? askedAt))
   })
-  const usualIntervalMs = median(gaps)
-  return { usualIntervalMs, handedOnMs: gaps.reduce((sum, gap) => sum + gap - usualIntervalMs, 0) }
+  const undisturbedIntervalMs = [...gaps].sort((a, b) => a - b)[Math.floor(gaps.length / 4)] ?? 0
+  return { undisturbedIntervalMs, handedOnMs: gaps.reduce((sum, gap) => sum + gap - undisturbedIntervalMs, 0) }
 }
 
 function median (values: readonly number[]): number {
   return [...values].sort((a, b) => a - b)[Math.floor(values.length / 2)] ?? 0
 }
 
-export function formatLosses ({ steps, late, rows, usualIntervalMs, handedOnMs }: LossReport): string {
+export function formatLosses ({ steps, late, rows, undisturbedIntervalMs, handedOnMs }: LossReport): string {
   return [
-    `${late} of ${steps} steps late; a step each ${(usualIntervalMs / 1000).toFixed(1)} s, ${(handedOnMs / 1000).toFixed(1)} s later in all than at that pace`,
+    `${late} of ${steps} steps late; a step each ${(undisturbedIntervalMs / 1000).toFixed(1)} s, ${(handedOnMs / 1000).toFixed(1)} s later in all than at that pace`,
     ...rows.map(({ part, disturbance, steps: count, share, lateMs }) => `${String(count).padStart(6)} ${`${Math.round(share * 100)}%`.padStart(5)} ${`${(lateMs / 1000).toFixed(1)} s`.padStart(9)}  ${part}, ${disturbance}`)
   ].join('\n')
 }
