An answer without a length whose connection is reset is none

Cause: the library finishes such an answer on ECONNRESET as it does on the end of the connection. Connections to targets, between hosts and to the store are opened so that a reset has a code of its own, which fails the answer; those of once-only calls too.

--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -5,7 +5,7 @@
  * aside: what is in flight on it may end, everything new goes over new connections.
  */
 
-import { Pool } from 'undici'
+import { buildConnector, Pool } from 'undici'
 import type { Disposable } from '../../base/common/lifecycle.ts'
 
 export interface ConnectionSettings {
@@ -29,7 +29,7 @@
     const pool = new Pool(address, {
       connections: this.settings.connections,
       pipelining: 1,
-      connect: { timeout: this.settings.connectTimeoutMs },
+      connect: connector(this.settings.connectTimeoutMs),
       headersTimeout: this.settings.silenceMs,
       bodyTimeout: this.settings.silenceMs,
       maxResponseSize: this.settings.maximumAnswerBytes
@@ -58,6 +58,25 @@
   }
 }
 
+/** Code of an error that says that a connection was reset. */
+const RESET_CODE = 'CONNECTION_RESET'
+
+/**
+ * Opens connections on which a reset is an error in every case. The library takes an answer that has no length for whole
+ * when its connection is reset, as it does when it ends; a target that crashed while it sent one then passed for one that had
+ * answered. It goes by the error's code, so the error gets another one before the library sees it.
+ */
+export function connector (timeoutMs: number): buildConnector.connector {
+  const connect = buildConnector({ timeout: timeoutMs })
+  return (options, callback) => {
+    connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
+      if (error !== null) return callback(error, null)
+      socket.prependListener('error', (failed: NodeJS.ErrnoException) => { if (failed.code === 'ECONNRESET') failed.code = RESET_CODE })
+      callback(null, socket)
+    })
+  }
+}
+
 /** Codes of errors that come before the first byte has left. */
 const beforeFirstByte: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
 /** Whether an error says that the host is there and nobody listens: its process has ended. */
--- a/src/adapters/node/httpService.ts
+++ b/src/adapters/node/httpService.ts
@@ -11,7 +11,7 @@
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { HostList, ListedHost, Scorer, Service, ServiceAnswer, ServiceCall } from '../../ports/common/targets.ts'
 import type { Connections } from './connections.ts'
-import { neverSent, wentSilent } from './connections.ts'
+import { connector, neverSent, wentSilent } from './connections.ts'
 
 export class HttpService implements Service {
   constructor (private readonly connections: Connections, private readonly connectTimeoutMs: number, private readonly maximumAnswerBytes: number) {}
@@ -32,7 +32,7 @@
    * be told apart. On a new connection an error before it is open proves that nothing was sent.
    */
   private async callOnce (address: string, call: ServiceCall): Promise<Result<ServiceAnswer>> {
-    const client = new Client(address, { connect: { timeout: this.connectTimeoutMs }, pipelining: 1, maxResponseSize: this.maximumAnswerBytes })
+    const client = new Client(address, { connect: connector(this.connectTimeoutMs), pipelining: 1, maxResponseSize: this.maximumAnswerBytes })
     try {
       return (await exchange(client, call)).result
     } finally {
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -6,7 +6,7 @@
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { Connections } from './connections.ts'
-import { neverSent } from './connections.ts'
+import { connector, neverSent } from './connections.ts'
 
 export interface TargetClientSettings {
   /** Longest time for a connection to open, in milliseconds. */
@@ -54,7 +54,7 @@
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
     const origin = `http://${address}`
     if (!ownConnection) return this.connections.to(origin)
-    return new Client(origin, { connect: { timeout: this.settings.connectTimeoutMs }, maxResponseSize: this.settings.maximumAnswerBytes })
+    return new Client(origin, { connect: connector(this.settings.connectTimeoutMs), maxResponseSize: this.settings.maximumAnswerBytes })
   }
 
   private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest): Promise<Dispatcher.ResponseData> {
