--- a/tools/bench/steps/day.ts
+++ b/tools/bench/steps/day.ts
@@ -188,7 +188,7 @@
       engine.loading = undefined
     }
     const slow = endOfInterval(this.draws.engineSlow.filter(({ engine: index }) => index === engine.index), this.now) !== undefined ? troubles.engine_slow.factor : 1
-    const gapMs = (eventMs + moreMs * Math.max(0, engine.runs.size - 1)) * slow
+    const gapMs = (eventMs + moreMs * Math.max(0, engine.runs.size - 1)) * slow * (this.draws.slowness[engine.index] ?? 1)
     for (const item of engine.runs) {
       if (item.run === undefined || this.now < item.run.beganMs + startMs) continue
       if (item.events === 0) item.oldest = engine.version
--- a/tools/bench/steps/draws.ts
+++ b/tools/bench/steps/draws.ts
@@ -23,6 +23,8 @@
 export interface DayDraws {
   /** New items of each step; the groups carried from earlier ones come instead of some. */
   readonly steps: readonly (readonly ModelItem[])[]
+  /** How many times the usual time each engine needs for an event. */
+  readonly slowness: readonly number[]
   readonly storeAway: readonly Interval[]
   readonly holderLost: readonly Interval[]
   readonly engineSlow: readonly EngineInterval[]
@@ -54,6 +56,7 @@
   const ofEngines = (list: readonly Interval[]): EngineInterval[] => list.map((interval) => ({ ...interval, engine: Math.floor(uniform() * engines.count) }))
   return {
     steps,
+    slowness: Array.from({ length: engines.count }, () => engines.pace_spread === 0 ? 1 : Math.exp(engines.pace_spread * normal())),
     storeAway: intervals(troubles.store_away),
     holderLost: [...intervals(troubles.holder_lost), ...(day.all_lost_at_s === undefined ? [] : [{ fromMs: day.all_lost_at_s * 1000, untilMs: day.all_lost_at_s * 1000 + ALL_LOST_MS }])],
     engineSlow: ofEngines(intervals(troubles.engine_slow)),
--- a/tools/bench/steps/shape.ts
+++ b/tools/bench/steps/shape.ts
@@ -49,6 +49,7 @@
     slots: z.int().positive().describe('items that an engine runs at once'),
     event_ms: positive.describe('time for an event of an item that runs alone, in milliseconds'),
     event_ms_a_run: rate.describe('what each further run adds to that, in milliseconds'),
+    pace_spread: rate.default(0).describe('standard deviation of the logarithm of that time among engines: some are built slower than others'),
     start_ms: rate.describe('time from a start to the first event, in milliseconds'),
     load_ms: positive.describe('time of a change of weights, in milliseconds'),
     finish_ms: rate.describe("time from an item's last event until it is listed, in milliseconds")
