--- a/test/core/steps/headStart.test.ts
+++ b/test/core/steps/headStart.test.ts
@@ -24,7 +24,7 @@
     const read = readShape('tools/bench/steps/long-items.toml')
     if (!read.ok) throw new Error(read.message)
     const quiet = { per_day: 0, least_s: 0, most_s: 0 }
-    const shape: Shape = { ...read.value, troubles: { store_away: quiet, holder_lost: quiet, engine_slow: { ...quiet, factor: 1 }, engine_lost: quiet } }
+    const shape: Shape = { ...read.value, store_away: quiet, holder_lost: quiet, engine_slow: { ...quiet, factor: 1 }, engine_lost: quiet }
     // A step to which the trainer never came counts as one that it gave up.
     const wanted = (headStarts: boolean): number[] => [1, 2, 3, 4, 5, 6].flatMap((seed) => new ModelDay(shape, drawDay(shape, seed), { ...allPolicies, headStarts }).run().slice(2).map(({ wantedMs }) => wantedMs ?? 12_000))
     const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length
--- a/tools/bench/steps/day.ts
+++ b/tools/bench/steps/day.ts
@@ -182,12 +182,11 @@
 
   private generate (engine: ModelEngine): void {
     const { event_ms: eventMs, event_ms_a_run: moreMs, start_ms: startMs } = this.shape.engines
-    const { troubles } = this.shape
     if (engine.loading !== undefined && this.now >= engine.loading.untilMs) {
       engine.version = engine.loading.version
       engine.loading = undefined
     }
-    const slow = endOfInterval(this.draws.engineSlow.filter(({ engine: index }) => index === engine.index), this.now) !== undefined ? troubles.engine_slow.factor : 1
+    const slow = endOfInterval(this.draws.engineSlow.filter(({ engine: index }) => index === engine.index), this.now) !== undefined ? this.shape.engine_slow.factor : 1
     const gapMs = (eventMs + moreMs * Math.max(0, engine.runs.size - 1)) * slow * (this.draws.slowness[engine.index] ?? 1)
     for (const item of engine.runs) {
       if (item.run === undefined || this.now < item.run.beganMs + startMs) continue
--- a/tools/bench/steps/draws.ts
+++ b/tools/bench/steps/draws.ts
@@ -38,7 +38,7 @@
   const generator = xoroshiro128plus(seed)
   const uniform = (): number => ((generator.unsafeNext() >>> 0) + 0.5) / 2 ** 32
   const normal = (): number => Math.sqrt(-2 * Math.log(uniform())) * Math.cos(2 * Math.PI * uniform())
-  const { day, trainer, items, engines, troubles } = shape
+  const { day, trainer, items, engines } = shape
   const drawItem = (id: string, group: string): ModelItem => {
     const long = uniform() < items.long_share ? items.long_factor : 1
     const events = Math.min(items.most_events, Math.max(1, Math.round(items.median_events * long * Math.exp(items.spread * normal()))))
@@ -57,10 +57,10 @@
   return {
     steps,
     slowness: Array.from({ length: engines.count }, () => engines.pace_spread === 0 ? 1 : Math.exp(engines.pace_spread * normal())),
-    storeAway: intervals(troubles.store_away),
-    holderLost: [...intervals(troubles.holder_lost), ...(day.all_lost_at_s === undefined ? [] : [{ fromMs: day.all_lost_at_s * 1000, untilMs: day.all_lost_at_s * 1000 + ALL_LOST_MS }])],
-    engineSlow: ofEngines(intervals(troubles.engine_slow)),
-    engineLost: ofEngines(intervals(troubles.engine_lost))
+    storeAway: intervals(shape.store_away),
+    holderLost: [...intervals(shape.holder_lost), ...(day.all_lost_at_s === undefined ? [] : [{ fromMs: day.all_lost_at_s * 1000, untilMs: day.all_lost_at_s * 1000 + ALL_LOST_MS }])],
+    engineSlow: ofEngines(intervals(shape.engine_slow)),
+    engineLost: ofEngines(intervals(shape.engine_lost))
   }
 }
 
--- a/tools/bench/steps/shape.ts
+++ b/tools/bench/steps/shape.ts
@@ -6,7 +6,7 @@
 import { readFileSync } from 'node:fs'
 import { z } from 'zod'
 import type { Result } from '../../../src/base/common/resultCode.ts'
-import { failure } from '../../../src/base/common/resultCode.ts'
+import { failure, resultCodes } from '../../../src/base/common/resultCode.ts'
 import { parseChecked } from '../../../src/settings/node/readSettings.ts'
 
 const positive = z.number().positive()
@@ -54,21 +54,23 @@
     load_ms: positive.describe('time of a change of weights, in milliseconds'),
     finish_ms: rate.describe("time from an item's last event until it is listed, in milliseconds")
   }),
-  troubles: z.strictObject({
-    store_away: trouble.describe('the store answers nobody'),
-    holder_lost: trouble.describe('the host that runs the steps is lost; the duration is the time until another one goes on'),
-    engine_slow: trouble.extend({ factor: positive.describe('how many times as long an event takes') }),
-    engine_lost: trouble.describe('an engine answers nobody; its runs go on elsewhere after the longest silence')
-  })
+  store_away: trouble.describe('the store answers nobody'),
+  holder_lost: trouble.describe('the host that runs the steps is lost; the duration is the time until another one goes on'),
+  engine_slow: trouble.extend({ factor: positive.describe('how many times as long an event takes') }),
+  engine_lost: trouble.describe('an engine answers nobody; its runs go on elsewhere after the longest silence')
 })
 
 export type Shape = z.infer<typeof shapeSchema>
 
-/** Reads the shape of a day from a TOML file. */
+/** Reads the shape of a day from a TOML file; the message of a failure has its number, the file and each mistake's line. */
 export function readShape (path: string): Result<Shape> {
+  const refused = (message: string): Result<Shape> => failure('invalidSettings', `${resultCodes.invalidSettings.number} invalidSettings: ${path}: ${message}`)
+  let text: string
   try {
-    return parseChecked(readFileSync(path, 'utf8'), shapeSchema)
+    text = readFileSync(path, 'utf8')
   } catch (error) {
-    return failure('invalidSettings', `${path}: ${(error as Error).message}`)
+    return refused((error as Error).message)
   }
+  const shape = parseChecked(text, shapeSchema)
+  return shape.ok ? shape : refused(shape.message)
 }
