--- a/src/actors/common/store/storeReach.ts
+++ b/src/actors/common/store/storeReach.ts
@@ -6,7 +6,8 @@
  *
  * A link may also be cut without a word. A call that is late then has the store asked something cheap beside it;
  * if that is not answered either, the store is silent for this host, and no call waits for it any longer. Otherwise a
- * host that holds a duty would lose it while its renewal waits, though other hosts could pass it on.
+ * host that holds a duty would lose it while its renewal waits, though other hosts could pass it on: after 1.2 s in a traced
+ * case, where a silent store is left after 0.55 s now.
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
--- a/src/core/common/steps/headStart.ts
+++ b/src/core/common/steps/headStart.ts
@@ -6,7 +6,8 @@
  * the longest texts of all at its own start, and they alone would decide how long it takes. Engines have free
  * slots in the later part of a step: there these items get a text of their own from the first token on, under
  * weights that the later step may use, and that step goes on from it. The run of the open step goes on beside
- * it, as no estimate tells for sure which groups it will end without.
+ * it, as no estimate tells for sure which groups it will end without. Without head starts a modelled day has 0.024 less of
+ * the mean share in time of all and of the two worst steps (120 days, paired, standard error 0.011).
  */
 
 import type { ItemLengths } from './itemLengths.ts'
--- a/src/core/common/steps/startOrder.ts
+++ b/src/core/common/steps/startOrder.ts
@@ -2,7 +2,9 @@
  * Which waiting item gets the next free slot, of all open steps. Load pattern: a trainer that was held up asks for
  * two steps within a second, and their items want several times the slots. Step after step, the long items of the
  * second one waited until the last short item of the first had a slot, and by then they could not be whole
- * in time any more; the short ones had seconds to spare. So the item goes first whose latest start comes first.
+ * in time any more; the short ones had seconds to spare. So the item goes first whose latest start comes first. With one
+ * step after the other a modelled day has 0.040 less of the mean share in time of all and of the two worst steps (120 days,
+ * paired, standard error 0.009).
  */
 
 import type { ItemRank } from './stepPlan.ts'
--- a/src/core/common/weights/loadPlan.ts
+++ b/src/core/common/weights/loadPlan.ts
@@ -3,8 +3,8 @@
  * step at the same moment; the step may still use the version before. Loading takes about a second,
  * in which the engine takes no new requests of that model, and more than a few loads at once slow
  * each other. So some engines load at once while the others start the step on the weights that are there. To wait
- * until the step's items have their slots kept head starts from beginning: with it, the modelled day has 0.03 less of its
- * worth (120 days, paired, standard error 0.009).
+ * until the step's items have their slots kept head starts from beginning: with that wait a modelled day has 0.030 less of the
+ * mean share in time of all and of the two worst steps (120 days, paired, standard error 0.009).
  */
 
 export interface LoadableEngine {
