--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -29,7 +29,7 @@
   /** The engine for an item that is run for a step to come, and the slots of all engines that might run it. */
   chooseAhead (work: StepWork, route: Route, group: string, minimumVersion: number): { readonly candidate: EngineCandidate | undefined, readonly slots: number } {
     const candidates = this.candidates(work, route, group)
-    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? work.step.submission.model) === work.step.submission.model)
+    const following = this.following(candidates, work)
     return { candidate: chooseEngine(following, minimumVersion, 'long'), slots: following.reduce((sum, { slots }) => sum + slots, 0) }
   }
 
@@ -53,12 +53,16 @@
     return this.services.board.candidates(services, work.step.submission.model, group)
   }
 
+  /** Those that follow the step's model, or none yet. */
+  private following (candidates: readonly EngineCandidate[], { step: { submission: { model } } }: StepWork): EngineCandidate[] {
+    return candidates.filter(({ id }) => (this.services.follows(id) ?? model) === model)
+  }
+
   /** Engines that follow the item's model go first: the others are about to be too old for it. */
   private best (candidates: readonly EngineCandidate[], work: StepWork, itemWork: ItemWork): EngineCandidate | undefined {
-    const { model, minimumVersion } = work.step.submission
+    const { minimumVersion } = work.step.submission
     // An item that has run before is behind the others of its step, however long it is.
     const length = itemWork.runs > 0 || itemWork.item.expectedTokens >= work.longFrom ? 'long' : 'short'
-    const following = candidates.filter(({ id }) => (this.services.follows(id) ?? model) === model)
-    return chooseEngine(following, minimumVersion, length) ?? chooseEngine(candidates, minimumVersion, length)
+    return chooseEngine(this.following(candidates, work), minimumVersion, length) ?? chooseEngine(candidates, minimumVersion, length)
   }
 }
--- a/src/actors/common/steps/resultNotes.ts
+++ b/src/actors/common/steps/resultNotes.ts
@@ -43,6 +43,8 @@
 /** Tells when the last group that the trainer waits for is whole: everything after that costs the trainer nothing. */
 function noteWanted ({ topic, routes, clock, metrics, stateLog }: ResultNotesServices, { step, result, position }: Extract<StepChange, { type: 'listed' }>, phases: PhaseTimes | undefined): void {
   const { id, number, model, host, path } = step.submission
+  // At most results too few groups are whole, whichever were carried; those are looked up among all steps.
+  if (!hasWanted(step, position + 1, new Set())) return
   const carried = carriedGroups(step, topic.steps())
   // The step may have more results by now than this one: they are read many at a time.
   if (hasWanted(step, position, carried) || !hasWanted(step, position + 1, carried)) return
--- a/tools/bench/steps/day.ts
+++ b/tools/bench/steps/day.ts
@@ -155,8 +155,13 @@
     const groups = new Set(carried.map(({ group }) => group))
     const planned = this.policies.order ? planOrder(submissionOf(all, this.wanted), (group) => groups.has(group)) : all.map(({ step }): PlannedItem => ({ item: step, rank: 'wanted' }))
     const byId = new Map(all.map((item) => [item.step.id, item]))
-    for (const { item: { id }, rank } of planned) byId.set(id, Object.assign(byId.get(id) ?? {}, { rank }) as WorkItem)
-    this.open.push({ number: this.next, askedMs: this.now, minimumVersion, carried: groups, items: all, order: planned.flatMap(({ item: { id } }) => byId.get(id) ?? []), longFrom: longFrom(all.map(({ step }) => step)), wantedMs: undefined })
+    const order = planned.flatMap(({ item: { id }, rank }) => {
+      const item = byId.get(id)
+      if (item === undefined) return []
+      item.rank = rank
+      return [item]
+    })
+    this.open.push({ number: this.next, askedMs: this.now, minimumVersion, carried: groups, items: all, order, longFrom: longFrom(all.map(({ step }) => step)), wantedMs: undefined })
     this.next++
   }
 
