Mechanisms as checked settings: fourteen decisions that an experiment leaves out one by one

Each is on unless the settings say otherwise, an unknown name is one message with its line, and each that is off has a line at the start.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -12,6 +12,7 @@
 import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { isBusy, lateAfterMs } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { OutgoingOptions, TargetProtocol } from '../../../ports/common/protocols.ts'
@@ -52,6 +53,7 @@
   readonly metrics: Metrics
   readonly stateLog: StateLog
   readonly place: string
+  readonly mechanisms: Pick<Mechanisms, 'second_sends' | 'silence_suspicion' | 'caller_slot' | 'nearest_targets'>
 }
 
 /** Pause before targets that refused are asked again, in milliseconds: about the time of a short request. */
@@ -86,12 +88,14 @@
 
   /** Whether a background call would find a free slot at a target of the route. */
   hasRoom (route: Route): boolean {
-    return route.destinations.some(({ service }) => this.services.targets.available(service).some(hasBackgroundSlot))
+    const { targets, mechanisms } = this.services
+    return route.destinations.some(({ service }) => targets.available(service).some((target) => hasBackgroundSlot(target, mechanisms.caller_slot)))
   }
 }
 
-function hasBackgroundSlot ({ definition, inFlight }: KnownTarget): boolean {
-  return inFlight < Math.max(1, definition.slots - 1)
+/** Whether a background call may be sent to a target; `leavesOne`: one slot is for callers that wait. */
+function hasBackgroundSlot ({ definition, inFlight }: KnownTarget, leavesOne: boolean): boolean {
+  return inFlight < Math.max(1, definition.slots - (leavesOne ? 1 : 0))
 }
 
 /** The state of one request on its way. */
@@ -158,8 +162,8 @@
     const { services, request } = this
     const service = pickDestination(request.route.destinations, services.chance.next())
     const known = service === undefined ? [] : services.targets.available(service)
-    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target)))
-    return { known, target: chooseTarget(free, services.place, services.chance.next()) }
+    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target, services.mechanisms.caller_slot)))
+    return { known, target: chooseTarget(free, preferredPlace(services), services.chance.next()) }
   }
 
   /** All targets refused: asks them again shortly, as long as there is time to be served. */
@@ -191,7 +195,7 @@
       ownConnection: fresh,
       signal: attempt.abort.signal
     }).then((result) => { this.ended(attempt, result) }, (error: unknown) => { this.ended(attempt, failure('unknownOutcome', String(error))) }).finally(() => { restart.dispose() })
-    if (!this.repeatable) return
+    if (!this.repeatable || !services.mechanisms.second_sends) return
     const lateMs = lateAfterMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.answerMs, background: request.background })
     this.timers.add(services.clock.after(lateMs, () => { this.late(attempt) }))
   }
@@ -288,7 +292,7 @@
     const now = this.services.clock.monotonic()
     for (const attempt of this.running) {
       this.story.push(`${attempt.target.definition.id}:${attempt.known}:ended`)
-      if (why === 'out of time' || now - attempt.beganAt > SILENT_MS) unanswered(attempt)
+      if (this.services.mechanisms.silence_suspicion && (why === 'out of time' || now - attempt.beganAt > SILENT_MS)) unanswered(attempt)
       // Its brothers are taken for silent too. Where no new connection was sooner the target is slow: giving its connections up for each late request cost 15 to 26 new ones for 6 requests, 6 to 9 so.
       if (!attempt.fresh && why !== 'other') this.services.client.distrust(attempt.target.definition.address, now - attempt.beganAt)
       attempt.abort.abort()
@@ -319,6 +323,11 @@
   }
 }
 
+/** The failure domain whose targets go first; `undefined`: none. */
+export function preferredPlace ({ place, mechanisms }: Pick<RouteCallServices, 'place' | 'mechanisms'>): string | undefined {
+  return mechanisms.nearest_targets ? place : undefined
+}
+
 /** Ends the counting of an attempt among those in flight. */
 function release (attempt: Attempt): void {
   if (attempt.holdsSlot) attempt.target.inFlight--
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -13,6 +13,7 @@
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routeCalls.ts'
+import { preferredPlace } from './routeCalls.ts'
 import type { KnownTarget } from './targetTable.ts'
 
 export interface StreamRequest extends RoutedRequest {
@@ -83,10 +84,10 @@
   }
 
   private choose (): KnownTarget | undefined {
-    const { targets, chance, place } = this.services
+    const { targets, chance } = this.services
     const service = pickDestination(this.request.route.destinations, chance.next())
     const known = service === undefined ? [] : targets.available(service)
-    return chooseTarget(known.filter(({ definition }) => !this.tried.has(definition.id)), place, chance.next())
+    return chooseTarget(known.filter(({ definition }) => !this.tried.has(definition.id)), preferredPlace(this.services), chance.next())
   }
 
   private close (end: RunEnd | undefined): Failure | undefined {
--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -11,6 +11,7 @@
 import type { StepItem } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import { askedKey } from './heldTexts.ts'
 import type { ItemPlacement } from './itemPlacement.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
@@ -28,6 +29,7 @@
   readonly lengths: ItemLengths
   readonly topic: Pick<StepTopic, 'steps'>
   readonly routeOf: (step: FoldedStep) => Route | undefined
+  readonly mechanisms: Pick<Mechanisms, 'head_starts'>
 }
 
 export interface HeadStartSettings {
@@ -76,7 +78,7 @@
   /** Plans what is worth a head start and ends what is not any more. */
   look (works: readonly StepWork[]): void {
     this.dropUseless(works)
-    this.planned = this.services.lengths.known ? works.flatMap((work) => this.planOf(work)) : []
+    this.planned = this.services.mechanisms.head_starts && this.services.lengths.known ? works.flatMap((work) => this.planOf(work)) : []
   }
 
   /** Learns how many steps come while one of the model is open. */
--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -2,6 +2,7 @@
 
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import { chooseEngine, shouldMove } from '../../../core/common/steps/engineChoice.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { EngineBoard, EngineCandidate } from './engineBoard.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 
@@ -9,6 +10,7 @@
   readonly board: EngineBoard
   /** Model that an engine follows. */
   readonly follows: (engine: string) => string | undefined
+  readonly mechanisms: Pick<Mechanisms, 'moves' | 'long_on_fastest' | 'prompt_affinity'>
 }
 
 /** A run that should go on at another engine. */
@@ -35,6 +37,7 @@
 
   /** A run of this step that a faster engine with a free slot should take over. */
   nextMove (work: StepWork, route: Route, nowMs: number): PlannedMove | undefined {
+    if (!this.services.mechanisms.moves) return undefined
     const candidates = this.candidates(work, route, undefined)
     const fastest = { slowness: Math.min(...candidates.map(({ slowness }) => slowness)) }
     for (const itemWork of work.items.values()) {
@@ -50,7 +53,7 @@
 
   private candidates (work: StepWork, route: Route, group: string | undefined): EngineCandidate[] {
     const services = route.destinations.filter(({ weight }) => weight > 0).map(({ service }) => service)
-    return this.services.board.candidates(services, work.step.submission.model, group)
+    return this.services.board.candidates(services, work.step.submission.model, this.services.mechanisms.prompt_affinity ? group : undefined)
   }
 
   /** Those that follow the step's model, or none yet. */
@@ -62,7 +65,8 @@
   private best (candidates: readonly EngineCandidate[], work: StepWork, itemWork: ItemWork): EngineCandidate | undefined {
     const { minimumVersion } = work.step.submission
     // An item that has run before is behind the others of its step, however long it is.
-    const length = itemWork.runs > 0 || itemWork.item.expectedTokens >= work.longFrom ? 'long' : 'short'
+    const isLong = itemWork.runs > 0 || itemWork.item.expectedTokens >= work.longFrom
+    const length = isLong && this.services.mechanisms.long_on_fastest ? 'long' : 'short'
     return chooseEngine(this.following(candidates, work), minimumVersion, length) ?? chooseEngine(candidates, minimumVersion, length)
   }
 }
--- a/src/actors/common/steps/progressKeeper.ts
+++ b/src/actors/common/steps/progressKeeper.ts
@@ -18,6 +18,8 @@
   readonly periodMs: number
   /** Bytes of one record, at most. */
   readonly recordBytes: number
+  /** Whether progress is saved and read at all. */
+  readonly inUse: boolean
 }
 
 /**
@@ -42,6 +44,7 @@
 
   /** Saves parts; true if the store has them. A save that fails costs nothing but the time that it would have spared. */
   async save (parts: readonly ProgressPart[]): Promise<boolean> {
+    if (!this.settings.inUse) return false
     this.saving = true
     this.savedAt = this.services.clock.monotonic()
     const saved = await this.append(progressRecords(parts, this.settings.recordBytes))
@@ -52,6 +55,7 @@
 
   /** Everything that is still kept; empty where it cannot be read, and the items begin anew. */
   async load (): Promise<ReadonlyMap<string, SavedText>> {
+    if (!this.settings.inUse) return new Map()
     const records = await this.services.history.readAll()
     if (records.ok) return readProgress(records.value)
     this.services.stateLog.alarm('progress of running items cannot be read', { error: records.message })
--- a/src/actors/common/steps/startQueue.ts
+++ b/src/actors/common/steps/startQueue.ts
@@ -12,9 +12,9 @@
   readonly itemWork: ItemWork
 }
 
-/** Items of steps whose payloads are read, the first to start first. */
-export function inStartOrder (works: readonly StepWork[], routeOf: (step: FoldedStep) => Route | undefined, lengths: ItemLengths): QueuedItem[] {
-  return works.flatMap((work) => {
+/** Items of steps whose payloads are read, the first to start first; otherwise than by their latest start, step after step. */
+export function inStartOrder (works: readonly StepWork[], routeOf: (step: FoldedStep) => Route | undefined, lengths: ItemLengths, byLatestStart: boolean): QueuedItem[] {
+  const queued = works.flatMap((work) => {
     const route = routeOf(work.step)
     if (route === undefined || work.payloads === undefined) return []
     const dueAtMs = work.step.submittedAt + route.dueMs
@@ -23,5 +23,6 @@
       const remainingMs = lengths.remainingMs({ expectedTokens: item.expectedTokens, events: text.events.length })
       return { work, route, itemWork, rank, ranBefore: runs > 0, remainingMs, dueAtMs }
     })
-  }).sort(compareStarts)
+  })
+  return byLatestStart ? queued.sort(compareStarts) : queued
 }
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -11,12 +11,13 @@
 import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
 import { longFrom } from '../../../core/common/steps/engineChoice.ts'
 import { ItemLengths } from '../../../core/common/steps/itemLengths.ts'
-import { planOrder } from '../../../core/common/steps/stepPlan.ts'
+import { planOrder, submittedOrder } from '../../../core/common/steps/stepPlan.ts'
 import { carriedGroups } from '../../../core/common/steps/wantedGroups.ts'
 import type { ItemPayload, SampleResult } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { NamedVersion } from '../routes/operatorTopic.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
@@ -52,6 +53,7 @@
   readonly version: (model: string) => NamedVersion | undefined
   /** Model that an engine follows; it is preferred for items of that model. */
   readonly follows: (engine: string) => string | undefined
+  readonly mechanisms: Mechanisms
 }
 
 export interface StepHomeSettings {
@@ -171,7 +173,8 @@
     const { submission } = step
     if (step.ended || this.works.has(submission.id)) return
     const carried = carriedGroups(step, this.services.topic.steps())
-    const order = planOrder(submission, (group) => carried.has(group))
+    const orderOf = this.services.mechanisms.step_order ? planOrder : submittedOrder
+    const order = orderOf(submission, (group) => carried.has(group))
     const open = order.filter(({ item: { id } }) => !step.positions.has(id))
     const now = this.services.clock.monotonic()
     const waiting = open.map((planned) => newWork(planned, this.texts.begin(), now))
@@ -232,7 +235,7 @@
   /** Starts waiting items of all steps; engines that are full for one of a step are so for the others of that step. */
   private startItems (works: readonly StepWork[]): void {
     const full = new Set<StepWork>()
-    for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths)) {
+    for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths, this.services.mechanisms.start_order)) {
       const payload = work.payloads?.get(itemWork.item.id)
       if (payload === undefined || full.has(work)) continue
       const engine = this.placement.choose(work, route, itemWork)
--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -11,6 +11,7 @@
 import { assignEngines } from '../../../core/common/weights/engineAssignment.ts'
 import type { ModelDemand, PlannedLoad } from '../../../core/common/weights/loadPlan.ts'
 import { parallelLoads, planLoads } from '../../../core/common/weights/loadPlan.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { EngineState, OrderVerdict, SwapMode, TargetProtocol } from '../../../ports/common/protocols.ts'
@@ -41,6 +42,7 @@
   readonly demands: () => readonly ModelWork[]
   /** Called when an engine can take more than before. */
   readonly onReady: () => void
+  readonly mechanisms: Pick<Mechanisms, 'loads_at_once'>
 }
 
 /** Time between two looks, in milliseconds. */
@@ -55,6 +57,8 @@
 const REPORT_MS = 120
 /** Longest load that is waited for, in milliseconds: several times the usual one, as loads slow each other. */
 const LONGEST_LOAD_MS = 5000
+/** Time after which a version is loaded though items wait, where versions are not loaded at once, in milliseconds: the next step may not use the version before. */
+const LONGEST_WAIT_MS = 1500
 /** Pause after an order that an engine refused or left unanswered, in milliseconds. */
 const PAUSE_MS = 300
 
@@ -82,7 +86,7 @@
   }
 
   private look (): void {
-    const { board, duty, demands } = this.services
+    const { board, duty, demands, mechanisms } = this.services
     if (!duty.alone) return
     const wanted = demands()
     if (wanted.length === 0) return
@@ -99,7 +103,7 @@
         ordering: engine.order !== undefined,
         suspect: engine.suspect
       }
-    }), wanted, parallelLoads(engines.length))
+    }), mechanisms.loads_at_once ? wanted : wanted.filter(({ waiting, namedAgeMs }) => waiting === 0 || namedAgeMs > LONGEST_WAIT_MS), parallelLoads(engines.length))
     for (const load of loads) this.begin(load, engines, wanted)
   }
 
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -7,6 +7,7 @@
   /** What a process believes has changed. */
   changed: {
     start: 'the process begins; with its addresses',
+    'mechanism left out': 'an experiment runs without one of the decisions that can be switched off; with its name',
     listening: 'all its addresses take connections',
     'stop begins': 'a graceful stop; with what is under way',
     'stop ends': 'the process exits; with what was still under way',
--- a/src/core/common/routes/targetChoice.ts
+++ b/src/core/common/routes/targetChoice.ts
@@ -31,7 +31,7 @@
 const SUSPECT_MS = 60_000
 
 /** Time until an answer that a target is expected to need, in milliseconds. */
-export function expectedMs (load: TargetLoad, place: string): number {
+export function expectedMs (load: TargetLoad, place: string | undefined): number {
   const { definition, inFlight, report, reportAgeMs } = load
   const told = report !== undefined && reportAgeMs < REPORT_VALID_MS ? report.running + report.waiting : 0
   const ahead = Math.max(inFlight, told)
@@ -42,7 +42,7 @@
 }
 
 /** The target with the least expected time; equal ones are told apart by `chance`, 0 up to but without 1. */
-export function chooseTarget<Load extends TargetLoad> (loads: readonly Load[], place: string, chance: number): Load | undefined {
+export function chooseTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, chance: number): Load | undefined {
   let best: Load[] = []
   let bestMs = Number.POSITIVE_INFINITY
   for (const load of loads) {
--- a/src/core/common/steps/stepPlan.ts
+++ b/src/core/common/steps/stepPlan.ts
@@ -36,6 +36,11 @@
   return [...ranked(wanted, 'wanted'), ...ranked(spare, 'spare')]
 }
 
+/** Items as they were submitted, with what their groups are to the step as far as no plan says which ones are spare. */
+export function submittedOrder ({ items }: StepSubmission, isCarried: (group: string) => boolean): PlannedItem[] {
+  return items.map((item) => ({ item, rank: isCarried(item.group) ? 'carried' : 'wanted' }))
+}
+
 function groupsOf (submission: StepSubmission, isCarried: (group: string) => boolean): Group[] {
   const items = new Map<string, StepItem[]>()
   for (const item of submission.items) items.set(item.group, [...(items.get(item.group) ?? []), item])
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -52,6 +52,7 @@
 import { StepRoutes } from '../../entry/node/front/stepRoutes.ts'
 import { PeerRoutes } from '../../entry/node/routes/peerRoutes.ts'
 import { Router } from '../../entry/node/router.ts'
+import { leftOut } from '../../core/common/mechanisms.ts'
 import type { Member } from '../../core/common/membership/memberTable.ts'
 import type { KeyedLog } from '../../ports/common/keyedLog.ts'
 import type { Result } from '../../base/common/resultCode.ts'
@@ -92,7 +93,7 @@
   const clock = new NodeClock()
   const chance = new NodeChance()
   const hash = await createHash()
-  const { limits, store, listen } = settings
+  const { limits, store, listen, mechanisms } = settings
   const machine = settings.host.name
   const place = settings.host.place
   const host = asHostId(`${machine}/${randomUUID().slice(0, 8)}`)
@@ -100,6 +101,7 @@
   const output = new StandardOutput()
   const stateLog = new StructuredLog(host, settings.host.log_level, output)
   const base = { system, clock, chance, hash, metrics, stateLog }
+  for (const mechanism of leftOut(mechanisms)) stateLog.changed('mechanism left out', { mechanism })
   stateLog.changed('start', { place, callers: listen.callers, store: store.address })
 
   const answers = { maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout }
@@ -131,7 +133,7 @@
   const keyedLog = (topic: string): KeyedLog => {
     const client = notes.ofLog(topic, new KeyedLogClient(storeCaller, storeProtocol, topic))
     direct.set(topic, client)
-    return new RelayedKeyedLog({ peers: notedPeers, helpers: () => membership.storeReacherAddresses(), reach, metrics }, client, topic)
+    return new RelayedKeyedLog({ peers: notedPeers, helpers: () => mechanisms.relays ? membership.storeReacherAddresses() : [], reach, metrics }, client, topic)
   }
   const onRegained = reach.onRegained
   const tail = (name: string, pauseMs: number) => ({ name, longPollMs: store.long_poll, pauseMs })
@@ -152,7 +154,7 @@
     metrics.count('targets.restarted')
     for (const address of new Set([former.address, present.address])) client.distrust(address)
   }))
-  const callServices = { ...base, targets, client, protocol: targetProtocol, place }
+  const callServices = { ...base, targets, client, protocol: targetProtocol, place, mechanisms }
   const calls = new RouteCalls(callServices)
   const appender = new GroupAppender({ ...base, log: stepLog }, { callCharacters: store.call_bytes / 2 })
   const duty = disposables.add(new DutyKeeper({
@@ -171,7 +173,7 @@
     leaseMs: settings.duty.lease,
     restMs: settings.duty.rest,
     doubtMs: settings.duty.doubt,
-    claimDelayMs: settings.host.processor_share * settings.host.processor_speed < 1 ? SMALL_HOST_DELAY_MS : 0
+    claimDelayMs: mechanisms.small_host_delay && settings.host.processor_share * settings.host.processor_speed < 1 ? SMALL_HOST_DELAY_MS : 0
   }))
   disposables.add(noteResults({ topic, duty, clock, metrics, stateLog, routes: () => operator.routes, phasesOf: (step, item) => home.phasesOf(step, item) }))
   const board = new EngineBoard(targets, clock, () => operator.routes)
@@ -186,10 +188,11 @@
     appender,
     contents,
     scorer,
-    progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, { periodMs: settings.steps.progress, recordBytes: store.record_bytes }),
+    progress: new ProgressKeeper({ ...base, history: new HistoryClient(storeCaller, historyProtocol, store.progress_topic) }, { periodMs: settings.steps.progress, recordBytes: store.record_bytes, inUse: mechanisms.progress }),
     routes: () => operator.routes,
     version: (model) => operator.version(model),
-    follows: (engine) => orders.follows(engine)
+    follows: (engine) => orders.follows(engine),
+    mechanisms
   }, { firstEventMs: settings.steps.first_event, silenceMs: settings.steps.silence }))
   const orders: EngineOrders = disposables.add(new EngineOrders({
     ...base,
@@ -199,7 +202,8 @@
     protocol: targetProtocol,
     machine,
     demands: () => home.demands(),
-    onReady: () => { home.schedule() }
+    onReady: () => { home.schedule() },
+    mechanisms
   }))
   disposables.add(new StepCleaner({ topic, appender, contents, duty, clock, stateLog }, settings.steps.status))
   const desk = new StepDesk({ topic, appender, contents, clock, metrics, stateLog }, {
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -4,6 +4,8 @@
  */
 
 import { z } from 'zod'
+import type { Mechanism } from '../../core/common/mechanisms.ts'
+import { mechanismMeanings, mechanismNames } from '../../core/common/mechanisms.ts'
 import { count, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
 
 const hostSchema = z.strictObject({
@@ -67,6 +69,8 @@
   collector: endpoint.optional().describe('StatsD collector')
 })
 
+const switches = Object.fromEntries(mechanismNames.map((name) => [name, z.boolean().default(true).describe(mechanismMeanings[name])])) as Record<Mechanism, z.ZodDefault<z.ZodBoolean>>
+
 export const routedSettingsSchema = z.strictObject({
   host: hostSchema,
   listen: listenSchema,
@@ -76,7 +80,8 @@
   duty: dutySchema.prefault({}),
   limits: limitsSchema.prefault({}),
   steps: stepsSchema.prefault({}),
-  metrics: metricsSchema.optional()
+  metrics: metricsSchema.optional(),
+  mechanisms: z.strictObject(switches).prefault({}).describe('decisions that an experiment leaves out, to learn what they are worth; each has a log line at the start')
 })
 
 export type RoutedSettings = z.infer<typeof routedSettingsSchema>
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -1,6 +1,7 @@
 /** Requests on their way through targets that refuse, fail, lie or say nothing. */
 
 import { expect } from 'chai'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
 import type { RoutedAnswer } from '../../../src/actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
@@ -39,7 +40,7 @@
 }
 
 async function call ({ clock, client, table, gone }: Scene, details: Partial<Route> = {}, { advanceMs = 3000, waitMs = 2000, background = false } = {}): Promise<{ result: Result<RoutedAnswer>, tookMs: number }> {
-  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const began = clock.now
   let ended = Number.POSITIVE_INFINITY
   const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, configuration: 1, background, gone: gone.signal })
@@ -176,7 +177,7 @@
 describe('background calls', () => {
   it('leave a slot of each target to callers that wait', async () => {
     const { clock, client, table, gone } = scene({ a: [silent] })
-    const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+    const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
     for (let index = 0; calls.hasRoom(route()); index++) {
       calls.call({ route: route(), requestId: `b${index}`, method: 'POST', path: '/', headers: () => [], body: undefined, waitMs: 1000, configuration: 1, background: true, gone: gone.signal }).catch(() => undefined)
     }
@@ -192,7 +193,7 @@
 
   async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient }> {
     const stage = scene(targets)
-    const calls = new StreamCalls({ targets: stage.table, client: stage.client, protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+    const calls = new StreamCalls({ targets: stage.table, client: stage.client, protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
     stage.table.get('b')?.answered(90)
     let got = ''
     let ended = ''
--- a/test/actors/routes/silence.test.ts
+++ b/test/actors/routes/silence.test.ts
@@ -1,6 +1,7 @@
 /** Attempts that stay without an answer: when they are sent once more, where, and what they hold. */
 
 import { expect } from 'chai'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import fc from 'fast-check'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
 import type { RoutedAnswer } from '../../../src/actors/common/routes/routeCalls.ts'
@@ -32,7 +33,7 @@
   const table = new TargetTable({ clock, stateLog: quietLog })
   for (const id of targets) table.set(targetDefinition({ id, address: id }))
   const stage: Stage = { clock, table, ended: undefined }
-  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+  const calls = new RouteCalls({ targets: table, client, protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const beganAt = clock.now
   calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 2000, configuration: 1, background, gone: new AbortController().signal })
     .then((result) => { stage.ended = { result, tookMs: clock.now - beganAt } }, () => undefined)
--- a/test/actors/routes/workOfFormerLives.test.ts
+++ b/test/actors/routes/workOfFormerLives.test.ts
@@ -1,6 +1,7 @@
 /** Calls, streams and items' runs that are under way at a target when it starts again. */
 
 import { expect } from 'chai'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
 import type { RouteCallServices } from '../../../src/actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
@@ -37,7 +38,7 @@
     this.client = new ScriptedClient(this.clock, targets)
     for (const id of Object.keys(targets)) this.start(id, 1)
     for (const id of Object.keys(targets)) if (id !== 'a') this.table.get(id)?.answered(500)
-    this.services = { targets: this.table, client: this.client, protocol: targetProtocol, clock: this.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here' }
+    this.services = { targets: this.table, client: this.client, protocol: targetProtocol, clock: this.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
   }
 
   start (id: string, incarnation: number): void {
--- a/test/actors/steps/progressKeeper.test.ts
+++ b/test/actors/steps/progressKeeper.test.ts
@@ -38,7 +38,7 @@
 
 describe('saved progress', () => {
   const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, text: asTextId(`text of ${item}`), from, events: Array.from({ length: count }, (_, index) => `${from + index}:`.padEnd(size, 'é')), last: 100 + from + count - 1, versions: [1] })
-  const keeperOf = (history: History) => new ProgressKeeper({ history, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })
+  const keeperOf = (history: History) => new ProgressKeeper({ history, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES, inUse: true })
 
   it('fits the records of the store, however much runs at once', async () => {
     // Symptom: a host that took the steps over began items anew that had run for seconds. With 190 items
@@ -74,7 +74,7 @@
     // everything that had run since the day began.
     const history = new BoundedHistory()
     const clock = new ManualClock()
-    const keeper = new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })
+    const keeper = new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES, inUse: true })
     for (let second = 0; second < 60; second++) {
       await keeper.save([part(`i${second}`, 3, 20)])
       await clock.advance(1000)
@@ -90,7 +90,7 @@
     // what its successor had saved meanwhile.
     const history = new BoundedHistory()
     const clock = new ManualClock()
-    const [former, successor] = [0, 1].map(() => new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES })) as [ProgressKeeper, ProgressKeeper]
+    const [former, successor] = [0, 1].map(() => new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 400, recordBytes: RECORD_BYTES, inUse: true })) as [ProgressKeeper, ProgressKeeper]
     await former.save([part('old', 2, 10)])
     await clock.advance(20_000)
     await successor.save([part('i', 2, 10)])
--- a/test/actors/steps/sampleScorer.test.ts
+++ b/test/actors/steps/sampleScorer.test.ts
@@ -1,6 +1,7 @@
 /** Scoring of many samples at once by a service that callers use too. */
 
 import { expect } from 'chai'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import type { ScoreOutcome } from '../../../src/actors/common/steps/sampleScorer.ts'
@@ -21,7 +22,7 @@
   const targets = new TargetTable({ clock, stateLog: quietLog })
   for (const id of Object.keys(script)) targets.set(targetDefinition({ id, address: id }))
   const routes = new RouteTable({ version: 1, routes: [route({ attempts: 3 })], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
-  const calls = new RouteCalls({ targets, client, protocol: targetProtocol, clock, chance: seededChance(1), metrics: quietMetrics, stateLog: quietLog, place: 'here' })
+  const calls = new RouteCalls({ targets, client, protocol: targetProtocol, clock, chance: seededChance(1), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   return { clock, client, scorer: new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog: quietLog, routes: () => routes }) }
 }
 
--- a/test/actors/weights/engineOrders.test.ts
+++ b/test/actors/weights/engineOrders.test.ts
@@ -1,6 +1,7 @@
 /** Orders to engines that refuse, fall silent, follow late or restart. */
 
 import { expect } from 'chai'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import { EngineBoard } from '../../../src/actors/common/steps/engineBoard.ts'
 import type { ModelWork } from '../../../src/actors/common/weights/engineOrders.ts'
@@ -105,7 +106,7 @@
     demand = { model: 'm', named: 2, namedAgeMs: 0, minimumVersion: 1, waiting: 0, work: 1, mode: 'keep-running' }
     alone = true
     dutyChanges = new Emitter()
-    orders = new EngineOrders({ board: new EngineBoard(table, clock, () => routes), duty: { get alone () { return alone }, get holds () { return alone }, term: 5, onChange: dutyChanges.event }, client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: quietLog, machine: 'h', demands: () => [demand], onReady: () => undefined })
+    orders = new EngineOrders({ board: new EngineBoard(table, clock, () => routes), duty: { get alone () { return alone }, get holds () { return alone }, term: 5, onChange: dutyChanges.event }, client, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: quietLog, machine: 'h', demands: () => [demand], onReady: () => undefined, mechanisms: allMechanisms })
     dutyChanges.fire()
   }
   afterEach(() => { orders.dispose() })
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -1,6 +1,7 @@
 /** Hosts that call targets on loopback through forwarders whose connections a test makes silent. */
 
 import { RouteCalls } from '../../src/actors/common/routes/routeCalls.ts'
+import { allMechanisms } from '../../src/core/common/mechanisms.ts'
 import type { RoutedRequest } from '../../src/actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../src/actors/common/routes/streamCalls.ts'
 import { TargetTable } from '../../src/actors/common/routes/targetTable.ts'
@@ -81,7 +82,7 @@
     this.connections.push(connections)
     const client = new HttpTargetClient(connections, { connectTimeoutMs: 400, maximumAnswerBytes: 100_000 })
     const metrics = { ...quietMetrics, count: (name: CounterName) => { if (name === 'calls.second_target') this.secondSends++ } }
-    const services = { targets: table, client, protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here' }
+    const services = { targets: table, client, protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
     this.hosts.push({ client, table, calls: new RouteCalls(services), streams: new StreamCalls(services) })
   }
 
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -66,7 +66,7 @@
 
 /** What one host holds of texts, over a history that hosts share. */
 export function textsOfHost (history: History, clock: ManualClock): { readonly held: HeldTexts, readonly progress: ProgressKeeper } {
-  const progress = new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 0, recordBytes: 100_000 })
+  const progress = new ProgressKeeper({ history, clock, metrics: quietMetrics, stateLog: quietLog }, { periodMs: 0, recordBytes: 100_000, inUse: true })
   return { held: new HeldTexts({ progress, clock, metrics: quietMetrics, nonce: () => `n${texts++}` }), progress }
 }
 
