A listed result's text is had from the host that wrote it while the store does not give it

Cause: a host that never read a text asked the store alone, so that trainers were refused what other hosts hold. Where the writer is gone too the read is refused at once, as before. Ruled out: asking the writer first (it would spare the store and cost links between domains; nothing is tuned here), and copies at other hosts (memory at every host for what outages need).

--- a/src/actors/common/steps/resultLister.ts
+++ b/src/actors/common/steps/resultLister.ts
@@ -41,6 +41,6 @@
     const saved = result.state === 'complete' ? await contents.saveText(step, result.item, text, LIST_MS) : undefined
     if (saved?.ok === false || cancel.signal.aborted) return saved ?? success(undefined)
     phases.enter('listing', clock.monotonic())
-    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at }, nonce)], LIST_MS)
+    return await appender.append((nonce) => [resultRecord(step, { ...result, textKey: saved?.value.key, textAt: saved?.value.at, textFrom: saved?.value.from }, nonce)], LIST_MS)
   }
 }
--- a/src/actors/common/steps/stepContents.ts
+++ b/src/actors/common/steps/stepContents.ts
@@ -10,18 +10,20 @@
 import type { TopicStretch } from '../../../core/common/steps/contentPlaces.ts'
 import { stretchesOf } from '../../../core/common/steps/contentPlaces.ts'
 import { keyPrefix, readPayloads, readText, textRecord } from '../../../core/common/steps/contentRecords.ts'
-import type { ContentPlace, ItemPayload } from '../../../core/common/steps/step.ts'
+import type { ContentPlace, ItemPayload, ListedResult } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog, KeyedRecord, NewestPage } from '../../../ports/common/keyedLog.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { ContentHolders } from './contentHolders.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import { keyNonce } from '../store/groupAppender.ts'
 
 export interface StepContentsServices {
   readonly log: KeyedLog
   readonly appender: GroupAppender
+  readonly holders: ContentHolders
   readonly clock: Clock
   readonly chance: Chance
   readonly metrics: Metrics
@@ -33,6 +35,13 @@
   readonly key: string
   /** Its place, if that is known. */
   readonly at: ContentPlace | undefined
+  /** Address of the host that wrote it, if that is known. */
+  readonly from?: string | undefined
+}
+
+/** The text of a listed result; `undefined` where it has none. */
+export function referenceOf ({ textKey, textAt, textFrom }: ListedResult): ContentReference | undefined {
+  return textKey === undefined ? undefined : { key: textKey, at: textAt, from: textFrom }
 }
 
 /** How long the removal of records that nobody names is offered to the store, in milliseconds. */
@@ -76,7 +85,7 @@
   async saveText (step: string, item: string, text: string, timeoutMs: number): Promise<Result<ContentReference>> {
     const record = textRecord(step, item, text, this.nonce())
     const saved = await this.save([record], timeoutMs)
-    return saved.ok ? success({ key: record.key, at: { offset: saved.value, characters: record.value?.length ?? 0 } }) : saved
+    return saved.ok ? success({ key: record.key, at: { offset: saved.value, characters: record.value?.length ?? 0 }, from: this.services.holders.ownAddress }) : saved
   }
 
   /** Reads what a step's items need, so that it is held when somebody asks. */
@@ -93,10 +102,19 @@
   /** Texts of a step at these places, in order; those that the store does not give now are absent. */
   async texts (step: string, references: readonly ContentReference[]): Promise<(string | undefined)[]> {
     const missing = references.filter(({ key }) => this.held.get(step)?.has(key) !== true)
-    if (missing.length > 0) await this.readOnce(step, missing.map(({ key }) => key), missing.flatMap(({ at }) => at ?? []))
+    if (missing.length > 0) await this.readOnce(step, missing)
     return this.values(step, references.map(({ key }) => key)).map((value) => value === undefined ? undefined : readText(value))
   }
 
+  /** Values of these records that this host holds. */
+  heldValues (step: string, keys: readonly string[]): Record<string, string> {
+    const held = this.held.get(step)
+    return Object.fromEntries(keys.flatMap((key) => {
+      const value = held?.get(key)
+      return value === undefined ? [] : [[key, value]]
+    }))
+  }
+
   /** Forgets a step here. */
   forget (step: string): void {
     for (const value of this.held.get(step)?.values() ?? []) this.heldCharacters -= value.length
@@ -109,7 +127,7 @@
   }
 
   private async payloadValues ({ submission, payloadKeys, payloadsAt }: FoldedStep): Promise<(string | undefined)[]> {
-    if (!this.holds(submission.id, payloadKeys)) await this.readOnce(submission.id, payloadKeys, payloadsAt === undefined ? [] : [payloadsAt])
+    if (!this.holds(submission.id, payloadKeys)) await this.readOnce(submission.id, payloadKeys.map((key, index) => ({ key, at: index === 0 ? payloadsAt : undefined })))
     return this.values(submission.id, payloadKeys)
   }
 
@@ -128,17 +146,34 @@
    * waited for a reader that the store did not answer are not answered either; were each to ask anew, the last would
    * wait for all before it.
    */
-  private async readOnce (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<void> {
+  private async readOnce (step: string, references: readonly ContentReference[]): Promise<void> {
+    const keys = references.map(({ key }) => key)
     for (let underway = this.reading.get(step); underway !== undefined; underway = this.reading.get(step)) {
       if (!await underway || this.holds(step, keys)) return
     }
-    const reading = this.read(step, keys, places).finally(() => { this.reading.delete(step) })
+    const reading = this.read(step, references).finally(() => { this.reading.delete(step) })
     this.reading.set(step, reading)
     await reading
   }
 
-  /** Reads records of a step; whether the store answered. */
-  private async read (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<boolean> {
+  /** Reads records of a step; whether there is an answer, by the store or by those who wrote them. */
+  private async read (step: string, references: readonly ContentReference[]): Promise<boolean> {
+    const keys = references.map(({ key }) => key)
+    return await this.readStore(step, keys, references.flatMap(({ at }) => at ?? [])) || await this.askWriters(step, references)
+  }
+
+  /** Asks those who wrote what the store does not give; whether they gave all. */
+  private async askWriters (step: string, references: readonly ContentReference[]): Promise<boolean> {
+    const wanted = references.filter(({ key }) => this.held.get(step)?.has(key) !== true)
+    const writers = new Set(wanted.flatMap(({ from }) => from ?? []))
+    await Promise.all([...writers].map(async (writer) => {
+      const keys = wanted.filter(({ from }) => from === writer).map(({ key }) => key)
+      for (const [key, value] of await this.services.holders.ask(writer, step, keys)) if (keys.includes(key)) this.hold(step, key, value)
+    }))
+    return this.holds(step, references.map(({ key }) => key))
+  }
+
+  private async readStore (step: string, keys: readonly string[], places: readonly ContentPlace[]): Promise<boolean> {
     const { clock, metrics, stateLog } = this.services
     const now = clock.monotonic()
     if (keys.some((key) => (this.missing.get(key) ?? now) > now)) return true
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -11,6 +11,7 @@
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
 import type { StepContents } from './stepContents.ts'
+import { referenceOf } from './stepContents.ts'
 
 export interface StepDeskServices {
   readonly topic: StepTopic
@@ -121,10 +122,10 @@
   /** Listed results with their texts, up to the first text that cannot be had now. */
   private async page (step: FoldedStep, after: number): Promise<Result<ResultPage>> {
     const listed = pageOf(step.results, after)
-    const wanted = listed.flatMap(({ textKey, textAt }) => textKey === undefined ? [] : [{ key: textKey, at: textAt }])
+    const wanted = listed.flatMap((result) => referenceOf(result) ?? [])
     const texts = new Map((await this.services.contents.texts(step.submission.id, wanted)).map((text, index) => [wanted[index]?.key, text]))
     const results: SampleResult[] = []
-    for (const { textKey, textAt, ...result } of listed) {
+    for (const { textKey, textAt, textFrom, ...result } of listed) {
       const text = textKey === undefined ? '' : texts.get(textKey)
       if (text === undefined) break
       results.push({ ...result, text })
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -35,6 +35,7 @@
 import type { SampleScorer } from './sampleScorer.ts'
 import { inStartOrder } from './startQueue.ts'
 import type { StepContents } from './stepContents.ts'
+import { referenceOf } from './stepContents.ts'
 import type { ItemWork, StepWork } from './stepWork.ts'
 import { newWork, removeFrom } from './stepWork.ts'
 
@@ -211,12 +212,13 @@
     const earlier = this.services.topic.earlierResult(itemWork.item.id, submission.id, submission.minimumVersion)
     if (earlier === undefined) return
     if (this.routeOf(work.step)?.singleVersion === true && earlier.result.versions.length > 1) return
-    const { textKey, textAt, ...result } = earlier.result
-    if (textKey === undefined) return
+    const { textKey, textAt, textFrom, ...result } = earlier.result
+    const reference = referenceOf(earlier.result)
+    if (reference === undefined) return
     removeFrom(work.waiting, itemWork)
     itemWork.state = 'scoring'
     itemWork.phases.enter('scoring', this.services.clock.monotonic())
-    this.services.contents.texts(earlier.step, [{ key: textKey, at: textAt }]).then(([text]) => {
+    this.services.contents.texts(earlier.step, [reference]).then(([text]) => {
       if (itemWork.cancel.signal.aborted) return
       if (text === undefined) {
         this.again(work, itemWork, false)
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -71,6 +71,8 @@
   'steps.head_starts': 'runs begun for a step to come',
   'steps.head_starts_used': 'items that went on from such a run',
   'steps.reused': 'items served by a result of an earlier step',
+  'steps.texts_from_hosts': 'texts that the store did not give and the host that wrote them did',
+  'steps.characters_between_places': 'characters of such texts that came from another failure domain',
   'steps.lost': 'items listed as lost',
   'store.appends': 'appends to the store',
   'store.calls': 'calls to the store',
--- a/src/core/common/steps/step.ts
+++ b/src/core/common/steps/step.ts
@@ -63,6 +63,8 @@
   readonly textKey: string | undefined
   /** Where it stands in its topic. */
   readonly textAt?: ContentPlace | undefined
+  /** Address of the host that wrote it, for other hosts. */
+  readonly textFrom?: string | undefined
 }
 
 /** Where records of contents stand in their topic: whoever wants them reads just these, as long as the store has its history. */
@@ -73,6 +75,6 @@
 }
 
 /** A result as its trainer reads it. */
-export interface SampleResult extends Omit<ListedResult, 'textKey' | 'textAt'> {
+export interface SampleResult extends Omit<ListedResult, 'textKey' | 'textAt' | 'textFrom'> {
   readonly text: string
 }
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -48,7 +48,8 @@
   versions: z.array(z.number()),
   score: z.string().optional(),
   textKey: z.string().optional(),
-  textAt: placeSchema.optional()
+  textAt: placeSchema.optional(),
+  textFrom: z.string().optional()
 })
 /** Terms are whole: a claim of a term after which none can be counted would end all changes of the holder. */
 const claimSchema = z.object({ duty: z.string(), holder: z.string(), term: z.number().int().nonnegative() })
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -14,6 +14,7 @@
 import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
 import { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { TargetTopic } from '../../actors/common/routes/targetTopic.ts'
+import { ContentHolders, serveContents } from '../../actors/common/steps/contentHolders.ts'
 import { EngineBoard } from '../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../actors/common/steps/progressKeeper.ts'
 import { noteResults } from '../../actors/common/steps/resultNotes.ts'
@@ -144,7 +145,10 @@
   const topic = disposables.add(new StepTopic({ log: stepLog, ...base, onRegained }, tail(store.topic, store.read_pause)))
   const contentsLog = keyedLog(store.contents_topic)
   const contentsAppender = new GroupAppender({ ...base, log: contentsLog }, { callCharacters: store.call_bytes / 2 })
-  const contents = new StepContents({ log: contentsLog, appender: contentsAppender, ...base })
+  const placeOf = (address: string): string | undefined => membership.members().find((member) => member.address === address)?.place
+  const holders = new ContentHolders({ peers, metrics, placeOf }, { address: ownAddress, place })
+  const contents = new StepContents({ log: contentsLog, appender: contentsAppender, holders, ...base })
+  serveContents(handlers, contents)
   disposables.add(topic.onChange((change) => { if (change.type === 'forgotten') contents.forget(change.step) }))
   serveRelays(handlers, direct)
 
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -45,6 +45,8 @@
   'store.read': { parameters: { topic: string, from: number, waitMs: number }, result: Result<KeyedPage> }
   'store.read-some': { parameters: { topic: string, from: number, kilobytes: number }, result: Result<KeyedPage> }
   'store.newest': { parameters: { topic: string, after?: string }, result: Result<NewestPage> }
+  /** What a host holds of a step's payloads and texts, by key. */
+  'contents.values': { parameters: { step: string, keys: readonly string[] }, result: { values: Readonly<Record<string, string>> } }
   'query.rows': { parameters: { view: string }, result: { rows: readonly Record<string, string | number | boolean | null>[], offset: number, revision: number } }
 }
 
--- a/test/actors/steps/contentsLoad.test.ts
+++ b/test/actors/steps/contentsLoad.test.ts
@@ -4,6 +4,7 @@
 import { GroupAppender } from '../../../src/actors/common/store/groupAppender.ts'
 import { StepContents } from '../../../src/actors/common/steps/stepContents.ts'
 import type { KeyedEntry, KeyedLog } from '../../../src/ports/common/keyedLog.ts'
+import { noHolders } from '../../support/noHolders.ts'
 import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
@@ -76,7 +77,7 @@
       let drawn = 0
       const id = (): string => `${index}-${drawn++}`
       const services = { log: store.reader(), clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
-      return new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
+      return new StepContents({ ...services, holders: noHolders, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
     })
     const [writer, reader] = [contents[0], contents[1]]
     if (writer === undefined || reader === undefined) throw new Error('there are hosts')
--- a/test/actors/steps/stepContents.test.ts
+++ b/test/actors/steps/stepContents.test.ts
@@ -12,6 +12,7 @@
 import type { KeyedLog, NewestPage } from '../../../src/ports/common/keyedLog.ts'
 import type { Result } from '../../../src/base/common/resultCode.ts'
 import { failure } from '../../../src/base/common/resultCode.ts'
+import { noHolders } from '../../support/noHolders.ts'
 import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
@@ -54,7 +55,7 @@
       return `${own}-nonce-${drawn}`
     }
     const services = { log: keyed, clock, chance: { id, next: () => 0.5 }, metrics: quietMetrics, stateLog: quietLog }
-    return new StepContents({ ...services, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
+    return new StepContents({ ...services, holders: noHolders, appender: new GroupAppender(services, { callCharacters: 1_000_000 }) })
   }
 
   async function soon<T> (asked: Promise<T>): Promise<T> {
