--- a/src/commandLine/node/operatorClient.ts
+++ b/src/commandLine/node/operatorClient.ts
@@ -1,6 +1,6 @@
 /** What `query` and `order` do: send a statement to a host and print the answer. */
 
-import { request } from 'undici'
+import { Client } from 'undici'
 import type { FailureBody, Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { CommandAnswer, RowsAnswer } from '../../actors/common/operators/operatorDesk.ts'
@@ -33,9 +33,11 @@
 }
 
 async function sendTo (host: string, call: OperatorCall): Promise<Result<OperatorOutcome>> {
+  const client = new Client(host)
   try {
-    const answer = await request(`${host}/v1/command`, {
+    const answer = await client.request({
       method: 'POST',
+      path: '/v1/command',
       headers: { 'content-type': 'application/json', authorization: `Bearer ${call.key}` },
       body: JSON.stringify({ statement: call.statement, wait: call.wait, ...(call.id === undefined ? {} : { id: call.id }) }),
       signal: AbortSignal.timeout(call.timeoutMs)
@@ -46,6 +48,8 @@
       : { type: 'refused', error: (body as FailureBody).error })
   } catch (error) {
     return failure('targetUnreachable', `${host}: ${(error as Error).message}`)
+  } finally {
+    client.destroy().catch(() => undefined)
   }
 }
 
--- a/src/main.ts
+++ b/src/main.ts
@@ -1,112 +1,52 @@
 /**
- * The program: `serve` runs an entry host, `check` reads a settings file, `query` and `order` are
- * for operators, `explain` is for whoever asks what became of a request, `losses` for whoever asks why
- * steps were late.
+ * The program. A host's own start goes past the command line for people, and loads only the kind of host that its settings
+ * ask for. What goes wrong otherwise: when a whole deployment starts again, each host spends a third more of its processor
+ * on modules that it never uses, and answers its first callers that much later.
  */
 
-import { randomUUID } from 'node:crypto'
-import yargs from 'yargs'
-import { hideBin } from 'yargs/helpers'
-import type { Result } from './base/common/resultCode.ts'
 import { resultCodes } from './base/common/resultCode.ts'
-import { explainFromFiles, lossesFromFiles } from './commandLine/node/explainCommand.ts'
-import { formatAnswer, formatRefusal, sendStatement } from './commandLine/node/operatorClient.ts'
-import { startEntryHost } from './host/node/entryHost.ts'
-import { startRoutedHost } from './host/node/routedHost.ts'
+import type { HostSettings } from './settings/node/readSettings.ts'
 import { readSettings } from './settings/node/readSettings.ts'
 
 const EXIT_FAILED = 1
 const EXIT_USAGE = 2
 
+interface RunningHost {
+  /** Reads the settings again, where the host can. */
+  readonly look?: () => void
+  stop (): Promise<void>
+}
+
+async function startHost (host: HostSettings, path: string): Promise<RunningHost> {
+  switch (host.type) {
+    case 'routes': return await (await import('./host/node/routedHost.ts')).startRoutedHost(host.settings, () => readSettings(path))
+    case 'pools': return await (await import('./host/node/entryHost.ts')).startEntryHost(host.settings)
+  }
+}
+
 async function serve (path: string): Promise<void> {
   const settings = readSettings(path)
   if (!settings.ok) {
-    process.stderr.write(`${settings.message}\n`)
+    process.stderr.write(`${resultCodes[settings.code].number} ${settings.code}\n${settings.message}\n`)
     process.exitCode = EXIT_USAGE
     return
   }
   process.on('unhandledRejection', (reason) => { process.stderr.write(`${JSON.stringify({ type: 'alarm', what: 'unhandled rejection', error: String(reason) })}\n`) })
-  const host = settings.value.type === 'routes' ? await startRoutedHost(settings.value.settings, () => readSettings(path)) : await startEntryHost(settings.value.settings)
+  const host = await startHost(settings.value, path)
   const stop = (): void => { host.stop().then(() => process.exit(0), () => process.exit(EXIT_FAILED)) }
   process.on('SIGTERM', stop)
   process.on('SIGINT', stop)
-  process.on('SIGHUP', () => { if ('look' in host) host.look() })
-}
-
-function check (path: string): void {
-  const settings = readSettings(path)
-  if (settings.ok) {
-    process.stdout.write(`${path} is in order\n`)
-    return
-  }
-  process.stderr.write(`${resultCodes[settings.code].number} ${settings.code}\n${settings.message}\n`)
-  process.exitCode = EXIT_USAGE
-}
-
-function print (text: Result<string>): void {
-  if (text.ok) {
-    process.stdout.write(`${text.value}\n`)
-    return
-  }
-  process.stderr.write(`${resultCodes[text.code].number} ${text.code}: ${text.message}\n`)
-  process.exitCode = EXIT_FAILED
-}
-
-interface StatementOptions {
-  readonly host: readonly string[]
-  readonly key: string
-  readonly json: boolean
-  readonly wait: boolean
-  readonly id: string | undefined
-  readonly timeout: number
-}
-
-async function statement (words: readonly string[], options: StatementOptions): Promise<void> {
-  const text = words.join(' ')
-  const outcome = await sendStatement({ hosts: options.host, key: options.key, statement: text, wait: options.wait, id: options.id ?? randomUUID(), timeoutMs: options.timeout })
-  if (!outcome.ok) {
-    process.stderr.write(`${resultCodes[outcome.code].number} ${outcome.code}: ${outcome.message}\n`)
-    process.exitCode = EXIT_FAILED
-    return
-  }
-  const { value } = outcome
-  if (value.type === 'answer') {
-    process.stdout.write(`${options.json ? JSON.stringify(value.answer) : formatAnswer(value.answer)}\n`)
-    return
-  }
-  process.stderr.write(`${options.json ? JSON.stringify({ error: value.error }) : formatRefusal(value.error, text)}\n`)
-  process.exitCode = EXIT_FAILED
+  process.on('SIGHUP', () => { host.look?.() })
 }
 
-/** Command line of the program. */
-export async function main (argv: readonly string[]): Promise<void> {
-  const client = {
-    host: { type: 'string', array: true, demandOption: true, requiresArg: true, describe: 'address of a host, http://IP:PORT; may be given more than once' },
-    key: { type: 'string', default: process.env.BULRUSHVALVE_KEY ?? '', describe: "operator's key; from BULRUSHVALVE_KEY where absent" },
-    json: { type: 'boolean', default: false, describe: 'print the answer as JSON' },
-    wait: { type: 'boolean', default: false, describe: 'answer once the change is in force on all live hosts' },
-    id: { type: 'string', describe: 'id of the command; repeating it is harmless' },
-    timeout: { type: 'number', default: 10_000, describe: 'milliseconds to wait for each host' }
-  } as const
-  await yargs([...argv])
-    .scriptName('bulrushvalve')
-    .command('serve', 'run an entry host', (command) => command.option('settings', { type: 'string', demandOption: true }), async ({ settings }) => { await serve(settings) })
-    .command('check', 'check a settings file', (command) => command.option('settings', { type: 'string', demandOption: true }), ({ settings }) => { check(settings) })
-    .command('query <statement..>', 'ask: show targets where place = "Abdali"', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
-    .command('order <statement..>', 'change: set lane desk priority 2 if revision = 118', (command) => command.positional('statement', { type: 'string', array: true, demandOption: true }).options(client), async (options) => { await statement(options.statement, options) })
-    .command('explain <id> <files..>', 'tell from log files what became of a request, an item or a step', (command) => command.positional('id', { type: 'string', demandOption: true }).positional('files', { type: 'string', array: true, demandOption: true }), async ({ id, files }) => { print(await explainFromFiles(id, files)) })
-    .command('losses <files..>', 'rank from log files what of the steps was late, and where the time went', (command) => command.positional('files', { type: 'string', array: true, demandOption: true }), async ({ files }) => { print(await lossesFromFiles(files)) })
-    .demandCommand(1, 'one of: serve, check, query, order, explain, losses')
-    .strict()
-    .help()
-    .fail((message, error) => {
-      process.stderr.write(`${message ?? error.message}\n`)
-      process.exitCode = EXIT_USAGE
-    })
-    .parseAsync()
+/** Runs the program. `serve --settings PATH` is how a platform starts a host; all other words are for the command line. */
+async function main (argv: readonly string[]): Promise<void> {
+  const [command, option, path] = argv
+  if (argv.length === 3 && command === 'serve' && option === '--settings' && path !== undefined) return await serve(path)
+  await (await import('./commandLine/node/commandLine.ts')).runCommand(argv, serve)
 }
 
-main(hideBin(process.argv)).catch((error: unknown) => {
+main(process.argv.slice(2)).catch((error: unknown) => {
   process.stderr.write(`${String(error)}\n`)
   process.exitCode = EXIT_FAILED
 })
