--- /dev/null
+++ b/src/host/node/routed/followedTopics.ts
@@ -0,0 +1,45 @@
+/** The topics that a host follows: what operators and trainers write, the entries of targets, and the steps. */
+
+import { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
+import { TargetTable } from '../../../actors/common/routes/targetTable.ts'
+import { TargetTopic } from '../../../actors/common/routes/targetTopic.ts'
+import type { TailSettings } from '../../../actors/common/store/keyedTail.ts'
+import { OutageNotes } from '../../../actors/common/store/outageNotes.ts'
+import { StepTopic } from '../../../actors/common/store/stepTopic.ts'
+import { isCandidate } from '../../../core/common/duties/dutyOrder.ts'
+import { followPauseMs } from '../../../core/common/steps/followPause.ts'
+import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
+import { registryProtocol } from '../../../../platform/index.ts'
+import type { HostBase } from './hostBase.ts'
+import type { OtherHosts } from './otherHosts.ts'
+import type { StoreLinks } from './storeLinks.ts'
+
+export interface FollowedTopics {
+  readonly operator: OperatorTopic
+  readonly targets: TargetTable
+  readonly targetTopic: TargetTopic
+  /** The steps, and where they are written. */
+  readonly topic: StepTopic
+  readonly stepLog: KeyedLog
+  start (): void
+}
+
+export function createFollowedTopics ({ settings: { store }, services, disposables }: HostBase, { standing }: OtherHosts, { reach, keyedLog }: StoreLinks): FollowedTopics {
+  const followed = { ...services, stateLog: new OutageNotes(services.stateLog), onRegained: reach.onRegained }
+  const tail = (name: string, pauseMs: () => number): TailSettings => ({ name, longPollMs: store.long_poll, pauseMs })
+  const followPause = (usualMs: number): number => followPauseMs(standing.now.hosts, usualMs)
+
+  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...followed }, tail(registryProtocol.operatorTopic, () => 0), registryProtocol))
+  const targets = new TargetTable(services)
+  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...followed }, tail(registryProtocol.targetTopic, () => followPause(store.registry_pause)), registryProtocol, targets))
+  const stepLog = keyedLog(store.topic)
+  const topic = disposables.add(new StepTopic({ log: stepLog, ...followed }, tail(store.topic, () => isCandidate(standing.now) ? store.read_pause : followPause(store.read_pause))))
+  return {
+    operator,
+    targets,
+    targetTopic,
+    topic,
+    stepLog,
+    start: () => { for (const each of [operator, targetTopic, topic]) each.start() }
+  }
+}
