--- a/src/actors/common/store/relayedKeyedLog.ts
+++ b/src/actors/common/store/relayedKeyedLog.ts
@@ -47,7 +47,7 @@
   }
 
   async read (from: number, waitMs: number, givenUp?: AbortSignal): Promise<Result<KeyedPage>> {
-    const straight = await this.straight(async () => await this.direct.read(from, waitMs, givenUp), waitMs)
+    const straight = await this.straight(async (left) => await this.direct.read(from, waitMs, givenUp === undefined ? left : AbortSignal.any([givenUp, left])), { keptMs: waitMs, repeatable: true })
     if (straight?.ok === true) return straight
     const poll = Math.min(waitMs, RELAYED_POLL_MS)
     const relayed = await this.ask(async (address) => await this.services.peers.call(address, 'store.read', { topic: this.topic, from, waitMs: poll }, HELPER_MS + poll))
@@ -68,10 +68,17 @@
     return relayed ?? straight ?? failure('logUnavailable', 'neither the store nor a host that reaches it answers')
   }
 
-  /** Calls the store itself, unless it failed a moment ago. */
-  private async straight<T> (call: () => Promise<Result<T>>, keptMs = 0): Promise<Result<T> | undefined> {
-    if (!this.services.reach.reached) return undefined
-    const result = await this.services.reach.answered(call(), keptMs) ?? failure('commandUnknown', 'the store is silent')
+  /** Calls the store itself, unless it failed a moment ago; a call that may be repeated is sent once more where its connection alone is silent. */
+  private async straight<T> (call: (left: AbortSignal) => Promise<Result<T>>, { keptMs = 0, repeatable = false } = {}): Promise<Result<T> | undefined> {
+    const { reach } = this.services
+    if (!reach.reached) return undefined
+    const left = new AbortController()
+    const answer = await reach.answered(call(left.signal), keptMs, repeatable)
+    if (answer === 'silent-connection') {
+      left.abort()
+      return await this.straight(call, { keptMs })
+    }
+    const result: Result<T> = answer === 'silent-store' ? failure('commandUnknown', 'the store is silent') : answer
     if (!result.ok) this.services.reach.failed()
     return result
   }
--- a/src/actors/common/store/storeReach.ts
+++ b/src/actors/common/store/storeReach.ts
@@ -8,6 +8,9 @@
  * if that is not answered either, the store is silent for this host, and no call waits for it any longer. Otherwise a
  * host that holds a duty would lose it while its renewal waits, though other hosts could pass it on: after 1.2 s in a traced
  * case, where a silent store is left after 0.55 s now.
+ *
+ * If the store answers the probe while the call is still late, the connection of the call is silent by itself. What does no harm when
+ * it is sent twice is left then, to be sent again: a configuration was read 2.2 s late, after the call's own limit, and 1.2 s now.
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
@@ -27,10 +30,15 @@
 /** Weight of the newest answer in the mean time: a store that turns slow shows it within a few calls. */
 const ANSWER_WEIGHT = 0.3
 
+/** Why a call is no longer waited for. */
+export type Silence = 'silent-store' | 'silent-connection'
+
 export class StoreReach implements Disposable {
   private readonly regains = new Emitter<void>()
   readonly onRegained = this.regains.event
   private readonly silences = new Emitter<void>()
+  /** Fires when the store answered though a call to it is late. */
+  private readonly passes = new Emitter<void>()
   private timer: Disposable | undefined
   private probes = 0
   private doubted = false
@@ -49,21 +57,28 @@
   }
 
   /**
-   * Waits for a call, which the store itself may keep waiting for so long; `undefined` once the store is silent. What
-   * became of a call that is left so is not known.
+   * Waits for a call, which the store itself may keep waiting for so long; a silence once the store is silent, or, for a call that may
+   * be repeated, its connection alone. What became of a call that is left so is not known.
    */
-  async answered<T> (call: Promise<T>, keptMs = 0): Promise<T | undefined> {
+  async answered<T> (call: Promise<T>, keptMs: number, repeatable: boolean): Promise<T | Silence> {
     const began = this.clock.monotonic()
     return await new Promise((resolve, reject) => {
       const done = (): void => {
         timer.dispose()
         silence.dispose()
+        pass.dispose()
       }
-      const timer = this.clock.after(keptMs + Math.max(LATE_MS, this.answerMs * PATIENCE), () => { this.doubt() })
-      const silence = this.silences.event(() => {
+      const leave = (silent: Silence): void => {
         done()
-        resolve(undefined)
+        resolve(silent)
+      }
+      let late = false
+      const timer = this.clock.after(keptMs + Math.max(LATE_MS, this.answerMs * PATIENCE), () => {
+        late = true
+        this.doubt()
       })
+      const silence = this.silences.event(() => { leave('silent-store') })
+      const pass = this.passes.event(() => { if (late && repeatable) leave('silent-connection') })
       call.then((result) => {
         done()
         if (keptMs === 0) this.noteAnswer(began)
@@ -79,6 +94,7 @@
     this.timer?.dispose()
     this.regains.dispose()
     this.silences.dispose()
+    this.passes.dispose()
   }
 
   private noteAnswer (began: number): void {
@@ -100,6 +116,7 @@
       timer.dispose()
       this.doubted = false
       this.noteAnswer(began)
+      this.passes.fire()
     }, () => undefined)
   }
 
--- a/test/actors/store/silentStore.test.ts
+++ b/test/actors/store/silentStore.test.ts
@@ -79,6 +79,28 @@
     expect(asked).to.deep.equal(['one store.read'])
   })
 
+  it('is asked once more where the connection of a read alone is silent, and an append is not', async () => {
+    // Symptom: connections to the store went silent, new ones worked, and a host read a configuration 2.2 s late: probes over a new
+    // connection were answered, so the read that waited on a silent one was left to its own limit.
+    const reads: number[] = []
+    const read = direct.read.bind(direct)
+    direct.read = async (from, waitMs) => {
+      reads.push(clock.now)
+      return reads.length === 1 ? await new Promise(() => undefined) : await read(from, waitMs)
+    }
+    const began = clock.now
+    expect(await ended(relayed.read(0, 1000), 1205 + 1010)).to.deep.include({ ok: true })
+    expect(reads.map((at) => at - began)).to.deep.equal([0, 1205])
+    expect([asked, reach.reached]).to.deep.equal([[], true])
+    let appends = 0
+    direct.append = async () => {
+      appends++
+      return await new Promise(() => undefined)
+    }
+    expect(await ended(relayed.append([{ key: 'k', value: '1' }]), 1000)).to.equal(undefined)
+    expect(appends).to.equal(1)
+  })
+
   it('is not taken for silent while it is slow', async () => {
     direct.answerMs = 260
     for (let call = 0; call < 10; call++) expect(await ended(relayed.append([{ key: `k${call}`, value: '1' }]), 300)).to.deep.equal(success(call))
--- a/test/platform/unanswered.test.ts
+++ b/test/platform/unanswered.test.ts
@@ -9,8 +9,8 @@
 
 const engine = (id: string, place: string): TargetOptions => ({ id, service: 'engines', place, engine: { models: ['m'], eventMs: 10, loadMs: 150 } })
 const worker = (id: string, place: string): TargetOptions => ({ id, service: 'app', place })
-/** Time after which hosts whose connections were reset count as undisturbed again on the smaller deployments, in milliseconds: from then on bounds hold. */
-const UNDISTURBED_MS = 3000
+/** Time in which a configuration and a drain are in force everywhere on the smaller deployments, in milliseconds. */
+const IN_FORCE_MS = 2000
 
 describe('hosts whose connections to the store went silent for good', function () {
   this.timeout(60_000)
@@ -39,7 +39,7 @@
       for (const host of silenced) cutters[host]?.silenceOpen()
       fleet.store.put('keyed.op', 'config', configuration(7, { 'look-up': { path_prefix: '/renamed/' } }))
       fleet.target('w-0').drain()
-      await new Promise((resolve) => setTimeout(resolve, UNDISTURBED_MS))
+      await new Promise((resolve) => setTimeout(resolve, IN_FORCE_MS))
       const before = fleet.target('w-0').runs.length
       for (let request = 0; request < 9; request++) expect((await fleet.call(fleet.host(request % 3), '/renamed/x')).status, `host ${request % 3}`).to.equal(200)
       for (const host of fleet.hosts) expect((await fleet.call(host, '/look-up/x')).status).to.equal(404)
