--- a/src/adapters/node/structuredLog.ts
+++ b/src/adapters/node/structuredLog.ts
@@ -15,7 +15,7 @@
 const DECISIONS_PER_SECOND = 100
 /** Lines a second for each item under way: a second or more of run, and then the lines of its run's end and of its result. */
 const DECISIONS_PER_ITEM = 1
-/** Lines of decisions a second at most, however many items are under way: a twentieth of a core to write. */
+/** Lines of decisions a second at most, however many items are under way: writing them stays a small part of what a busy host does. */
 const MOST_DECISIONS_PER_SECOND = 500
 /** Lines a second that are kept for what became of steps: some for each step, and one for each item that is lost with it. */
 const DECISIVE_PER_SECOND = 400
--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -1,6 +1,6 @@
 /**
  * Decisions that an experiment can leave out one by one, to learn what each is worth under a deployment's own load.
- * Left out, a decision is replaced by the simplest one that keeps every promise: none of these guards a rule.
+ * Left out, a decision is replaced by the simplest one there is. Deployments run with all of them, and so do the tests of promises.
  */
 
 /** Each mechanism with what happens where it is left out. */
