--- a/test/adapters/resetAnswers.test.ts
+++ b/test/adapters/resetAnswers.test.ts
@@ -18,13 +18,16 @@
   let connections: Connections
   let client: HttpTargetClient
   let afterHead: (socket: Socket) => void
+  let atOnce: boolean
 
   beforeEach(async () => {
+    atOnce = false
     server = createServer((socket) => {
       socket.on('error', () => undefined)
       socket.once('data', () => {
         socket.write(`${HEAD}first part`)
-        setTimeout(() => { afterHead(socket) }, 30)
+        if (atOnce) afterHead(socket)
+        else setTimeout(() => { afterHead(socket) }, 30)
       })
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
@@ -54,6 +57,15 @@
       expect(await client.exchange(request(ownConnection))).to.deep.include({ ok: false, code: 'unknownOutcome' })
     })
 
+    it(`is none if its connection is reset together with what it has sent, over ${way}`, async () => {
+      // Symptom: of some 40 played days one had a caller that got the first part of such an answer as a whole one (varied day garble-unframed,
+      // seed 895258712195, three plays of it, one on the code before). Sequence: the last part and the reset are there before the host looks at
+      // the connection. The engine reads the part, sees that nothing more will come, and tells an end, not a reset.
+      atOnce = true
+      afterHead = (socket) => { socket.resetAndDestroy() }
+      expect(await client.exchange(request(ownConnection))).to.deep.include({ ok: false, code: 'unknownOutcome' })
+    })
+
     it(`is no whole stream if its connection is reset, over ${way}`, async () => {
       afterHead = (socket) => { socket.resetAndDestroy() }
       const stream = await client.open(request(ownConnection))
