Read once more: one refusal of settings for the start and the command line; an outage's line without a check that always holds

Cause: the split of the program's start wrote the refusal and its exit code a second time, and the lost topics are always among the told ones, so that one lost topic follows from one told. No behaviour changes: serve and check refuse a bad file with the same text and exit code 2 (run by hand); types, lint and 38 tests of the start, settings, outage notes and pages pass.

--- a/src/actors/common/store/outageNotes.ts
+++ b/src/actors/common/store/outageNotes.ts
@@ -32,7 +32,7 @@
     const topic = String(details.topic)
     this.lost.add(topic)
     this.told.add(topic)
-    if (this.told.size === 1 && this.lost.size === 1) this.log.alarm('store lost', details)
+    if (this.told.size === 1) this.log.alarm('store lost', details)
   }
 
   private regained (details: LogDetails): void {
--- a/src/commandLine/node/commandLine.ts
+++ b/src/commandLine/node/commandLine.ts
@@ -8,20 +8,16 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import { resultCodes } from '../../base/common/resultCode.ts'
 import { readSettings } from '../../settings/node/readSettings.ts'
+import { EXIT_USAGE, refuseSettings } from '../../settings/node/refuseSettings.ts'
 import { explainFromFiles, lossesFromFiles } from './explainCommand.ts'
 import { formatAnswer, formatRefusal, sendStatement } from './operatorClient.ts'
 
 const EXIT_FAILED = 1
-const EXIT_USAGE = 2
 
 function check (path: string): void {
   const settings = readSettings(path)
-  if (settings.ok) {
-    process.stdout.write(`${path} is in order\n`)
-    return
-  }
-  process.stderr.write(`${resultCodes[settings.code].number} ${settings.code}\n${settings.message}\n`)
-  process.exitCode = EXIT_USAGE
+  if (settings.ok) process.stdout.write(`${path} is in order\n`)
+  else refuseSettings(settings)
 }
 
 function print (text: Result<string>): void {
--- a/src/main.ts
+++ b/src/main.ts
@@ -4,12 +4,11 @@
  * on modules that it never uses, and answers its first callers that much later.
  */
 
-import { resultCodes } from './base/common/resultCode.ts'
 import type { HostSettings } from './settings/node/readSettings.ts'
 import { readSettings } from './settings/node/readSettings.ts'
+import { refuseSettings } from './settings/node/refuseSettings.ts'
 
 const EXIT_FAILED = 1
-const EXIT_USAGE = 2
 
 interface RunningHost {
   /** Reads the settings again, where the host can. */
@@ -26,11 +25,7 @@
 
 async function serve (path: string): Promise<void> {
   const settings = readSettings(path)
-  if (!settings.ok) {
-    process.stderr.write(`${resultCodes[settings.code].number} ${settings.code}\n${settings.message}\n`)
-    process.exitCode = EXIT_USAGE
-    return
-  }
+  if (!settings.ok) return refuseSettings(settings)
   process.on('unhandledRejection', (reason) => { process.stderr.write(`${JSON.stringify({ type: 'alarm', what: 'unhandled rejection', error: String(reason) })}\n`) })
   const host = await startHost(settings.value, path)
   const stop = (): void => { host.stop().then(() => process.exit(0), () => process.exit(EXIT_FAILED)) }
