Sight: a line for each target whose process ends under requests, with their fingerprints and ids

Two calls with one content could not be seen to be the same, a reset connection could not be told from the end of a process, and nobody said what else was under way at a target that ended. Now a host asks the address of a target that broke a request off whether anybody listens (one connection, 100 ms at most, one at a time for a target); refused means that the process has ended. A later life, or an entry that goes within 6 s, says so too. Nothing is decided by it yet. An item's run that came further than all before is not named: such an item does not end each engine at the same place.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -18,6 +18,8 @@
 import type { OutgoingOptions, TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetAnswer, TargetClient } from '../../../ports/common/targetClient.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
+import type { RequestContent } from '../../../ports/common/fingerprints.ts'
+import type { RunAtTarget, TargetEnds } from './targetEnds.ts'
 import type { KnownTarget, TargetTable } from './targetTable.ts'
 
 export interface RoutedRequest {
@@ -33,6 +35,8 @@
   readonly configuration: number
   /** Background calls leave a slot of each target to callers that wait. */
   readonly background: boolean
+  /** What the caller shows of itself, where callers have to. */
+  readonly caller?: string | undefined
   /** Aborted when the caller has gone. */
   readonly gone: AbortSignal
 }
@@ -47,6 +51,7 @@
 export interface RouteCallServices {
   readonly targets: TargetTable
   readonly client: TargetClient
+  readonly ends: TargetEnds
   readonly protocol: TargetProtocol
   readonly clock: Clock
   readonly chance: Chance
@@ -75,6 +80,7 @@
   readonly known: string
   /** Whether it went over a connection opened for this call: only its silence says something of the target. */
   readonly fresh: boolean
+  readonly run: RunAtTarget
   /** Whether it counts among the requests in flight at its target. */
   holdsSlot: boolean
 }
@@ -107,6 +113,7 @@
   private readonly refused = new Set<string>()
   private readonly timers = new DisposableStore()
   private readonly beganAt: number
+  private readonly content: RequestContent
   /** What each attempt came to: target, what this host knew of it, and how it ended, for the log. */
   private readonly story: string[] = []
   private failures = 0
@@ -117,6 +124,7 @@
 
   constructor (private readonly services: RouteCallServices, private readonly request: RoutedRequest, private readonly resolve: (result: Result<RoutedAnswer>) => void) {
     this.beganAt = services.clock.monotonic()
+    this.content = contentOf(request)
   }
 
   start (): void {
@@ -180,7 +188,7 @@
 
   private launch (target: KnownTarget, fresh: boolean): void {
     const { services, request } = this
-    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target), fresh, holdsSlot: true }
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target), fresh, run: services.ends.begin(target, this.content, request.requestId), holdsSlot: true }
     this.running.add(attempt)
     this.sent.set(target.definition.id, (this.sent.get(target.definition.id) ?? 0) + 1)
     target.inFlight++
@@ -225,7 +233,8 @@
     const tookMs = this.services.clock.monotonic() - attempt.beganAt
     release(attempt)
     this.running.delete(attempt)
-    if (this.settled) return
+    if (this.settled) return attempt.run.over()
+    noteEnd(attempt, result)
     const note = (end: string): void => { this.story.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
       note(result.code)
@@ -296,6 +305,7 @@
       // Its brothers are taken for silent too. Where no new connection was sooner the target is slow: giving its connections up for each late request cost 15 to 26 new ones for 6 requests, 6 to 9 so.
       if (!attempt.fresh && why !== 'other') this.services.client.distrust(attempt.target.definition.address, now - attempt.beganAt)
       attempt.abort.abort()
+      attempt.run.over()
       // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
       release(attempt)
     }
@@ -323,6 +333,17 @@
   }
 }
 
+/** Tells whether what came of an attempt may be the end of its target. */
+function noteEnd ({ run }: Attempt, result: Result<TargetAnswer>): void {
+  if (result.ok || result.code !== 'unknownOutcome') run.over()
+  else run.broke().catch(() => undefined)
+}
+
+/** What a request asks, alike in each of its repeats. */
+export function contentOf ({ route: { host }, method, path, caller, body }: RoutedRequest): RequestContent {
+  return { host, method, path, caller, body }
+}
+
 /** The failure domain whose targets go first; `undefined`: none. */
 export function preferredPlace ({ place, mechanisms }: Pick<RouteCallServices, 'place' | 'mechanisms'>): string | undefined {
   return mechanisms.nearest_targets ? place : undefined
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -13,7 +13,8 @@
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routeCalls.ts'
-import { preferredPlace } from './routeCalls.ts'
+import { contentOf, preferredPlace } from './routeCalls.ts'
+import type { RunAtTarget } from './targetEnds.ts'
 import type { KnownTarget } from './targetTable.ts'
 
 export interface StreamRequest extends RoutedRequest {
@@ -112,6 +113,7 @@
     const { address } = target.definition
     // After a silence connections to the next target are silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
     const kept = request.route.resumable && !this.wentSilent
+    const run = this.services.ends.begin(target, contentOf(request), request.requestId)
     const silence = new AbortController()
     const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
     let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
@@ -127,14 +129,14 @@
         ownConnection: !kept,
         signal: AbortSignal.any([request.gone, silence.signal])
       })
-      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target, silenceMs) : this.failedRun(target, opened.code === 'targetUnreachable')
+      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : this.failedRun(target, run, opened.code === 'targetUnreachable' ? 'not-run' : 'broke')
       const { status, headers, pieces, cancel } = opened.value
       const head = protocol.answerHead(status, headers)
       if (head.load !== undefined) target.reported(head.load)
       const verdict = judgeAnswer(head, request.requestId)
       if (verdict === 'not-run' || verdict === 'unusable' || (this.headSent && verdict !== 'answer')) {
         cancel()
-        return this.failedRun(target, verdict === 'not-run')
+        return this.failedRun(target, run, verdict === 'not-run' ? 'not-run' : 'bad-answer')
       }
       if (!this.headSent) this.sink.head(status, headers)
       this.headSent = true
@@ -145,6 +147,7 @@
         timer = clock.after(silenceMs, () => { silence.abort() })
         for (const event of reader.take(decoder.decode(piece, { stream: true }))) this.pass(event)
       }
+      run.over()
       target.answered(clock.monotonic() - this.began)
       if (reader.rest === '') return 'whole'
       // What is not a stream of events is passed on as it stands.
@@ -154,7 +157,7 @@
       }
       return 'broken'
     } catch {
-      return kept && silence.signal.aborted ? this.silentRun(target, silenceMs) : this.failedRun(target, false)
+      return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : this.failedRun(target, run, 'broke')
     } finally {
       timer.dispose()
       restart.dispose()
@@ -171,7 +174,8 @@
   }
 
   /** A kept connection said nothing for too long. */
-  private silentRun (target: KnownTarget, silentMs: number): RunEnd {
+  private silentRun (target: KnownTarget, run: RunAtTarget, silentMs: number): RunEnd {
+    run.over()
     if (this.request.gone.aborted) return 'gone'
     this.services.client.distrust(target.definition.address, silentMs)
     target.silent()
@@ -180,12 +184,13 @@
     return 'broken'
   }
 
-  private failedRun (target: KnownTarget, notRun: boolean): RunEnd {
+  private failedRun (target: KnownTarget, run: RunAtTarget, how: 'not-run' | 'bad-answer' | 'broke'): RunEnd {
+    if (how === 'broke' && !this.request.gone.aborted) run.broke().catch(() => undefined)
+    else run.over()
     if (this.request.gone.aborted) return 'gone'
-    if (!notRun) {
-      target.failed()
-      this.mayHaveRun = true
-    }
-    return notRun ? 'not-run' : 'broken'
+    if (how === 'not-run') return 'not-run'
+    target.failed()
+    this.mayHaveRun = true
+    return 'broken'
   }
 }
--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -114,6 +114,9 @@
   readonly onChange: Event<void> = this.changes.event
   private readonly restarts = new Emitter<RestartedTarget>()
   readonly onRestart: Event<RestartedTarget> = this.restarts.event
+  private readonly losses = new Emitter<KnownTarget>()
+  /** Fires when a target's entry is gone or names none any more. */
+  readonly onGone: Event<KnownTarget> = this.losses.event
 
   constructor (private readonly services: TargetTableServices) {}
 
@@ -262,6 +265,7 @@
     const [oldest] = this.former.keys()
     if (this.former.size > KEPT_FORMER && oldest !== undefined) this.former.delete(oldest)
     this.services.stateLog.changed('target gone', { target: id, why })
+    this.losses.fire(known)
     this.changes.fire()
   }
 }
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -10,6 +10,8 @@
 import type { TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetClient, TargetStream } from '../../../ports/common/targetClient.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
+import type { RequestContent } from '../../../ports/common/fingerprints.ts'
+import type { RunAtTarget, TargetEnds } from '../routes/targetEnds.ts'
 import type { Engine } from './engineBoard.ts'
 import type { ItemText } from './itemText.ts'
 
@@ -34,6 +36,7 @@
   readonly client: TargetClient
   readonly protocol: TargetProtocol
   readonly clock: Clock
+  readonly ends: TargetEnds
 }
 
 export interface ItemRunOptions {
@@ -55,13 +58,32 @@
 const IMPOSSIBLE = 422
 const OK = 200
 
+/** What belongs to one run. */
+interface RunContext {
+  readonly services: ItemRunServices
+  readonly engine: Engine
+  readonly item: StepItem
+  readonly text: ItemText
+  readonly options: ItemRunOptions
+  readonly silence: SilenceGuard
+  readonly run: RunAtTarget
+  /** Most events that earlier runs of the item came to. */
+  readonly furthest: number
+}
+
 /** Runs an item and adds what comes to its text. */
 export async function runItem (services: ItemRunServices, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions): Promise<RunEnd> {
   const silence = new SilenceGuard(services.clock, options)
   const { target } = engine
   const restarted = new AbortController()
+  const run = services.ends.begin(target, contentOfItem(options.host, options.payload), item.id)
   const restart = target.onRestart(() => { restarted.abort() })
   const signal = AbortSignal.any([options.cancelled, silence.signal, restarted.signal])
+  const brokeOff = (why: string): RunEnd => {
+    if (!signal.aborted) run.broke().catch(() => undefined)
+    if (target.isOver) return { type: 'restarted' }
+    return { type: 'broken', why }
+  }
   try {
     const { address, id } = target.definition
     const answer = await services.client.open({
@@ -73,19 +95,27 @@
       ownConnection: false,
       signal
     })
-    if (!answer.ok && target.isOver) return { type: 'restarted' }
-    if (!answer.ok) return { type: 'broken', why: silence.signal.aborted ? 'no answer in time' : answer.message }
-    return await readAnswer(services, answer.value, engine, item, text, options, silence)
+    if (!answer.ok && answer.code !== 'unknownOutcome') run.over()
+    if (!answer.ok) return brokeOff(silence.signal.aborted ? 'no answer in time' : answer.message)
+    const end = await readAnswer({ services, engine, item, text, options, silence, run, furthest: text.furthest }, answer.value)
+    run.over()
+    return end
   } catch (error) {
-    if (target.isOver) return { type: 'restarted' }
-    return { type: 'broken', why: silence.signal.aborted ? 'silent' : String(error) }
+    return brokeOff(silence.signal.aborted ? 'silent' : String(error))
   } finally {
+    if (signal.aborted) run.over()
     silence.dispose()
     restart.dispose()
   }
 }
 
-async function readAnswer (services: ItemRunServices, stream: TargetStream, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions, silence: SilenceGuard): Promise<RunEnd> {
+/** What an item asks of an engine. */
+export function contentOfItem (host: string, { path, body }: ItemPayload): RequestContent {
+  return { host, method: 'POST', path, caller: undefined, body }
+}
+
+async function readAnswer (context: RunContext, stream: TargetStream): Promise<RunEnd> {
+  const { services, engine, item, text, options } = context
   const head = services.protocol.answerHead(stream.status, stream.headers)
   const end = (ended: RunEnd): RunEnd => {
     stream.cancel()
@@ -101,10 +131,10 @@
     if (head.version < options.minimumVersion) return end({ type: 'too-old' })
   }
   text.beginRun(head.version)
-  return await readEvents(services, stream, engine, item, text, options, silence)
+  return await readEvents(context, stream)
 }
 
-async function readEvents (services: ItemRunServices, stream: TargetStream, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions, silence: SilenceGuard): Promise<RunEnd> {
+async function readEvents ({ services, engine, item, text, options, silence, run, furthest }: RunContext, stream: TargetStream): Promise<RunEnd> {
   const reader = new EventReader()
   const decoder = new TextDecoder()
   let firstAt: number | undefined
@@ -118,6 +148,8 @@
         return { type: 'broken', why: 'an event is missing, doubled or not readable' }
       }
       if (event.version !== undefined) engine.learnVersion({ model: options.model, version: event.version })
+      // What came further than ever before does not end each engine at the same place: a later end of this one is not the item's.
+      if (text.furthest > furthest) run.over()
       const now = services.clock.monotonic()
       if (lastAt === undefined) {
         engine.notePrompt(item.group)
--- a/src/actors/common/steps/itemText.ts
+++ b/src/actors/common/steps/itemText.ts
@@ -24,12 +24,18 @@
   last: number | undefined
   /** Version under which the next event is made, unless it says otherwise. */
   private version: number | undefined
+  private most = 0
 
   /** `newId` makes an id that no text had before. */
   constructor (private readonly newId: () => TextId) {
     this.id = newId()
   }
 
+  /** Most events that any run of the item has come to, also where its text began anew since. */
+  get furthest (): number {
+    return this.most
+  }
+
   beginRun (version: number | undefined): void {
     this.version = version
   }
@@ -42,6 +48,7 @@
     if (this.version !== undefined) this.versions.add(this.version)
     this.events.push(event.data)
     this.last = event.id
+    this.most = Math.max(this.most, this.events.length)
     return true
   }
 
@@ -50,6 +57,7 @@
     this.clear()
     this.events.push(...events)
     this.last = last
+    this.most = Math.max(this.most, events.length)
     for (const version of versions) this.versions.add(version)
   }
 
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -1,12 +1,16 @@
 /** Requests to targets over undici: kept connections, or one of its own for what must not run twice. */
 
+import { connect } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
-import type { TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
+import type { Listening, TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { Connections } from './connections.ts'
-import { connector, neverSent } from './connections.ts'
+import { connector, neverSent, refusedConnection } from './connections.ts'
+
+/** Longest wait for a connection that only asks whether anybody listens, in milliseconds: who waits for the answer has a request to send elsewhere. */
+const LISTENING_MS = 100
 
 export interface TargetClientSettings {
   /** Longest time for a connection to open, in milliseconds. */
@@ -51,6 +55,20 @@
     this.connections.suspectOlder(`http://${address}`, youngMs)
   }
 
+  async listens (address: string): Promise<Listening> {
+    const { hostname, port } = new URL(`http://${address}`)
+    return await new Promise((resolve) => {
+      const socket = connect({ host: hostname, port: Number(port), timeout: LISTENING_MS })
+      const end = (listening: Listening): void => {
+        socket.destroy()
+        resolve(listening)
+      }
+      socket.once('connect', () => { end('yes') })
+      socket.once('timeout', () => { end('unknown') })
+      socket.once('error', (error) => { end(refusedConnection(error) ? 'no' : 'unknown') })
+    })
+  }
+
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
     const origin = `http://${address}`
     if (!ownConnection) return this.connections.to(origin)
--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -22,6 +22,10 @@
 export type CallerName = Branded<'CallerName'>
 /** One text of an item, from its beginning at one host until it is given up or goes on at another. */
 export type TextId = Branded<'TextId'>
+/** Digest of what a request asks, alike on all hosts and for each of its repeats. */
+export type RequestFingerprint = Branded<'RequestFingerprint'>
+/** One life of a target, by its id and its incarnation where it tells that. */
+export type TargetLife = Branded<'TargetLife'>
 /** A part of a pool that one home admits for: `pool@place`. */
 export type ShardKey = Branded<'ShardKey'>
 
@@ -33,6 +37,12 @@
 export const asPlace = (value: string): Place => value as Place
 export const asCallerName = (value: string): CallerName => value as CallerName
 export const asTextId = (value: string): TextId => value as TextId
+export const asRequestFingerprint = (value: string): RequestFingerprint => value as RequestFingerprint
+
+/** Names one life of a target. */
+export function targetLife (id: string, incarnation: Incarnation | undefined): TargetLife {
+  return (incarnation === undefined ? id : `${id}@${incarnation}`) as TargetLife
+}
 
 /** The shard of a pool that lies in one place. */
 export function shardKey (pool: PoolName, place: Place): ShardKey {
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -87,6 +87,7 @@
     'step whole': 'all items of a step are listed',
     'step dropped': 'a step is no longer run here, and why; with the items still open',
     'step forgotten': 'the records of an old step are dropped from the store',
+    'target ended under requests': 'the process of a target ended while requests of this host ran there; with their ids, their fingerprints, which are the same for each repeat of a request, and their number',
     'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
     'head start begins': 'an item of an open step is run once more, for the step to come that will have it; with the engine and the oldest version that step may use',
     'head start used': 'a step goes on from what an item came to before it was asked; with the events and versions',
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -80,6 +80,7 @@
   'store.relayed': 'calls to the store through another host',
   'store.reloads': 'topics loaded anew since their history was gone',
   'targets.outdated_entries': 'entries of earlier lives of targets, passed over',
+  'targets.ended_under_requests': 'processes of targets that ended while requests of this host ran there',
   'targets.restarted': 'targets that started again under their id',
   'targets.silent': 'targets that went silent',
   'targets.unreadable_entries': 'entries of targets that cannot be read',
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -27,6 +27,7 @@
       waitMs: read.deadlineMs ?? route.timeoutMs,
       configuration,
       background: false,
+      caller: exchange.headers['authorization'],
       gone: exchange.gone
     }
     if (route.kind === 'streaming') {
--- a/src/host/node/routed/hostSteps.ts
+++ b/src/host/node/routed/hostSteps.ts
@@ -2,6 +2,7 @@
 
 import { DutyKeeper } from '../../../actors/common/duties/dutyKeeper.ts'
 import type { RouteCalls } from '../../../actors/common/routes/routeCalls.ts'
+import type { TargetEnds } from '../../../actors/common/routes/targetEnds.ts'
 import { ContentHolders, serveContents } from '../../../actors/common/steps/contentHolders.ts'
 import { EngineBoard } from '../../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../../actors/common/steps/progressKeeper.ts'
@@ -29,6 +30,7 @@
   readonly links: StoreLinks
   readonly topics: FollowedTopics
   readonly client: HttpTargetClient
+  readonly ends: TargetEnds
   readonly calls: RouteCalls
 }
 
@@ -40,7 +42,7 @@
   readonly backlog: () => number
 }
 
-export function createSteps (base: HostBase, { others, links, topics, client, calls }: HostStepsParts): HostSteps {
+export function createSteps (base: HostBase, { others, links, topics, client, ends, calls }: HostStepsParts): HostSteps {
   const { settings: { store, steps, mechanisms }, machine, services, disposables } = base
   const { clock, metrics, stateLog } = services
   const { topic, operator, stepLog } = topics
@@ -55,7 +57,7 @@
   disposables.add(noteResults({ topic, duty, clock, metrics, stateLog, routes, phasesOf: (step, item) => home.phasesOf(step, item) }))
   const board = new EngineBoard(topics.targets, clock, routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes }))
-  const running = { ...services, client, protocol: targetProtocol, duty, board, mechanisms }
+  const running = { ...services, client, ends, protocol: targetProtocol, duty, board, mechanisms }
   const home: StepHome = disposables.add(new StepHome({
     ...running,
     topic,
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -7,9 +7,11 @@
 import { targetProtocol } from '../../../platform/index.ts'
 import { RouteCalls } from '../../actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
+import { TargetEnds } from '../../actors/common/routes/targetEnds.ts'
 import type { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { Connections } from '../../adapters/node/connections.ts'
 import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
+import { sha256Fingerprints } from '../../adapters/node/sha256Fingerprints.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
 import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
@@ -56,9 +58,10 @@
   const links = createStoreLinks(base, others)
   const topics = createFollowedTopics(base, others, links)
   const client = createTargetClient(base, topics.targets)
-  const callServices = { ...services, targets: topics.targets, client, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
+  const ends = disposables.add(new TargetEnds({ ...services, targets: topics.targets, client, fingerprints: sha256Fingerprints }))
+  const callServices = { ...services, targets: topics.targets, client, ends, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
   const calls = new RouteCalls(callServices)
-  const steps: HostSteps = createSteps(base, { others, links, topics, client, calls })
+  const steps: HostSteps = createSteps(base, { others, links, topics, client, ends, calls })
 
   let leaving = false
   const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices), protocol: targetProtocol })
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -43,6 +43,9 @@
   cancel (): void
 }
 
+/** Whether a process takes connections at an address: `no` if it refused one, `unknown` if nothing answered in time. */
+export type Listening = 'yes' | 'no' | 'unknown'
+
 export interface TargetClient {
   /** Sends a request and reads its whole answer. */
   exchange (request: TargetRequest): Promise<Result<TargetAnswer>>
@@ -53,4 +56,6 @@
    * is younger than `youngMs` stay.
    */
   distrust (address: string, youngMs?: number): void
+  /** Opens a connection to an address, sends nothing and closes it. */
+  listens (address: string): Promise<Listening>
 }
--- a/test/actors/weights/engineOrders.test.ts
+++ b/test/actors/weights/engineOrders.test.ts
@@ -101,7 +101,8 @@
         return failure('unknownOutcome', 'no answer')
       },
       open: async () => failure('targetUnreachable', 'not used'),
-      distrust: (address) => { silent.delete(address) }
+      distrust: (address) => { silent.delete(address) },
+      listens: async () => 'yes'
     }
     demand = { model: 'm', named: 2, namedAgeMs: 0, minimumVersion: 1, waiting: 0, work: 1, mode: 'keep-running' }
     alone = true
--- a/test/support/scriptedClient.ts
+++ b/test/support/scriptedClient.ts
@@ -2,7 +2,7 @@
 
 import { failure, success } from '../../src/base/common/resultCode.ts'
 import type { Result } from '../../src/base/common/resultCode.ts'
-import type { TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../src/ports/common/targetClient.ts'
+import type { Listening, TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../src/ports/common/targetClient.ts'
 import type { ManualClock } from './manualClock.ts'
 
 /** What a target does with one request. */
@@ -45,6 +45,13 @@
     return success({ status, headers, pieces: this.pieces(AbortSignal.any([request.signal, end.signal]), events, breaks), cancel: () => { end.abort() } })
   }
 
+  /** Addresses whose process has ended. */
+  readonly gone = new Set<string>()
+
+  async listens (address: string): Promise<Listening> {
+    return this.gone.has(address) ? 'no' : 'yes'
+  }
+
   distrust (address: string): void {
     this.distrusted.push(address)
   }
