--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -96,8 +96,9 @@
     return fleet
   }
 
-  async addTarget (options: TargetOptions): Promise<TargetStandIn> {
-    const target = await new TargetStandIn(options, this.store).start()
+  /** Starts a target; `port` is that of a former one whose address it has. */
+  async addTarget (options: TargetOptions, port?: number): Promise<TargetStandIn> {
+    const target = await new TargetStandIn(options, this.store).start(port)
     this.targets.push(target)
     return target
   }
--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -74,6 +74,15 @@
   readonly answerMs?: number
   /** Unix milliseconds of its first start; absent for targets that do not tell. */
   readonly born?: number
+  /** Present for targets whose process ends while it runs certain requests. */
+  readonly ends?: EndOptions
+}
+
+export interface EndOptions {
+  readonly under: (run: RunRecord) => boolean
+  /** Time from the begin of the run to the end of the process, in milliseconds. */
+  readonly afterMs: number
+  readonly onEnd: (target: TargetStandIn, run: RunRecord) => void
 }
 
 export class TargetStandIn {
@@ -90,6 +99,8 @@
   /** Servers of former lives: their connections stay open and are silent. */
   private readonly formerServers: Server[] = []
   private lives = 0
+  /** Whether its process has ended. */
+  private over = false
   /** Orders of the present life. */
   private accepted = 0
   address = ''
@@ -108,9 +119,9 @@
     return this.options.born === undefined ? {} : { born: this.options.born + this.lives }
   }
 
-  async start (): Promise<this> {
+  async start (port = 0): Promise<this> {
     const server = createServer((request, response) => { this.receive(request, response).catch(() => { response.destroy() }) })
-    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    await new Promise<void>((resolve) => { server.listen(port, '127.0.0.1', resolve) })
     this.server = server
     this.address = `127.0.0.1:${(server.address() as AddressInfo).port}`
     this.register()
@@ -142,6 +153,7 @@
 
   /** Dies without a word. */
   async kill (): Promise<void> {
+    this.over = true
     for (const server of [...this.formerServers, this.server]) {
       server?.closeAllConnections()
       await new Promise<void>((resolve) => { server === undefined ? resolve() : server.close(() => { resolve() }) })
@@ -206,6 +218,13 @@
         return
       default: break
     }
+    const { ends } = this.options
+    if (ends?.under(record) === true) {
+      await delay(ends.afterMs)
+      if (record.ended !== 'open' || this.over) return
+      await this.kill()
+      return ends.onEnd(this, record)
+    }
     if (this.options.engine !== undefined) return await this.stream(record, request, response, own, fault === 'breaks')
     await delay(this.options.answerMs ?? 5)
     finish(record, response, 200, own, `${this.options.id} answers ${id}`)
