--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -19,6 +19,7 @@
 import type { TargetAnswer, TargetClient } from '../../../ports/common/targetClient.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
+import type { Admission, HeldRequests, Trial } from './heldRequests.ts'
 import type { RunAtTarget, TargetEnds } from './targetEnds.ts'
 import type { KnownTarget, TargetTable } from './targetTable.ts'
 
@@ -52,6 +53,7 @@
   readonly targets: TargetTable
   readonly client: TargetClient
   readonly ends: TargetEnds
+  readonly held: HeldRequests
   readonly protocol: TargetProtocol
   readonly clock: Clock
   readonly chance: Chance
@@ -67,6 +69,10 @@
 const REFUSED_SHARE = 0.5
 /** When to come back after a rejection, in milliseconds. */
 const RETRY_AFTER_MS = 300
+/** Share of the waiting time for which a call waits for what comes of another's trial of the same request. */
+const TRIAL_SHARE = 0.25
+/** Status of a target that ran out of its time: it says nothing of what would have come. */
+const OUT_OF_TIME = 504
 /** Times for an answer over this are not what a target needs but what it lost. */
 const SILENT_MS = 1500
 const SERVER_ERROR = 500
@@ -85,6 +91,15 @@
   holdsSlot: boolean
 }
 
+/** Leave to send a held request to one more target. */
+interface GrantedTrial {
+  readonly trial: Trial
+  /** Targets that may have run the request before. */
+  readonly sentBefore: number
+  /** Whether the target broke it off, so that it may have ended. */
+  broke: boolean
+}
+
 export class RouteCalls {
   constructor (private readonly services: RouteCallServices) {}
 
@@ -121,6 +136,9 @@
   private lastFailure: RoutedAnswer | undefined
   private freshSent = false
   private settled = false
+  /** Present once targets had ended under the request and this call may send it to one more. */
+  private trial: GrantedTrial | undefined
+  private asksForTrial = false
 
   constructor (private readonly services: RouteCallServices, private readonly request: RoutedRequest, private readonly resolve: (result: Result<RoutedAnswer>) => void) {
     this.beganAt = services.clock.monotonic()
@@ -150,11 +168,13 @@
   }
 
   private get mayTryAnother (): boolean {
+    if (this.trial !== undefined) return this.sent.size === this.trial.sentBefore
     return this.sent.size === 0 || (this.repeatable && this.sent.size < this.request.route.attempts)
   }
 
   private tryNext (): void {
     if (this.settled || !this.mayTryAnother) return
+    if (this.trial === undefined && this.services.held.standing(this.content).type === 'held') return this.askForTrial()
     const { request } = this
     const { known, target } = this.choose()
     if (target !== undefined) return this.launch(target, !this.repeatable)
@@ -165,6 +185,35 @@
     this.nextRound()
   }
 
+  private askForTrial (): void {
+    if (this.asksForTrial) return
+    this.asksForTrial = true
+    const { content, request, services } = this
+    services.held.admit(content, request.route, this.allowedMs * TRIAL_SHARE).then((admission) => {
+      this.asksForTrial = false
+      this.admitted(admission)
+    }, (error: unknown) => { this.settle(failure('unknownOutcome', String(error))) })
+  }
+
+  private admitted (admission: Admission): void {
+    if (this.settled) {
+      if (admission.type === 'trial') admission.trial.withdraw()
+      return
+    }
+    switch (admission.type) {
+      case 'open': return this.tryNext()
+      case 'trial':
+        this.trial = { trial: admission.trial, sentBefore: this.sent.size, broke: false }
+        return this.tryNext()
+      case 'held':
+        if (this.running.size > 0) return
+        this.services.metrics.count('requests.held')
+        return this.settle(this.lastOr(this.sent.size > 0
+          ? failure('unknownOutcome', 'targets ended while they ran it')
+          : failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: admission.retryAfterMs })))
+    }
+  }
+
   /** The targets of the route, and the best that has not had the request. */
   private choose (): { readonly known: readonly KnownTarget[], readonly target: KnownTarget | undefined } {
     const { services, request } = this
@@ -216,6 +265,8 @@
    */
   private late (attempt: Attempt): void {
     if (this.settled || !this.running.has(attempt)) return
+    // It may be about to end its target, and a second one would end with it.
+    if (this.services.held.standing(this.content).type !== 'free') return
     const busy = isBusy(attempt.target)
     // A background call leaves its slot to its second send: else silent ones hold all that such calls may have.
     if (this.request.background && !busy) release(attempt)
@@ -234,20 +285,23 @@
     release(attempt)
     this.running.delete(attempt)
     if (this.settled) return attempt.run.over()
-    noteEnd(attempt, result)
     const note = (end: string): void => { this.story.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
       note(result.code)
       target.failed()
-      if (result.code === 'targetUnreachable') this.notRun(target)
       this.refused.add(target.definition.id)
+      if (result.code !== 'targetUnreachable') return this.brokeOff(attempt, result.message)
+      attempt.run.over()
+      this.notRun(target)
       return this.goOn(result.message)
     }
+    attempt.run.over()
     const head = this.services.protocol.answerHead(result.value.status, result.value.headers)
     if (head.load !== undefined) target.reported(head.load)
     const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
     const verdict = judgeAnswer(head, this.request.requestId)
     note(verdict)
+    if ((verdict === 'answer' || verdict === 'target-failed') && head.status !== OUT_OF_TIME) this.clear()
     switch (verdict) {
       case 'answer':
         target.answered(tookMs)
@@ -269,6 +323,19 @@
     }
   }
 
+  /** Waits until it is known whether the target has ended: where it has, the request may not go on like others. */
+  private brokeOff (attempt: Attempt, why: string): void {
+    if (this.trial !== undefined) this.trial.broke = true
+    const goOn = (): void => { if (!this.settled) this.goOn(why) }
+    attempt.run.broke().then(goOn, goOn)
+  }
+
+  /** It was answered: whatever ended targets before, this request did not. */
+  private clear (): void {
+    this.services.held.answered(this.content)
+    this.trial = undefined
+  }
+
   /** One send ran nothing; another to the same target still may have. */
   private notRun ({ definition: { id } }: KnownTarget): void {
     const others = (this.sent.get(id) ?? 0) - 1
@@ -309,6 +376,7 @@
       // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
       release(attempt)
     }
+    if (this.trial?.broke === false) this.trial.trial.withdraw()
     this.tell(result)
     this.resolve(result)
   }
@@ -324,6 +392,7 @@
       failed: !result.ok || result.value.answer.status >= SERVER_ERROR,
       outcome: result.ok ? String(result.value.answer.status) : result.code,
       why: result.ok ? '' : result.message,
+      fingerprint: !result.ok && result.code === 'requestHeld' ? services.held.fingerprintOf(this.content) : '',
       target: result.ok ? result.value.target : '',
       attempts: this.story.join(' '),
       rounds: this.rounds,
@@ -333,12 +402,6 @@
   }
 }
 
-/** Tells whether what came of an attempt may be the end of its target. */
-function noteEnd ({ run }: Attempt, result: Result<TargetAnswer>): void {
-  if (result.ok || result.code !== 'unknownOutcome') run.over()
-  else run.broke().catch(() => undefined)
-}
-
 /** What a request asks, alike in each of its repeats. */
 export function contentOf ({ route: { host }, method, path, caller, body }: RoutedRequest): RequestContent {
   return { host, method, path, caller, body }
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -14,6 +14,8 @@
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routeCalls.ts'
 import { contentOf, preferredPlace } from './routeCalls.ts'
+import type { RequestContent } from '../../../ports/common/fingerprints.ts'
+import type { Admission } from './heldRequests.ts'
 import type { RunAtTarget } from './targetEnds.ts'
 import type { KnownTarget } from './targetTable.ts'
 
@@ -39,6 +41,8 @@
 /** Shortest bound of silence, in milliseconds: callers wait two seconds in any case. */
 const LEAST_SILENCE_MS = 1500
 const RETRY_AFTER_MS = 300
+/** Share of the waiting time for which a stream waits for what comes of another's trial of the same request. */
+const TRIAL_SHARE = 0.25
 
 export class StreamCalls {
   constructor (private readonly services: RouteCallServices) {}
@@ -57,10 +61,14 @@
   /** Whether a run was silent on a kept connection: the next ones go over new connections. */
   private wentSilent = false
   private last: number | undefined
+  private readonly content: RequestContent
+  /** What the request was last told by those that hold back what ends targets. */
+  private admission: Admission = { type: 'open' }
 
   constructor (private readonly services: RouteCallServices, private readonly request: StreamRequest, private readonly sink: StreamSink) {
     this.began = services.clock.monotonic()
     this.last = request.resumeAfter
+    this.content = contentOf(request)
   }
 
   async run (): Promise<Failure | undefined> {
@@ -68,18 +76,29 @@
     let runs = 0
     let end: RunEnd | undefined
     while (runs < route.attempts) {
-      const target = this.choose()
-      if (target === undefined || this.remainingMs <= 0) break
+      this.admission = await this.services.held.admit(this.content, route, this.remainingMs * TRIAL_SHARE)
+      const target = this.admission.type === 'held' ? undefined : this.choose()
+      if (target === undefined || this.remainingMs <= 0) {
+        if (this.admission.type === 'trial') this.admission.trial.withdraw()
+        break
+      }
       this.tried.add(target.definition.id)
       target.inFlight++
       end = await this.runAt(target)
       target.inFlight--
       if (end !== 'not-run') runs++
+      this.noteRun(end)
       if (end === 'whole' || end === 'gone' || (end === 'broken' && !route.resumable)) break
     }
     return this.close(end)
   }
 
+  /** What the run says of the request: an answer clears it, and one that ran to no end of its target is no trial. */
+  private noteRun (end: RunEnd): void {
+    if (end === 'whole') this.services.held.answered(this.content)
+    else if (end !== 'broken' && this.admission.type === 'trial') this.admission.trial.withdraw()
+  }
+
   private get remainingMs (): number {
     return Math.min(this.request.waitMs, this.request.route.timeoutMs) - (this.services.clock.monotonic() - this.began)
   }
@@ -102,6 +121,8 @@
       this.sink.cut()
       return undefined
     }
+    if (this.admission.type === 'held') this.services.metrics.count('requests.held')
+    if (this.admission.type === 'held' && !this.mayHaveRun) return failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: this.admission.retryAfterMs })
     return this.mayHaveRun
       ? failure('unknownOutcome', 'the stream broke before its first event')
       : failure('overloaded', `no target of route ${route.name} took the stream`, { retryAfterMs: RETRY_AFTER_MS })
@@ -113,7 +134,7 @@
     const { address } = target.definition
     // After a silence connections to the next target are silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
     const kept = request.route.resumable && !this.wentSilent
-    const run = this.services.ends.begin(target, contentOf(request), request.requestId)
+    const run = this.services.ends.begin(target, this.content, request.requestId)
     const silence = new AbortController()
     const silenceMs = Math.max(LEAST_SILENCE_MS, request.route.objectiveMs * SILENCE_SHARE)
     let timer = clock.after(Math.min(silenceMs, this.remainingMs), () => { silence.abort() })
@@ -129,14 +150,14 @@
         ownConnection: !kept,
         signal: AbortSignal.any([request.gone, silence.signal])
       })
-      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : this.failedRun(target, run, opened.code === 'targetUnreachable' ? 'not-run' : 'broke')
+      if (!opened.ok) return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : await this.failedRun(target, run, opened.code === 'targetUnreachable' ? 'not-run' : 'broke')
       const { status, headers, pieces, cancel } = opened.value
       const head = protocol.answerHead(status, headers)
       if (head.load !== undefined) target.reported(head.load)
       const verdict = judgeAnswer(head, request.requestId)
       if (verdict === 'not-run' || verdict === 'unusable' || (this.headSent && verdict !== 'answer')) {
         cancel()
-        return this.failedRun(target, run, verdict === 'not-run' ? 'not-run' : 'bad-answer')
+        return await this.failedRun(target, run, verdict === 'not-run' ? 'not-run' : 'bad-answer')
       }
       if (!this.headSent) this.sink.head(status, headers)
       this.headSent = true
@@ -157,7 +178,7 @@
       }
       return 'broken'
     } catch {
-      return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : this.failedRun(target, run, 'broke')
+      return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : await this.failedRun(target, run, 'broke')
     } finally {
       timer.dispose()
       restart.dispose()
@@ -184,8 +205,9 @@
     return 'broken'
   }
 
-  private failedRun (target: KnownTarget, run: RunAtTarget, how: 'not-run' | 'bad-answer' | 'broke'): RunEnd {
-    if (how === 'broke' && !this.request.gone.aborted) run.broke().catch(() => undefined)
+  private async failedRun (target: KnownTarget, run: RunAtTarget, how: 'not-run' | 'bad-answer' | 'broke'): Promise<RunEnd> {
+    // The next run waits until it is known whether the target has ended under this one.
+    if (how === 'broke' && !this.request.gone.aborted) await run.broke()
     else run.over()
     if (this.request.gone.aborted) return 'gone'
     if (how === 'not-run') return 'not-run'
--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -14,6 +14,7 @@
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import { askedKey } from './heldTexts.ts'
 import type { ItemPlacement } from './itemPlacement.ts'
+import type { ItemGate } from './itemGate.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
 import type { ItemText } from './itemText.ts'
@@ -25,6 +26,7 @@
   readonly placement: ItemPlacement
   readonly metrics: Metrics
   readonly stateLog: StateLog
+  readonly gate: Pick<ItemGate, 'isFree'>
   readonly newText: () => ItemText
   readonly lengths: ItemLengths
   readonly topic: Pick<StepTopic, 'steps'>
@@ -90,7 +92,8 @@
   begin (waiting: boolean): void {
     const full = new Set<StepWork>()
     this.planned = this.planned.filter(({ work, route, asked, item, minimumVersion }) => {
-      if (full.has(work)) return true
+      const payload = work.payloads?.get(item.id)
+      if (full.has(work) || payload === undefined || !this.services.gate.isFree(work.step.submission.host, payload)) return true
       const { id, model } = work.step.submission
       const { candidate, slots } = this.services.placement.chooseAhead(work, route, item.group, minimumVersion)
       if (candidate === undefined || this.runningOf(model) >= mostHeadStarts(slots, waiting)) {
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -79,8 +79,9 @@
   const run = services.ends.begin(target, contentOfItem(options.host, options.payload), item.id)
   const restart = target.onRestart(() => { restarted.abort() })
   const signal = AbortSignal.any([options.cancelled, silence.signal, restarted.signal])
-  const brokeOff = (why: string): RunEnd => {
-    if (!signal.aborted) run.broke().catch(() => undefined)
+  const brokeOff = async (why: string): Promise<RunEnd> => {
+    // The next run waits until it is known whether the engine has ended under this one.
+    if (!signal.aborted) await run.broke()
     if (target.isOver) return { type: 'restarted' }
     return { type: 'broken', why }
   }
@@ -96,12 +97,12 @@
       signal
     })
     if (!answer.ok && answer.code !== 'unknownOutcome') run.over()
-    if (!answer.ok) return brokeOff(silence.signal.aborted ? 'no answer in time' : answer.message)
+    if (!answer.ok) return await brokeOff(silence.signal.aborted ? 'no answer in time' : answer.message)
     const end = await readAnswer({ services, engine, item, text, options, silence, run, furthest: text.furthest }, answer.value)
     run.over()
     return end
   } catch (error) {
-    return brokeOff(silence.signal.aborted ? 'silent' : String(error))
+    return await brokeOff(silence.signal.aborted ? 'silent' : String(error))
   } finally {
     if (signal.aborted) run.over()
     silence.dispose()
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -37,6 +37,8 @@
 const LOOK_MS = 20
 /** Pause before a call that got no answer is repeated, in milliseconds. */
 const PAUSE_MS = 100
+/** Longest pause before a call that is held back asks again, in milliseconds. */
+const HELD_PAUSE_MS = 1000
 const FIRST_SUCCESS = 200
 const AFTER_SUCCESS = 300
 
@@ -102,7 +104,8 @@
       waiting.failures += Math.max(1, answer.value.failures)
       if (waiting.failures >= route.attempts) return waiting.settle({ type: 'gave-up' })
     }
-    clock.after(PAUSE_MS, () => {
+    const heldMs = answer.ok || answer.code !== 'requestHeld' ? 0 : Math.min(answer.retryAfterMs ?? 0, HELD_PAUSE_MS)
+    clock.after(Math.max(PAUSE_MS, heldMs), () => {
       this.queue.push(waiting)
       this.startCalls()
     })
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -18,6 +18,7 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
+import type { HeldRequests } from '../routes/heldRequests.ts'
 import type { NamedVersion } from '../routes/operatorTopic.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
@@ -27,6 +28,7 @@
 import { ItemPlacement } from './itemPlacement.ts'
 import type { SavedTexts } from './heldTexts.ts'
 import { HeldTexts } from './heldTexts.ts'
+import { ItemGate } from './itemGate.ts'
 import type { ItemRunServices, RunEnd } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
 import { ModelDemands } from './modelDemand.ts'
@@ -55,6 +57,7 @@
   /** Model that an engine follows; it is preferred for items of that model. */
   readonly follows: (engine: string) => string | undefined
   readonly mechanisms: Mechanisms
+  readonly held: HeldRequests
 }
 
 export interface StepHomeSettings {
@@ -73,6 +76,7 @@
   private readonly modelDemands: ModelDemands
   private readonly texts: HeldTexts
   private readonly placement: ItemPlacement
+  private readonly gate: ItemGate
   private readonly headStarts: HeadStarts
   private readonly lengths = new ItemLengths()
   private readonly lister: ResultLister
@@ -83,10 +87,11 @@
 
   constructor (private readonly services: StepHomeServices, private readonly settings: StepHomeSettings) {
     this.placement = new ItemPlacement(services)
+    this.gate = new ItemGate({ ...services, onAdmitted: () => { this.schedule() } })
     this.lister = new ResultLister(services)
     this.modelDemands = new ModelDemands({ ...services, routeOf: (step) => this.routeOf(step) })
     this.texts = new HeldTexts({ ...services, nonce: () => services.contents.nonce() })
-    this.headStarts = new HeadStarts({ ...services, placement: this.placement, newText: () => this.texts.begin(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, gate: this.gate, newText: () => this.texts.begin(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.take(change) }))
     this.disposables.add(services.duty.onChange(() => { this.dutyChanged() }))
     this.disposables.add(services.duty.onClaim(() => { this.prepare() }))
@@ -239,7 +244,7 @@
     const full = new Set<StepWork>()
     for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths, this.services.mechanisms.start_order)) {
       const payload = work.payloads?.get(itemWork.item.id)
-      if (payload === undefined || full.has(work)) continue
+      if (payload === undefined || full.has(work) || !this.gate.mayStart(work.step.submission.host, route, itemWork, payload)) continue
       const engine = this.placement.choose(work, route, itemWork)
       if (engine === undefined) {
         full.add(work)
@@ -276,6 +281,7 @@
       engine.running--
       itemWork.engine = undefined
       if (stopRun.signal.aborted && end.type === 'broken') end = { type: 'moved' }
+      this.gate.runEnded(submission.host, itemWork, payload, end)
       if (!itemWork.cancel.signal.aborted) this.runEnded(work, route, itemWork, candidate, end, this.services.clock.monotonic() - began)
       this.schedule()
     }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: itemWork.item.id, error: String(error) }) })
--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -7,7 +7,7 @@
 import { movedResults } from '../../../core/common/steps/movedResults.ts'
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
 import type { DutySource } from '../duties/dutyKeeper.ts'
-import type { TailServices, TailSettings } from './keyedTail.ts'
+import type { TailListener, TailServices, TailSettings } from './keyedTail.ts'
 import { KeyedTail } from './keyedTail.ts'
 
 /** Lines about moved results that one load writes, at most: the first ones show where the order parts. */
@@ -20,13 +20,20 @@
   private readonly dutyChanges = new Emitter<FoldedDuty>()
   /** Those who wait for the next record. */
   private waiting = 0
+  private readonly sharers: TailListener[] = []
   readonly onChange = this.changes.event
   readonly onDuty = this.dutyChanges.event
 
   constructor (private readonly services: TailServices, settings: TailSettings) {
     this.tail = new KeyedTail(services, settings, {
-      reset: (entries) => { this.reset(entries) },
-      apply: (entries) => { this.tell(this.fold.apply(entries)) }
+      reset: (entries) => {
+        for (const sharer of this.sharers) sharer.reset(entries)
+        this.reset(entries)
+      },
+      apply: (entries) => {
+        for (const sharer of this.sharers) sharer.apply(entries)
+        this.tell(this.fold.apply(entries))
+      }
     })
     this.tail.hurryWhile(() => this.waiting > 0)
   }
@@ -47,6 +54,11 @@
     return this.tail.position
   }
 
+  /** Gives another reader the records too: those that are not of steps are its own. To be called before `start`. */
+  share (sharer: TailListener): void {
+    this.sharers.push(sharer)
+  }
+
   start (): void {
     this.tail.start()
   }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -70,7 +70,9 @@
     'scoring failed': 'a fault of this program',
     'settings cannot be reloaded': 'the file has mistakes; the former settings hold',
     'steps not taken over': 'a fault of this program',
-    'step not forgotten': 'a fault of this program'
+    'step not forgotten': 'a fault of this program',
+    'ends of targets not forgotten': 'a fault of this program',
+    'ends of targets not told': 'the store did not take for a minute under which requests targets ended; other hosts do not know of them'
   },
   /** A decision that touches a request, a step or an order. */
   decided: {
@@ -88,6 +90,10 @@
     'step dropped': 'a step is no longer run here, and why; with the items still open',
     'step forgotten': 'the records of an old step are dropped from the store',
     'target ended under requests': 'the process of a target ended while requests of this host ran there; with their ids, their fingerprints, which are the same for each repeat of a request, and their number',
+    'ends of targets forgotten': 'records of ends, answers and trials are dropped from the store, as their time is over; with their number',
+    'request held back': 'one more target ended under a request under which another had ended before; with its fingerprint, the ends and the trials so far',
+    'trial of a held request': 'this host may send a held request to one target; with its fingerprint and the number of the trial',
+    'request cleared': 'a target answered a request under which others had ended; with its fingerprint and the ends that count no more',
     'run ended': "an item's run at an engine: how it ended and why, events held, versions, number of the run",
     'head start begins': 'an item of an open step is run once more, for the step to come that will have it; with the engine and the oldest version that step may use',
     'head start used': 'a step goes on from what an item came to before it was asked; with the events and versions',
--- a/src/base/common/resultCode.ts
+++ b/src/base/common/resultCode.ts
@@ -29,6 +29,7 @@
   callerLimit: { number: 1009, status: 429, effect: 'not-run', meaning: 'The caller already has as many requests in flight as its limit allows.' },
   tooManyConnections: { number: 1010, status: 503, effect: 'not-run', meaning: 'This host holds as many open requests as its settings allow.' },
   repeatLater: { number: 1011, status: 409, effect: 'not-run', meaning: 'An earlier attempt with this id is being settled; this attempt ran nothing.' },
+  requestHeld: { number: 1012, status: 503, effect: 'not-run', meaning: 'Targets ended while they ran this request; it is held back from the others.' },
 
   unknownOutcome: { number: 2001, status: 502, effect: 'unknown-outcome', meaning: 'The request left for a target and no whole answer came back.' },
   requestExpired: { number: 2002, status: 410, effect: 'unknown-outcome', meaning: 'The id is older than the claim window; whether it ran is no longer recorded.' },
--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -17,6 +17,7 @@
   head_starts: 'items that a step will leave over begin under newer weights; without, they begin with the step that asks for them again',
   progress: 'texts of running items are saved now and then; without, a new holder begins them anew',
   loads_at_once: 'engines load a version as soon as it is named; without, while no item waits for a slot',
+  held_requests: 'a request under which two targets ended is tried at one target at a time, twice, and hardly ever after that; without, it is sent like any other',
   relays: 'a host that does not reach the store calls it through another host; without, it waits for the store',
   small_host_delay: 'hosts with less than a core wait before they claim the duty; without, all claim alike'
 } as const satisfies Readonly<Record<string, string>>
--- a/src/host/node/hostGauges.ts
+++ b/src/host/node/hostGauges.ts
@@ -13,6 +13,8 @@
   readonly items: ItemCounts
   /** Records that the store has not confirmed. */
   readonly backlog: number
+  /** Contents of requests under which targets ended. */
+  readonly ended: { readonly held: number, readonly watched: number }
   readonly targets: { readonly known: number, readonly suspect: number }
 }
 
@@ -23,7 +25,7 @@
   return counts
 }
 
-export function setGauges (metrics: Metrics, { duty, requests, items, backlog, targets }: HostState): void {
+export function setGauges (metrics: Metrics, { duty, requests, items, backlog, ended, targets }: HostState): void {
   metrics.gauge('duty.term', duty.term)
   metrics.gauge('duty.alone', duty.alone ? 1 : 0)
   metrics.gauge('front.requests', requests)
@@ -33,6 +35,8 @@
   metrics.gauge('items.scoring', items.scoring)
   metrics.gauge('items.listing', items.listing)
   metrics.gauge('store.backlog', backlog)
+  metrics.gauge('requests.contents_held', ended.held)
+  metrics.gauge('requests.contents_watched', ended.watched)
   metrics.gauge('targets.known', targets.known)
   metrics.gauge('targets.suspect', targets.suspect)
 }
--- a/src/host/node/routed/hostSteps.ts
+++ b/src/host/node/routed/hostSteps.ts
@@ -2,7 +2,7 @@
 
 import { DutyKeeper } from '../../../actors/common/duties/dutyKeeper.ts'
 import type { RouteCalls } from '../../../actors/common/routes/routeCalls.ts'
-import type { TargetEnds } from '../../../actors/common/routes/targetEnds.ts'
+import { EndsCleaner } from '../../../actors/common/routes/endsCleaner.ts'
 import { ContentHolders, serveContents } from '../../../actors/common/steps/contentHolders.ts'
 import { EngineBoard } from '../../../actors/common/steps/engineBoard.ts'
 import { ProgressKeeper } from '../../../actors/common/steps/progressKeeper.ts'
@@ -19,6 +19,7 @@
 import { machineOf } from '../../../core/common/duties/dutyOrder.ts'
 import type { Member } from '../../../core/common/membership/memberTable.ts'
 import { targetProtocol } from '../../../../platform/index.ts'
+import type { CallGuards } from './callGuards.ts'
 import type { FollowedTopics } from './followedTopics.ts'
 import type { HostBase } from './hostBase.ts'
 import type { OtherHosts } from './otherHosts.ts'
@@ -30,7 +31,7 @@
   readonly links: StoreLinks
   readonly topics: FollowedTopics
   readonly client: HttpTargetClient
-  readonly ends: TargetEnds
+  readonly guards: CallGuards
   readonly calls: RouteCalls
 }
 
@@ -42,7 +43,7 @@
   readonly backlog: () => number
 }
 
-export function createSteps (base: HostBase, { others, links, topics, client, ends, calls }: HostStepsParts): HostSteps {
+export function createSteps (base: HostBase, { others, links, topics, client, guards, calls }: HostStepsParts): HostSteps {
   const { settings: { store, steps, mechanisms }, machine, services, disposables } = base
   const { clock, metrics, stateLog } = services
   const { topic, operator, stepLog } = topics
@@ -57,7 +58,7 @@
   disposables.add(noteResults({ topic, duty, clock, metrics, stateLog, routes, phasesOf: (step, item) => home.phasesOf(step, item) }))
   const board = new EngineBoard(topics.targets, clock, routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes }))
-  const running = { ...services, client, ends, protocol: targetProtocol, duty, board, mechanisms }
+  const running = { ...services, client, ...guards, protocol: targetProtocol, duty, board, mechanisms }
   const home: StepHome = disposables.add(new StepHome({
     ...running,
     topic,
@@ -75,6 +76,7 @@
     demands: () => home.demands(),
     onReady: () => { home.schedule() }
   }))
+  disposables.add(new EndsCleaner({ held: guards.held, appender, duty, clock, stateLog }))
   disposables.add(new StepCleaner({ topic, appender, contents, duty, clock, stateLog }, steps.status))
   const desk = new StepDesk({ topic, appender, contents, clock, metrics, stateLog }, { acceptMs: steps.accept, endMs: steps.end, longestWaitMs: store.long_poll, submissionCharacters: callCharacters })
   return { duty, home, desk, backlog: () => appender.backlog + contentsAppender.backlog }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -7,11 +7,9 @@
 import { targetProtocol } from '../../../platform/index.ts'
 import { RouteCalls } from '../../actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
-import { TargetEnds } from '../../actors/common/routes/targetEnds.ts'
 import type { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { Connections } from '../../adapters/node/connections.ts'
 import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
-import { sha256Fingerprints } from '../../adapters/node/sha256Fingerprints.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
 import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
@@ -19,6 +17,7 @@
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
 import { countItems, setGauges } from './hostGauges.ts'
+import { createCallGuards } from './routed/callGuards.ts'
 import { createFollowedTopics } from './routed/followedTopics.ts'
 import type { HostBase } from './routed/hostBase.ts'
 import { createBase } from './routed/hostBase.ts'
@@ -58,10 +57,10 @@
   const links = createStoreLinks(base, others)
   const topics = createFollowedTopics(base, others, links)
   const client = createTargetClient(base, topics.targets)
-  const ends = disposables.add(new TargetEnds({ ...services, targets: topics.targets, client, fingerprints: sha256Fingerprints }))
-  const callServices = { ...services, targets: topics.targets, client, ends, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
+  const guards = createCallGuards(base, topics, client)
+  const callServices = { ...services, targets: topics.targets, client, ...guards, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
   const calls = new RouteCalls(callServices)
-  const steps: HostSteps = createSteps(base, { others, links, topics, client, ends, calls })
+  const steps: HostSteps = createSteps(base, { others, links, topics, client, guards, calls })
 
   let leaving = false
   const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices), protocol: targetProtocol })
@@ -71,7 +70,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), targets: topics.targets.counts })
+      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), ended: guards.held.counts, targets: topics.targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
--- /dev/null
+++ b/test/actors/routes/heldRequests.test.ts
@@ -0,0 +1,345 @@
+/** Requests under which targets end, as several hosts over one topic treat them. */
+
+import { expect } from 'chai'
+import fc from 'fast-check'
+import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
+import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
+import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
+import type { Result } from '../../../src/base/common/resultCode.ts'
+import { failure, success } from '../../../src/base/common/resultCode.ts'
+import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
+import type { Route } from '../../../src/core/common/routes/routeConfiguration.ts'
+import type { RequestContent } from '../../../src/ports/common/fingerprints.ts'
+import type { Listening, TargetAnswer, TargetClient, TargetRequest, TargetStream } from '../../../src/ports/common/targetClient.ts'
+import { targetProtocol } from '../../../platform/index.ts'
+import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { ManualClock, seededChance } from '../../support/manualClock.ts'
+import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
+import { route, targetDefinition } from '../../support/routes.ts'
+import type { Guards } from '../../support/targetEnds.ts'
+import { guards } from '../../support/targetEnds.ts'
+
+/** Body of the request that ends its targets. */
+const FATAL = 'fatal'
+const content: RequestContent = { host: 'h', method: 'POST', path: '/a/', caller: undefined, body: FATAL }
+const RUN_MS = 50
+const BACK_MS = 3000
+/** How long hosts may take to know of an end, in milliseconds. */
+const KNOWN_MS = 3000
+/** Sends after that time, at most: the users' bound. */
+const MOST_LATER = 3
+/** How long a request that targets answer may be held, in milliseconds. */
+const LONGEST_HELD_MS = 300_000
+/** How often a host reads the topic, in milliseconds: in a large deployment and in a small one. */
+const READ_SELDOM_MS = 800
+const READ_OFTEN_MS = 200
+
+interface Life {
+  readonly id: string
+  alive: boolean
+  running: number
+  /** Ends what runs there. */
+  readonly end: AbortController
+}
+
+interface Sent {
+  readonly body: string
+  readonly at: number
+}
+
+/** Targets whose processes end under one request, and are back later under a new id. */
+class Targets implements TargetClient {
+  readonly lives = new Map<string, Life>()
+  readonly sent: Sent[] = []
+  readonly ended: number[] = []
+  private started = 0
+  private readonly tables: TargetTable[] = []
+
+  constructor (private readonly clock: ManualClock, count: number) {
+    for (let target = 0; target < count; target++) this.start(`a${target}`)
+  }
+
+  /** Addresses at which something runs. */
+  get busy (): string[] {
+    return [...this.lives].filter(([, { running }]) => running > 0).map(([address]) => address)
+  }
+
+  follow (table: TargetTable): void {
+    this.tables.push(table)
+    for (const [address, { id }] of this.lives) table.set(targetDefinition({ id, address }))
+  }
+
+  /** Its process ends, for whatever reason. */
+  end (address: string): void {
+    const life = this.lives.get(address)
+    if (life?.alive !== true) return
+    life.alive = false
+    life.end.abort()
+    this.clock.after(BACK_MS, () => {
+      for (const table of this.tables) table.remove(life.id, Number.NEGATIVE_INFINITY)
+      this.start(address)
+    })
+  }
+
+  async exchange (request: TargetRequest): Promise<Result<TargetAnswer>> {
+    const body = new TextDecoder().decode(request.body)
+    const life = this.lives.get(request.address)
+    if (life?.alive !== true) return failure('targetUnreachable', 'refused')
+    if (!request.headers.includes(life.id)) return success({ status: 421, headers: { 'bulrushvalve-request-id': 'r' }, body: new Uint8Array() })
+    this.sent.push({ body, at: this.clock.now })
+    life.running++
+    const over = AbortSignal.any([life.end.signal, request.signal])
+    await new Promise<void>((resolve) => {
+      over.addEventListener('abort', () => { resolve() }, { once: true })
+      this.clock.after(RUN_MS, resolve)
+    })
+    life.running--
+    if (request.signal.aborted) return failure('unknownOutcome', 'aborted')
+    if (body === FATAL && life.alive) {
+      this.ended.push(this.clock.now)
+      this.end(request.address)
+    }
+    if (!life.alive) return failure('unknownOutcome', 'other side closed')
+    return success({ status: 200, headers: { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }, body: new Uint8Array() })
+  }
+
+  async open (request: TargetRequest): Promise<Result<TargetStream>> {
+    const answer = await this.exchange(request)
+    if (!answer.ok) return answer
+    const pieces = (async function * () { yield new TextEncoder().encode('id: 0\ndata: d\n\n') })()
+    return success({ status: answer.value.status, headers: answer.value.headers, pieces, cancel: () => undefined })
+  }
+
+  async listens (address: string): Promise<Listening> {
+    return this.lives.get(address)?.alive === true ? 'yes' : 'no'
+  }
+
+  distrust (): void {}
+
+  private start (address: string): void {
+    const life: Life = { id: `t${this.started++}`, alive: true, running: 0, end: new AbortController() }
+    this.lives.set(address, life)
+    for (const table of this.tables) table.set(targetDefinition({ id: life.id, address }))
+  }
+}
+
+class Host {
+  readonly table: TargetTable
+  readonly guards: Guards
+  private readonly calls: RouteCalls
+  private readonly streams: StreamCalls
+  lost = false
+
+  constructor (private readonly fleet: Fleet, seed: number, private readonly route: Route) {
+    const { clock, targets, log } = fleet
+    this.table = new TargetTable({ clock, stateLog: quietLog })
+    targets.follow(this.table)
+    this.guards = guards(this.table, targets, clock, { log, seed })
+    this.guards.followed.reload()
+    const services = { targets: this.table, client: targets, ...this.guards, protocol: targetProtocol, clock, chance: seededChance(seed), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
+    this.calls = new RouteCalls(services)
+    this.streams = new StreamCalls(services)
+    const reading = clock.every(fleet.readMs, () => { if (this.lost) reading.dispose(); else this.guards.followed.catchUp().catch(() => undefined) })
+  }
+
+  async call (body: string): Promise<string> {
+    const request = { route: this.route, requestId: 'r', method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([], options), body: new TextEncoder().encode(body), waitMs: 2000, configuration: 1, background: false, gone: this.fleet.gone.signal }
+    if (this.route.kind !== 'streaming') {
+      const answer = await this.calls.call(request)
+      return answer.ok ? 'answered' : answer.code
+    }
+    let whole = false
+    const failed = await this.streams.call({ ...request, resumeAfter: undefined }, { head: () => undefined, write: () => undefined, end: () => { whole = true }, cut: () => undefined })
+    return failed?.code ?? (whole ? 'answered' : 'cut')
+  }
+}
+
+class Fleet {
+  readonly clock = new ManualClock()
+  readonly log = new MemoryKeyedLog()
+  readonly targets: Targets
+  gone = new AbortController()
+  /** When hosts were lost, and when the store came back. */
+  readonly disturbedAt: number[] = []
+  hosts: Host[] = []
+  private seeds = 1
+
+  constructor (hosts: number, targets: number, private readonly details: Partial<Route> = {}, readonly readMs = READ_SELDOM_MS) {
+    this.targets = new Targets(this.clock, targets)
+    for (let host = 0; host < hosts; host++) this.start()
+  }
+
+  /** All callers leave. */
+  leave (): void {
+    this.gone.abort()
+    this.gone = new AbortController()
+  }
+
+  async live (next: Happening): Promise<void> {
+    switch (next.type) {
+      case 'ask':
+        this.hosts[next.host]?.call(next.body).catch(() => undefined)
+        return await this.clock.advance(5)
+      case 'machine fails': return this.targets.end(`a${next.target}`)
+      case 'all hosts are lost':
+        // What the store was not told in time goes with them; nobody can know it then.
+        await this.clock.advance(this.log.down ? 0 : 100)
+        if (this.log.down) return
+        this.loseAll()
+        this.disturbedAt.push(this.clock.now)
+        return
+      case 'store is away':
+        this.log.down = true
+        await this.clock.advance(next.forMs)
+        this.log.down = false
+        this.disturbedAt.push(this.clock.now)
+        return await this.clock.advance(500)
+      case 'time passes': return await this.clock.advance(next.ms)
+    }
+  }
+
+  /** All hosts are lost at once, and as many start. */
+  loseAll (): void {
+    const { length } = this.hosts
+    for (const host of this.hosts.splice(0)) host.lost = true
+    for (let host = 0; host < length; host++) this.start()
+  }
+
+  async ask (host: number, body: string, advanceMs = 0): Promise<string> {
+    const answer = this.hosts[host % this.hosts.length]?.call(body)
+    const state = { ended: 'none' }
+    answer?.then((value) => { state.ended = value }).catch(() => undefined)
+    for (let waited = 0; state.ended === 'none' && waited < 3000; waited += 10) await this.clock.advance(10)
+    await this.clock.advance(advanceMs)
+    return state.ended
+  }
+
+  /** Sends of the request that ends targets, later than all hosts know of the third end, by hosts that nothing had disturbed as long. */
+  get laterSends (): number {
+    const third = this.targets.ended[2] ?? Number.POSITIVE_INFINITY
+    const isCalm = (at: number): boolean => this.disturbedAt.every((disturbedAt) => at < disturbedAt || at > disturbedAt + KNOWN_MS)
+    return this.targets.sent.filter(({ body, at }) => body === FATAL && at > third + KNOWN_MS && isCalm(at)).length
+  }
+
+  private start (): void {
+    const seed = this.seeds++
+    this.hosts.push(new Host(this, seed, route({ attempts: 3, objectiveMs: 150, ...this.details })))
+  }
+}
+
+describe('a request under which targets end', () => {
+  for (const [name, details] of [['a call', {}], ['a call that may run once', { kind: 'once-only', attempts: 1 }], ['a stream', { kind: 'streaming', resumable: true }]] as const) {
+    it(`reaches targets three times at most once all hosts know of three ends, as ${name} that comes to them in turn`, async () => {
+      const fleet = new Fleet(4, 6, details)
+      const answers: string[] = []
+      for (let repeat = 0; repeat < 30; repeat++) answers.push(await fleet.ask(repeat, FATAL, 700))
+      expect(fleet.laterSends).to.be.at.most(MOST_LATER)
+      expect(fleet.targets.ended.length).to.be.at.least(3)
+      expect(answers.at(-1)).to.equal('requestHeld')
+      expect(answers).to.not.include('answered')
+    })
+  }
+
+  it('leaves a service of three targets one of them at every moment', async () => {
+    const fleet = new Fleet(3, 3, {}, READ_OFTEN_MS)
+    for (let repeat = 0; repeat < 20; repeat++) {
+      await fleet.ask(repeat, FATAL, 200)
+      expect(await fleet.ask(repeat + 1, `other ${repeat}`, 300)).to.equal('answered')
+    }
+  })
+
+  it('is known to hosts that start, after the loss of all', async () => {
+    const fleet = new Fleet(3, 6)
+    for (let repeat = 0; repeat < 12; repeat++) await fleet.ask(repeat, FATAL, 700)
+    const before = fleet.targets.ended.length
+    fleet.loseAll()
+    for (let repeat = 0; repeat < 6; repeat++) expect(await fleet.ask(repeat, FATAL, 700)).to.equal('requestHeld')
+    expect(fleet.targets.ended.length).to.equal(before)
+  })
+
+  it('is told to the store once it is back', async () => {
+    const fleet = new Fleet(2, 6)
+    fleet.log.down = true
+    for (let repeat = 0; repeat < 2; repeat++) await fleet.ask(0, FATAL, 300)
+    fleet.log.down = false
+    await fleet.clock.advance(2000)
+    expect(fleet.hosts[1]?.guards.held.counts).to.deep.equal({ held: 1, watched: 0 })
+  })
+
+  it('is not sent a second time for lateness', async () => {
+    const fleet = new Fleet(1, 6, { objectiveMs: 60 })
+    await fleet.ask(0, 'warm', 100)
+    fleet.targets.end('a0')
+    const before = fleet.targets.sent.length
+    await fleet.ask(0, FATAL, 0)
+    // The first send was late after 30 ms and its target ended after 50.
+    expect(fleet.targets.sent.length - before).to.be.at.most(3)
+  })
+
+  it('is told from a question that was under way at two machines that failed: all who ask are answered', async () => {
+    const fleet = new Fleet(2, 8)
+    for (let machine = 0; machine < 2; machine++) {
+      const asked = fleet.hosts[machine]?.call('popular')
+      await fleet.clock.advance(20)
+      const [address] = fleet.targets.busy
+      fleet.targets.end(address ?? '')
+      // Its caller leaves before another target has answered it, so that nothing clears it.
+      await fleet.clock.advance(5)
+      fleet.leave()
+      await fleet.clock.advance(1000)
+      expect(await asked).to.equal('cancelled')
+    }
+    expect(fleet.hosts[0]?.guards.held.counts).to.deep.equal({ held: 1, watched: 0 })
+    const together = [0, 1, 0, 1, 0, 1].map((host) => fleet.hosts[host]?.call('popular'))
+    await fleet.clock.advance(3000)
+    expect(await Promise.all(together)).to.deep.equal(Array(6).fill('answered'))
+    expect(fleet.hosts[0]?.guards.held.counts).to.deep.equal({ held: 0, watched: 0 })
+  })
+
+  it('is sent like any other where the mechanism is left out', async () => {
+    const clock = new ManualClock()
+    const table = new TargetTable({ clock, stateLog: quietLog })
+    const { held, ends } = guards(table, new Targets(clock, 0), clock, { held: false })
+    for (const id of ['1', '2', '3']) {
+      table.set(targetDefinition({ id, address: id }))
+      const target = table.get(id)
+      if (target !== undefined) await ends.begin(target, content, 'r').broke()
+    }
+    expect(held.standing(content)).to.deep.equal({ type: 'free' })
+  })
+})
+
+/** What happens next: somebody asks, a machine fails, all hosts are lost, the store goes or comes back, time passes. */
+type Happening =
+  | { readonly type: 'ask', readonly host: number, readonly body: string }
+  | { readonly type: 'machine fails', readonly target: number }
+  | { readonly type: 'all hosts are lost' }
+  | { readonly type: 'store is away', readonly forMs: number }
+  | { readonly type: 'time passes', readonly ms: number }
+
+const happening: fc.Arbitrary<Happening> = fc.oneof(
+  { weight: 6, arbitrary: fc.record({ type: fc.constant('ask' as const), host: fc.nat(3), body: fc.constant(FATAL) }) },
+  { weight: 6, arbitrary: fc.record({ type: fc.constant('ask' as const), host: fc.nat(3), body: fc.constantFrom('popular', 'seldom') }) },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('machine fails' as const), target: fc.nat(7) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('all hosts are lost' as const) }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('store is away' as const), forMs: fc.integer({ min: 200, max: 4000 }) }) },
+  { weight: 4, arbitrary: fc.record({ type: fc.constant('time passes' as const), ms: fc.integer({ min: 10, max: 5000 }) }) }
+)
+
+describe('requests under which targets end, whatever happens', function () {
+  this.timeout(60_000)
+
+  it('reach targets three times at most once calm hosts know of the third end, and no other request is held for good', async () => {
+    await fc.assert(fc.asyncProperty(fc.array(happening, { minLength: 10, maxLength: 60 }), async (happenings) => {
+      const fleet = new Fleet(4, 8, { attempts: 3 }, READ_OFTEN_MS)
+      for (const next of happenings) await fleet.live(next)
+      await fleet.clock.advance(8000)
+      expect(fleet.laterSends).to.be.at.most(MOST_LATER)
+      for (const body of ['popular', 'seldom']) {
+        // One that met the end of another in each of its trials waits for the next.
+        if (await fleet.ask(0, body) === 'requestHeld') fleet.clock.freeze(LONGEST_HELD_MS)
+        expect(await fleet.ask(0, body), body).to.equal('answered')
+      }
+    }), { numRuns: 60, seed: 5 })
+  })
+})
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -14,7 +14,7 @@
 import { route, targetDefinition } from '../../support/routes.ts'
 import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
-import { watchEnds } from '../../support/targetEnds.ts'
+import { guards } from '../../support/targetEnds.ts'
 
 const own = { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }
 const good = (afterMs = 20): ScriptedAnswer => ({ afterMs, headers: own })
@@ -41,7 +41,7 @@
 }
 
 async function call ({ clock, client, table, gone }: Scene, details: Partial<Route> = {}, { advanceMs = 3000, waitMs = 2000, background = false } = {}): Promise<{ result: Result<RoutedAnswer>, tookMs: number }> {
-  const calls = new RouteCalls({ targets: table, client, ends: watchEnds(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+  const calls = new RouteCalls({ targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const began = clock.now
   let ended = Number.POSITIVE_INFINITY
   const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, configuration: 1, background, gone: gone.signal })
@@ -178,7 +178,7 @@
 describe('background calls', () => {
   it('leave a slot of each target to callers that wait', async () => {
     const { clock, client, table, gone } = scene({ a: [silent] })
-    const calls = new RouteCalls({ targets: table, client, ends: watchEnds(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+    const calls = new RouteCalls({ targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
     for (let index = 0; calls.hasRoom(route()); index++) {
       calls.call({ route: route(), requestId: `b${index}`, method: 'POST', path: '/', headers: () => [], body: undefined, waitMs: 1000, configuration: 1, background: true, gone: gone.signal }).catch(() => undefined)
     }
@@ -194,7 +194,7 @@
 
   async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient }> {
     const stage = scene(targets)
-    const calls = new StreamCalls({ targets: stage.table, client: stage.client, ends: watchEnds(stage.table, stage.client, stage.clock), protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+    const calls = new StreamCalls({ targets: stage.table, client: stage.client, ...guards(stage.table, stage.client, stage.clock), protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
     stage.table.get('b')?.answered(90)
     let got = ''
     let ended = ''
--- a/test/actors/routes/silence.test.ts
+++ b/test/actors/routes/silence.test.ts
@@ -16,7 +16,7 @@
 import { route, targetDefinition } from '../../support/routes.ts'
 import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
-import { watchEnds } from '../../support/targetEnds.ts'
+import { guards } from '../../support/targetEnds.ts'
 
 const own = { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }
 const good: ScriptedAnswer = { afterMs: 20, headers: own }
@@ -34,7 +34,7 @@
   const table = new TargetTable({ clock, stateLog: quietLog })
   for (const id of targets) table.set(targetDefinition({ id, address: id }))
   const stage: Stage = { clock, table, ended: undefined }
-  const calls = new RouteCalls({ targets: table, client, ends: watchEnds(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+  const calls = new RouteCalls({ targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const beganAt = clock.now
   calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 2000, configuration: 1, background, gone: new AbortController().signal })
     .then((result) => { stage.ended = { result, tookMs: clock.now - beganAt } }, () => undefined)
--- a/test/actors/routes/workOfFormerLives.test.ts
+++ b/test/actors/routes/workOfFormerLives.test.ts
@@ -19,7 +19,7 @@
 import { ScriptedClient } from '../../support/scriptedClient.ts'
 import { item } from '../../support/steps.ts'
 import { newText } from '../../support/texts.ts'
-import { watchEnds } from '../../support/targetEnds.ts'
+import { guards } from '../../support/targetEnds.ts'
 
 /** When the target starts again, in milliseconds after the request: long before anybody would miss its answer. */
 const RESTART_MS = 50
@@ -39,7 +39,7 @@
     this.client = new ScriptedClient(this.clock, targets)
     for (const id of Object.keys(targets)) this.start(id, 1)
     for (const id of Object.keys(targets)) if (id !== 'a') this.table.get(id)?.answered(500)
-    this.services = { targets: this.table, client: this.client, ends: watchEnds(this.table, this.client, this.clock), protocol: targetProtocol, clock: this.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
+    this.services = { targets: this.table, client: this.client, ...guards(this.table, this.client, this.clock), protocol: targetProtocol, clock: this.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
   }
 
   start (id: string, incarnation: number): void {
--- a/test/actors/steps/headStarts.test.ts
+++ b/test/actors/steps/headStarts.test.ts
@@ -49,7 +49,7 @@
     const lengths = new ItemLengths()
     lengths.note(100, 10, 400)
     const board = new EngineBoard(table, clock, () => routes)
-    this.starts = new HeadStarts({ client: this.client, ends: watchEnds(table, this.client, clock), protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: (engine) => engine === 'f' ? 'n' : 'm', mechanisms: allMechanisms }), newText, lengths, topic: { steps: () => this.steps }, routeOf: () => this.route, mechanisms: allMechanisms }, { firstEventMs: 600, silenceMs: 500 })
+    this.starts = new HeadStarts({ client: this.client, ends: watchEnds(table, this.client, clock), gate: { isFree: () => true }, protocol: targetProtocol, clock, metrics: quietMetrics, stateLog: this.log, placement: new ItemPlacement({ board, follows: (engine) => engine === 'f' ? 'n' : 'm', mechanisms: allMechanisms }), newText, lengths, topic: { steps: () => this.steps }, routeOf: () => this.route, mechanisms: allMechanisms }, { firstEventMs: 600, silenceMs: 500 })
     this.work = workOn('now', [item('short', 'a', 100), item('long', 'b', 900)], { wantedGroups: 1, minimumVersion: 3 })
     this.work.waiting.length = 0
     // A second step is open, so that what the first leaves over comes in the one after that, which may use version 5.
--- a/test/actors/steps/sampleScorer.test.ts
+++ b/test/actors/steps/sampleScorer.test.ts
@@ -13,7 +13,7 @@
 import { route, targetDefinition } from '../../support/routes.ts'
 import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
-import { watchEnds } from '../../support/targetEnds.ts'
+import { guards } from '../../support/targetEnds.ts'
 
 const sealed = (status = 200, afterMs = 100): ScriptedAnswer => ({ afterMs, status, headers: { 'bulrushvalve-response-seal': 'seal' } })
 
@@ -23,7 +23,7 @@
   const targets = new TargetTable({ clock, stateLog: quietLog })
   for (const id of Object.keys(script)) targets.set(targetDefinition({ id, address: id }))
   const routes = new RouteTable({ version: 1, routes: [route({ attempts: 3 })], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
-  const calls = new RouteCalls({ targets, client, ends: watchEnds(targets, client, clock), protocol: targetProtocol, clock, chance: seededChance(1), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+  const calls = new RouteCalls({ targets, client, ...guards(targets, client, clock), protocol: targetProtocol, clock, chance: seededChance(1), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   return { clock, client, scorer: new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog: quietLog, routes: () => routes }) }
 }
 
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -18,7 +18,7 @@
 import { quietLog, quietMetrics } from './fakeHost.ts'
 import { seededChance } from './manualClock.ts'
 import { route, targetDefinition } from './routes.ts'
-import { watchEnds } from './targetEnds.ts'
+import { guards } from './targetEnds.ts'
 
 /** Short look-ups of callers, and calls that score samples; times are those that sites name. */
 export const lookUp = route({ name: 'look-up', timeoutMs: 2000, objectiveMs: 156, attempts: 2 })
@@ -83,7 +83,7 @@
     this.connections.push(connections)
     const client = new HttpTargetClient(connections, { connectTimeoutMs: 400, maximumAnswerBytes: 100_000 })
     const metrics = { ...quietMetrics, count: (name: CounterName) => { if (name === 'calls.second_target') this.secondSends++ } }
-    const services = { targets: table, client, ends: watchEnds(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
+    const services = { targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
     this.hosts.push({ client, table, calls: new RouteCalls(services), streams: new StreamCalls(services) })
   }
 
