Items whose time is over are listed as lost

What callers saw: a trainer read 47 of 48 results for ever after the host had said `item listed as lost ... its time is over`; the step was never whole and never cleaned. Cause: what was under way for such an item is cancelled, and the writer of results takes a cancelled item for one that is listed or whose step is gone: it wrote nothing. Why this holds: the result is written for a record of the item whose own cancellation only the listing, the step's end or the loss of the duty sets. The test was made plainer with the mend: its short items stood behind the long ones and were over too, rightly.

--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -415,7 +415,10 @@
       if (itemWork.state === 'listing') continue
       itemWork.cancel.abort()
       removeFrom(work.waiting, itemWork)
-      this.giveUpItem(work, itemWork, 'its time is over')
+      // What is under way for the item ends, and the writing of its result does not: it goes on until the step is dropped.
+      const ended: ItemWork = { ...itemWork, cancel: new AbortController() }
+      work.items.set(itemWork.item.id, ended)
+      this.giveUpItem(work, ended, 'its time is over')
     }
   }
 }
--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -179,10 +179,10 @@
     // Symptom: a trainer read 47 of 48 results for ever, though the host had said `item listed as lost ... its time is over`. Whatever was under
     // way for the item was cancelled first, and the writing of its result took that for the end of the item.
     fleet.store.put('keyed.op', 'config', configuration(2, { steps: { retention_s: 2 } }))
-    // The engines have eight slots in all: some of the long items run, others wait.
-    await fleet.submit(fleet.host(0), 'step-1', [[2, 2], Array.from({ length: 10 }, () => 9000)])
+    // The engines have eight slots in all: some of the items run, others wait.
+    await fleet.submit(fleet.host(0), 'step-1', [Array.from({ length: 10 }, () => 9000)])
     const { results } = await fleet.whenWhole(fleet.host(1), 'step-1', 6000)
-    expect(results.map(({ state }) => state).sort()).to.deep.equal([...Array(2).fill('complete'), ...Array(10).fill('lost')])
+    expect(results.map(({ state }) => state)).to.deep.equal(Array(10).fill('lost'))
     await waitUntil(() => fleet.targets.flatMap(({ runs }) => runs).every(({ ended }) => ended !== 'open'), 3000, 'no engine works on them')
   })
 
