--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -108,7 +108,6 @@
     const standing = this.standing(content)
     if (standing.type === 'free') return
     const fingerprint = this.printOf(content)
-    this.services.metrics.count('requests.cleared')
     this.services.stateLog.decided('request cleared', { fingerprint, ends: standing.ends, was: standing.type })
     this.fold.noteAnswer(fingerprint)
     this.changes.fire()
@@ -192,7 +191,7 @@
       withdraw()
       return 'not first'
     }
-    metrics.count('requests.trials')
+    metrics.count('held.trials')
     stateLog.decided('trial of a held request', { fingerprint, number })
     return { withdraw }
   }
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -207,7 +207,7 @@
         return this.tryNext()
       case 'held':
         if (this.running.size > 0) return
-        this.services.metrics.count('requests.held')
+        if (!this.request.background) this.services.metrics.count('front.refused.requestHeld')
         return this.settle(this.lastOr(this.sent.size > 0
           ? failure('unknownOutcome', 'targets ended while they ran it')
           : failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: admission.retryAfterMs })))
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -121,7 +121,7 @@
       this.sink.cut()
       return undefined
     }
-    if (this.admission.type === 'held') this.services.metrics.count('requests.held')
+    if (this.admission.type === 'held') this.services.metrics.count('front.refused.requestHeld')
     if (this.admission.type === 'held' && !this.mayHaveRun) return failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: this.admission.retryAfterMs })
     return this.mayHaveRun
       ? failure('unknownOutcome', 'the stream broke before its first event')
--- a/src/actors/common/routes/targetEnds.ts
+++ b/src/actors/common/routes/targetEnds.ts
@@ -123,7 +123,7 @@
     const { id, incarnation, service, address } = target.definition
     const life = targetLife(id, incarnation)
     const under = [...new Set(runs.map(({ content }) => this.services.fingerprints.of(content)))]
-    this.services.metrics.count('targets.ended_under_requests')
+    this.services.metrics.count('targets.ended')
     this.services.stateLog.decided('target ended under requests', { target: life, service, address, requests: runs.slice(0, MOST_NAMED).map(({ requestId }) => requestId).join(' '), fingerprints: under.slice(0, MOST_NAMED).join(' '), underWay: runs.length })
     this.ends.fire({ life, under })
     return true
--- a/src/host/node/hostGauges.ts
+++ b/src/host/node/hostGauges.ts
@@ -13,8 +13,8 @@
   readonly items: ItemCounts
   /** Records that the store has not confirmed. */
   readonly backlog: number
-  /** Contents of requests under which targets ended. */
-  readonly ended: { readonly held: number, readonly watched: number }
+  /** Requests that are held back since targets ended under them. */
+  readonly held: number
   readonly targets: { readonly known: number, readonly suspect: number }
 }
 
@@ -25,7 +25,7 @@
   return counts
 }
 
-export function setGauges (metrics: Metrics, { duty, requests, items, backlog, ended, targets }: HostState): void {
+export function setGauges (metrics: Metrics, { duty, requests, items, backlog, held, targets }: HostState): void {
   metrics.gauge('duty.term', duty.term)
   metrics.gauge('duty.alone', duty.alone ? 1 : 0)
   metrics.gauge('front.requests', requests)
@@ -35,8 +35,7 @@
   metrics.gauge('items.scoring', items.scoring)
   metrics.gauge('items.listing', items.listing)
   metrics.gauge('store.backlog', backlog)
-  metrics.gauge('requests.contents_held', ended.held)
-  metrics.gauge('requests.contents_watched', ended.watched)
+  metrics.gauge('held.requests', held)
   metrics.gauge('targets.known', targets.known)
   metrics.gauge('targets.suspect', targets.suspect)
 }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -70,7 +70,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), ended: guards.held.counts, targets: topics.targets.counts })
+      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, targets: topics.targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -23,7 +23,7 @@
     const items = countItems(states.map((state, index) => ({ ...newWork({ item: item(`i${index}`, 'g'), rank: 'wanted' }, newText(), 0), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...quietMetrics, gauge: (name, value) => { set[name] = value } }
-    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, ended: { held: 1, watched: 2 }, backlog: 4, targets: targets.counts })
+    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, targets: targets.counts })
     expect(set).to.deep.equal({
       'duty.alone': 1,
       'duty.term': 3,
@@ -32,14 +32,13 @@
       'items.running': 1,
       'items.scoring': 3,
       'items.waiting': 2,
-      'requests.contents_held': 1,
-      'requests.contents_watched': 2,
+      'held.requests': 1,
       'steps.items': 5,
       'store.backlog': 4,
       'targets.known': 3,
       'targets.suspect': 1
     })
-    setGauges(metrics, { duty: { term: 3, alone: false }, requests: 0, items: countItems([]), ended: { held: 1, watched: 2 }, backlog: 0, targets: { known: 0, suspect: 0 } })
+    setGauges(metrics, { duty: { term: 3, alone: false }, requests: 0, items: countItems([]), held: 1, backlog: 0, targets: { known: 0, suspect: 0 } })
     expect(set).to.include({ 'duty.alone': 0, 'items.waiting': 0, 'targets.known': 0 })
   })
 })
