--- a/src/core/common/explanation/explanation.ts
+++ b/src/core/common/explanation/explanation.ts
@@ -23,8 +23,11 @@
   if (own.length === 0) return []
   const steps = new Set(own.flatMap(({ details }) => typeof details.step === 'string' ? [details.step] : []))
   const ofSteps = lines.filter(({ what, details }) => typeof details.step === 'string' && steps.has(details.step) && details.item === undefined && what.startsWith('step'))
+  // A request that is held back is so for what other hosts saw of its repeats.
+  const fingerprints = namesOf(new Set(own), 'fingerprint')
+  const ofRepeats = lines.filter((line) => [...fingerprints].some((fingerprint) => names(line, fingerprint)))
   const ofRecords = lines.filter((line) => [id, ...steps].some((named) => namesInKey(line, named)))
-  const story = new Set([...own, ...ofSteps, ...ofRecords])
+  const story = new Set([...own, ...ofSteps, ...ofRepeats, ...ofRecords])
   const parts: Parts = {
     targets: new Set([...story].flatMap(targetsIn)),
     hosts: new Set([...story].map(({ host }) => host)),
@@ -60,7 +63,7 @@
 }
 
 function namesOf (story: ReadonlySet<LogLine>, detail: string): Set<string> {
-  return new Set([...story].map(({ details }) => details[detail]).filter((name): name is string => typeof name === 'string'))
+  return new Set([...story].map(({ details }) => details[detail]).filter((name): name is string => typeof name === 'string' && name !== ''))
 }
 
 /** Whether a line tells of a record with this id in its key. */
@@ -68,8 +71,8 @@
   return typeof details.key === 'string' && details.key.split('/').includes(encodeURIComponent(id))
 }
 
-function names (line: LogLine, id: string): boolean {
-  return Object.values(line.details).includes(id)
+function names ({ details }: LogLine, id: string): boolean {
+  return Object.values(details).includes(id) || [details.requests, details.fingerprints].some((list) => typeof list === 'string' && list.split(' ').includes(id))
 }
 
 /** Targets that a line names, tried ones among them. */
--- a/test/core/explanation/explanation.test.ts
+++ b/test/core/explanation/explanation.test.ts
@@ -35,6 +35,20 @@
     expect(explain(recorded, 's1').filter(({ type }) => type === 'decided').map(({ what }) => what)).to.deep.equal(['step submitted', 'step adopted', 'run ended', 'run ended', 'run ended'])
   })
 
+  it('of a request that was held back has the ends and trials that other hosts saw of its repeats, and so has that of its fingerprint', () => {
+    const lines = [
+      line(0, 'a/1', 'decided', 'target ended under requests', { target: 't1', requests: 'r0 r1', fingerprints: 'f0 f1', underWay: 2 }),
+      line(1, 'b/1', 'decided', 'request held back', { fingerprint: 'f0', target: 't2', ends: 2, trials: 0 }),
+      line(2, 'b/1', 'decided', 'trial of a held request', { fingerprint: 'f0', number: 1 }),
+      line(3, 'c/1', 'decided', 'request cleared', { fingerprint: 'f1', ends: 1 }),
+      line(4, 'd/1', 'decided', 'call ended', { request: 'r5', outcome: 'requestHeld', fingerprint: 'f0', attempts: '' }),
+      line(4, 'd/1', 'decided', 'call ended', { request: 'r6', outcome: '200', fingerprint: '', attempts: '' })
+    ].map(readLine).filter((read): read is LogLine => read !== undefined)
+    const held = ['target ended under requests', 'request held back', 'trial of a held request', 'call ended']
+    for (const id of ['r5', 'f0']) expect(explain(lines, id).map(({ what }) => what), id).to.deep.equal(held)
+    expect(explain(lines, 'r1').map(({ what }) => what)).to.deep.equal(['target ended under requests'])
+  })
+
   it('of an unknown id is empty', () => { expect(explain(recorded, 'nobody')).to.deep.equal([]) })
 
   it('is read from lines with something before them, and passes over what is no log line', () => {
