Tests: a popular question is never held back under resets, a lost rack, failing machines and a release; records of ends counted at 12, 60 and 195 hosts

No record at rest; at an end one of each host that had the question there, and one for its next answer at most: between hosts and twice the hosts.

--- a/test/actors/routes/heldRequests.test.ts
+++ b/test/actors/routes/heldRequests.test.ts
@@ -1,5 +1,6 @@
 /** Requests under which targets end, as several hosts over one topic treat them. */
 
+import { setMaxListeners } from 'node:events'
 import { expect } from 'chai'
 import fc from 'fast-check'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
@@ -28,6 +29,8 @@
 const KNOWN_MS = 3000
 /** Sends after that time, at most: the users' bound. */
 const MOST_LATER = 3
+/** Share of a popular question that is answered while targets fail, at least. */
+const LEAST_SERVED = 0.9
 /** How long a request that targets answer may be held, in milliseconds. */
 const LONGEST_HELD_MS = 300_000
 /** How often a host reads the topic, in milliseconds: in a large deployment and in a small one. */
@@ -81,6 +84,14 @@
     })
   }
 
+  /** Breaks all connections to a target that goes on. */
+  reset (address: string): void {
+    const life = this.lives.get(address)
+    if (life?.alive !== true) return
+    life.end.abort()
+    this.lives.set(address, { ...life, running: 0, end: new AbortController() })
+  }
+
   async exchange (request: TargetRequest): Promise<Result<TargetAnswer>> {
     const body = new TextDecoder().decode(request.body)
     const life = this.lives.get(request.address)
@@ -99,7 +110,7 @@
       this.ended.push(this.clock.now)
       this.end(request.address)
     }
-    if (!life.alive) return failure('unknownOutcome', 'other side closed')
+    if (!life.alive || life.end.signal.aborted) return failure('unknownOutcome', 'other side closed')
     return success({ status: 200, headers: { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }, body: new Uint8Array() })
   }
 
@@ -154,11 +165,18 @@
   }
 }
 
+/** All callers of a fleet: many calls listen for their leaving at once. */
+function callers (): AbortController {
+  const controller = new AbortController()
+  setMaxListeners(0, controller.signal)
+  return controller
+}
+
 class Fleet {
   readonly clock = new ManualClock()
   readonly log = new MemoryKeyedLog()
   readonly targets: Targets
-  gone = new AbortController()
+  gone = callers()
   /** When hosts were lost, and when the store came back. */
   readonly disturbedAt: number[] = []
   hosts: Host[] = []
@@ -172,7 +190,7 @@
   /** All callers leave. */
   leave (): void {
     this.gone.abort()
-    this.gone = new AbortController()
+    this.gone = callers()
   }
 
   async live (next: Happening): Promise<void> {
@@ -309,6 +327,56 @@
   })
 })
 
+/** What goes on while a question is asked by everybody, in one second. */
+const innocent: Readonly<Record<string, (fleet: Fleet, second: number) => void>> = {
+  'connections are reset again and again': ({ targets }) => { for (let target = 0; target < 8; target++) targets.reset(`a${target}`) },
+  'a rack is lost': ({ targets }, second) => { if (second === 2) for (let target = 0; target < 4; target++) targets.end(`a${target}`) },
+  'machines fail one after the other': ({ targets }, second) => { targets.end(`a${second % 8}`) },
+  'machines fail where the question is': ({ targets }) => { targets.end(targets.busy[0] ?? '') },
+  'targets are replaced one after the other': ({ hosts, targets, clock }, second) => {
+    const address = `a${second % 8}`
+    const id = targets.lives.get(address)?.id ?? ''
+    for (const { table } of hosts) table.set(targetDefinition({ id, address, draining: true }))
+    clock.after(800, () => { targets.end(address) })
+  }
+}
+
+describe('a question that many ask', () => {
+  for (const [name, goesOn] of Object.entries(innocent)) {
+    it(`is never held back while ${name}`, async () => {
+      const fleet = new Fleet(4, 8, { attempts: 3 }, READ_OFTEN_MS)
+      const answers: string[] = []
+      for (let second = 0; second < 12; second++) {
+        for (let ask = 0; ask < 10; ask++) {
+          fleet.hosts[ask % 4]?.call('the question of the day').then((answer) => { answers.push(answer) }).catch(() => undefined)
+          await fleet.clock.advance(30)
+          if (ask === 4) goesOn(fleet, second)
+          await fleet.clock.advance(70)
+        }
+      }
+      await fleet.clock.advance(3000)
+      expect(answers.filter((answer) => answer === 'requestHeld')).to.have.length(0)
+      expect(answers.filter((answer) => answer === 'answered').length / 120).to.be.at.least(LEAST_SERVED)
+    })
+  }
+
+  it('costs a fleet at rest no record, and an end two of each host that had it there', async () => {
+    for (const hosts of [12, 60, 195]) {
+      const fleet = new Fleet(hosts, 1, { attempts: 3 })
+      const all = Array.from({ length: hosts }, (_, host) => host)
+      await Promise.all([...all.map(async (host) => await fleet.hosts[host]?.call('popular')), fleet.clock.advance(200)])
+      expect(fleet.log.appends, `${hosts} hosts at rest`).to.equal(0)
+      const asked = Promise.all(all.map(async (host) => await fleet.hosts[host]?.call('popular')))
+      await fleet.clock.advance(20)
+      fleet.targets.end('a0')
+      await fleet.clock.advance(5000)
+      await asked
+      await Promise.all([...all.map(async (host) => await fleet.hosts[host]?.call('popular')), fleet.clock.advance(2000)])
+      expect(fleet.log.appends, `${hosts} hosts`).to.be.within(hosts, 2 * hosts)
+    }
+  })
+})
+
 /** What happens next: somebody asks, a machine fails, all hosts are lost, the store goes or comes back, time passes. */
 type Happening =
   | { readonly type: 'ask', readonly host: number, readonly body: string }
