--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -8,6 +8,8 @@
 import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
 import { DisposableStore, Emitter } from '../../../base/common/lifecycle.ts'
 import type { RequestFingerprint } from '../../../base/common/ids.ts'
+import type { Failure } from '../../../base/common/resultCode.ts'
+import { failure } from '../../../base/common/resultCode.ts'
 import { targetLife } from '../../../base/common/ids.ts'
 import type { Standing } from '../../../core/common/routes/endFold.ts'
 import { EndFold } from '../../../core/common/routes/endFold.ts'
@@ -50,6 +52,8 @@
   readonly mechanisms: Pick<Mechanisms, 'held_requests'>
 }
 
+/** Share of its waiting time for which a request waits for what comes of another's trial of the same content: the rest is left for its own run. */
+const TRIAL_SHARE = 0.25
 /** How long a mark is kept, in milliseconds: longer than an outage that somebody mends, shorter than a day on which a service learns to bear the request. */
 const KEPT_MS = 900_000
 /** How long an end or an answer is offered to a store that is away, in milliseconds. */
@@ -61,6 +65,11 @@
 /** Sound targets that a service needs for a trial: with fewer the trial could take its last one. */
 const SOUND_FOR_TRIAL = 2
 
+/** What a caller hears of a request that is held back and was sent nowhere. */
+export function heldBack (retryAfterMs: number): Failure {
+  return failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs })
+}
+
 export class HeldRequests implements Disposable {
   private readonly fold = new EndFold()
   /** Ends that the topic has not confirmed: a topic that is read anew does not hold them yet. */
@@ -82,12 +91,15 @@
 
   standing (content: RequestContent): Standing {
     if (this.fold.isEmpty || !this.services.mechanisms.held_requests) return { type: 'free' }
-    return this.fold.standing(this.printOf(content), this.services.clock.monotonic())
+    return this.fold.standing(this.fingerprintOf(content), this.services.clock.monotonic())
   }
 
-  /** Whether a request may be sent, and claims a trial for it where it is held; waits for another's trial that is under way. */
-  async admit (content: RequestContent, route: Route, waitMs: number): Promise<Admission> {
-    const until = this.services.clock.monotonic() + waitMs
+  /**
+   * Whether a request may be sent, and claims a trial for it where it is held. Waits for another's trial that is under way, for a part of
+   * the time that the request has.
+   */
+  async admit (content: RequestContent, route: Route, remainingMs: number): Promise<Admission> {
+    const until = this.services.clock.monotonic() + remainingMs * TRIAL_SHARE
     for (;;) {
       const standing = this.standing(content)
       if (standing.type !== 'held') return { type: 'open' }
@@ -97,7 +109,7 @@
       }
       if (standing.nextTrialInMs > 0) return { type: 'held', retryAfterMs: standing.nextTrialInMs }
       if (!this.mayLoseOne(route)) return { type: 'held', retryAfterMs: LATER_MS }
-      const claimed = await this.claim(this.printOf(content), standing.trials + 1)
+      const claimed = await this.claim(this.fingerprintOf(content), standing.trials + 1)
       if (claimed === 'store away') return { type: 'held', retryAfterMs: LATER_MS }
       if (claimed !== 'not first') return { type: 'trial', trial: claimed }
     }
@@ -107,7 +119,7 @@
   answered (content: RequestContent): void {
     const standing = this.standing(content)
     if (standing.type === 'free') return
-    const fingerprint = this.printOf(content)
+    const fingerprint = this.fingerprintOf(content)
     this.services.stateLog.decided('request cleared', { fingerprint, ends: standing.ends, was: standing.type })
     this.fold.noteAnswer(fingerprint)
     this.changes.fire()
@@ -119,16 +131,13 @@
     return this.fold.keysOlderThan(KEPT_MS, this.services.clock.monotonic())
   }
 
-  fingerprintOf (content: RequestContent): RequestFingerprint {
-    return this.printOf(content)
-  }
-
   dispose (): void {
     this.disposables.dispose()
     this.changes.dispose()
   }
 
-  private printOf (content: RequestContent): RequestFingerprint {
+  /** Digest of a request's content; made once for each content that is asked for. */
+  fingerprintOf (content: RequestContent): RequestFingerprint {
     const known = this.prints.get(content)
     if (known !== undefined) return known
     const print = this.services.fingerprints.of(content)
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -20,6 +20,7 @@
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { Admission, HeldRequests, Trial } from './heldRequests.ts'
+import { heldBack } from './heldRequests.ts'
 import type { RunAtTarget, TargetEnds } from './targetEnds.ts'
 import type { KnownTarget, TargetTable } from './targetTable.ts'
 
@@ -69,8 +70,6 @@
 const REFUSED_SHARE = 0.5
 /** When to come back after a rejection, in milliseconds. */
 const RETRY_AFTER_MS = 300
-/** Share of the waiting time for which a call waits for what comes of another's trial of the same request. */
-const TRIAL_SHARE = 0.25
 /** Status of a target that ran out of its time: it says nothing of what would have come. */
 const OUT_OF_TIME = 504
 /** Times for an answer over this are not what a target needs but what it lost. */
@@ -189,7 +188,7 @@
     if (this.asksForTrial) return
     this.asksForTrial = true
     const { content, request, services } = this
-    services.held.admit(content, request.route, this.allowedMs * TRIAL_SHARE).then((admission) => {
+    services.held.admit(content, request.route, this.allowedMs - this.elapsedMs).then((admission) => {
       this.asksForTrial = false
       this.admitted(admission)
     }, (error: unknown) => { this.settle(failure('unknownOutcome', String(error))) })
@@ -207,10 +206,7 @@
         return this.tryNext()
       case 'held':
         if (this.running.size > 0) return
-        if (!this.request.background) this.services.metrics.count('front.refused.requestHeld')
-        return this.settle(this.lastOr(this.sent.size > 0
-          ? failure('unknownOutcome', 'targets ended while they ran it')
-          : failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: admission.retryAfterMs })))
+        return this.settle(this.lastOr(this.sent.size > 0 ? failure('unknownOutcome', 'targets ended while they ran it') : heldBack(admission.retryAfterMs)))
     }
   }
 
@@ -384,6 +380,8 @@
   private tell (result: Result<RoutedAnswer>): void {
     const { request, services } = this
     services.metrics.timing('calls.answer', this.elapsedMs)
+    const isHeld = !result.ok && result.code === 'requestHeld'
+    if (isHeld && !request.background) services.metrics.count('front.refused.requestHeld')
     if (request.background && result.ok && this.sent.size === 1) return
     services.stateLog.decided('call ended', {
       request: request.requestId ?? '',
@@ -392,7 +390,7 @@
       failed: !result.ok || result.value.answer.status >= SERVER_ERROR,
       outcome: result.ok ? String(result.value.answer.status) : result.code,
       why: result.ok ? '' : result.message,
-      fingerprint: !result.ok && result.code === 'requestHeld' ? services.held.fingerprintOf(this.content) : '',
+      fingerprint: isHeld ? services.held.fingerprintOf(this.content) : '',
       target: result.ok ? result.value.target : '',
       attempts: this.story.join(' '),
       rounds: this.rounds,
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -16,6 +16,7 @@
 import { contentOf, preferredPlace } from './routeCalls.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { Admission } from './heldRequests.ts'
+import { heldBack } from './heldRequests.ts'
 import type { RunAtTarget } from './targetEnds.ts'
 import type { KnownTarget } from './targetTable.ts'
 
@@ -41,8 +42,6 @@
 /** Shortest bound of silence, in milliseconds: callers wait two seconds in any case. */
 const LEAST_SILENCE_MS = 1500
 const RETRY_AFTER_MS = 300
-/** Share of the waiting time for which a stream waits for what comes of another's trial of the same request. */
-const TRIAL_SHARE = 0.25
 
 export class StreamCalls {
   constructor (private readonly services: RouteCallServices) {}
@@ -76,7 +75,7 @@
     let runs = 0
     let end: RunEnd | undefined
     while (runs < route.attempts) {
-      this.admission = await this.services.held.admit(this.content, route, this.remainingMs * TRIAL_SHARE)
+      this.admission = await this.services.held.admit(this.content, route, this.remainingMs)
       const target = this.admission.type === 'held' ? undefined : this.choose()
       if (target === undefined || this.remainingMs <= 0) {
         if (this.admission.type === 'trial') this.admission.trial.withdraw()
@@ -121,8 +120,10 @@
       this.sink.cut()
       return undefined
     }
-    if (this.admission.type === 'held') this.services.metrics.count('front.refused.requestHeld')
-    if (this.admission.type === 'held' && !this.mayHaveRun) return failure('requestHeld', 'targets ended while they ran this request', { retryAfterMs: this.admission.retryAfterMs })
+    if (this.admission.type === 'held' && !this.mayHaveRun) {
+      this.services.metrics.count('front.refused.requestHeld')
+      return heldBack(this.admission.retryAfterMs)
+    }
     return this.mayHaveRun
       ? failure('unknownOutcome', 'the stream broke before its first event')
       : failure('overloaded', `no target of route ${route.name} took the stream`, { retryAfterMs: RETRY_AFTER_MS })
