--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -53,6 +53,13 @@
 const outcome = (result: Result<RoutedAnswer>): string => result.ok ? `${result.value.answer.status} of ${result.value.target}` : result.code
 
 describe('a request that may be repeated', () => {
+  it('is not said to be not run where a target broke it off and none is left', async () => {
+    // Symptom: callers got 503 for a look-up under which a target had ended: the host had sent it, and found no entry of a target afterwards. 503 promises that nothing ran.
+    const stage = scene({ a: [reset] })
+    stage.clock.after(3, () => { stage.table.remove('a', Number.NEGATIVE_INFINITY) })
+    expect(outcome((await call(stage)).result)).to.equal('unknownOutcome')
+  })
+
   for (const { name, answers, expected } of [
     { name: 'a refusal', answers: [refused], expected: '200 of b' },
     { name: 'a failure to connect', answers: [unreachable], expected: '200 of b' },
