A request that was sent is not said to be not run where no target is left

What callers saw: 503 with code 1002 ("No live target ...", not run) for a look-up that a target had begun, once the target's entry was gone too. Seen in reading the way of a request under which targets end. Cause: the branch for a service without targets did not ask whether the request had been sent. Why this holds: without a target that has not had it, a request that was sent ends as unknown outcome (502), like where such targets are left. Once-only requests never came here after a send.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -178,8 +178,8 @@
     const { known, target } = this.choose()
     if (target !== undefined) return this.launch(target, !this.repeatable)
     if (this.running.size > 0) return
-    if (known.length === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
-    // Where all that are left have had the request, waiting brings nothing.
+    if (known.length === 0 && this.sent.size === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
+    // Where all that are left have had the request, waiting brings nothing; where none is left it may have run all the same.
     if (known.every(({ definition }) => this.sent.has(definition.id))) return this.settle(this.lastOr(failure('unknownOutcome', 'no target gave a usable answer')))
     this.nextRound()
   }
