--- a/test/actors/routes/targetEnds.test.ts
+++ b/test/actors/routes/targetEnds.test.ts
@@ -60,6 +60,24 @@
     expect(ends.map(({ under }) => under)).to.deep.equal([[print('1')], [print('2')]])
   })
 
+  it('counts targets that end in one moment under both sends of one call once, and others each', async () => {
+    // A call that was late and sent a second time was at two targets of a rack that was lost: it counted as one under which two targets had ended
+    // and was held back for 3.1 s, until its service had two sound targets again (`request held back ... ends=2` in the millisecond of the loss).
+    for (const [apartMs, expected] of [[0, 1], [40, 1], [200, 2]] as const) {
+      const { client, clock, ends, table, target, watch } = new Scene()
+      table.set(targetDefinition({ id: 'u', incarnation: asIncarnation(1), address: 'b' }))
+      const other = table.get('u') ?? target
+      const [first, second] = [watch.begin(target, content('1'), 'r1'), watch.begin(other, content('1'), 'r1')]
+      const neighbour = watch.begin(other, content('2'), 'r2')
+      for (const address of ['a', 'b']) client.gone.add(address)
+      await first.broke()
+      await clock.advance(apartMs)
+      await Promise.all([second.broke(), neighbour.broke()])
+      expect(ends.filter(({ under }) => under.includes(sha256Fingerprints.of(content('1'))))).to.have.length(expected)
+      expect(ends.flatMap(({ under }) => under)).to.include(print('2'))
+    }
+  })
+
   it('takes a reset connection of a target that lives for no end', async () => {
     const { clock, ends, target, watch } = new Scene()
     expect(await watch.begin(target, content('1'), 'r1').broke()).to.equal(false)
