Targets that end in one moment under both sends of one call count as one end

Why this holds: a run that began before another target ended under the same request, and whose target ends within 50 ms of that, is not counted; a request that ends targets is sent to the next one only after an end, so its runs count each. The test's calls have an id each now, as callers' have.

--- a/src/actors/common/routes/targetEnds.ts
+++ b/src/actors/common/routes/targetEnds.ts
@@ -32,6 +32,8 @@
 
 /** How long after a break a later life or the end of the entry still tells what it was, in milliseconds: entries go after three silent heartbeats. */
 const DOUBT_MS = 6000
+/** Time within which targets end in one moment, in milliseconds: a machine or a rack took them. */
+const ONE_MOMENT_MS = 50
 /** Requests that a line names at most; more run at one target only where its queue is long. */
 const MOST_NAMED = 32
 
@@ -46,6 +48,8 @@
 interface Run {
   readonly content: RequestContent
   readonly requestId: string
+  /** Monotonic time. */
+  readonly beganAt: number
   broken: boolean
 }
 
@@ -60,6 +64,8 @@
 export class TargetEnds implements Disposable {
   private readonly watched = new WeakMap<KnownTarget, Watched>()
   private readonly ends = new Emitter<TargetEnd>()
+  /** Requests under the ends of the last moment, by their ids, with its monotonic time. */
+  private readonly lastMoment = new Map<string, number>()
   readonly onEnd: Event<TargetEnd> = this.ends.event
   private readonly disposables = new DisposableStore()
 
@@ -70,7 +76,7 @@
   /** Notes that a request is sent to a target. */
   begin (target: KnownTarget, content: RequestContent, requestId: string | undefined): RunAtTarget {
     const watched = this.watch(target)
-    const run: Run = { content, requestId: requestId ?? '', broken: false }
+    const run: Run = { content, requestId: requestId ?? '', beganAt: this.services.clock.monotonic(), broken: false }
     watched.runs.add(run)
     return {
       over: () => { watched.runs.delete(run) },
@@ -116,9 +122,10 @@
   }
 
   /** By default all requests at the target are under its end: their connections are broken or about to be. */
-  private end (target: KnownTarget, watched: Watched, runs: readonly Run[] = [...watched.runs]): boolean {
-    for (const run of runs) watched.runs.delete(run)
+  private end (target: KnownTarget, watched: Watched, broken: readonly Run[] = [...watched.runs]): boolean {
+    for (const run of broken) watched.runs.delete(run)
     watched.ended = true
+    const runs = broken.filter((run) => !this.wasInLastMoment(run))
     if (runs.length === 0) return true
     const { id, incarnation, service, address } = target.definition
     const life = targetLife(id, incarnation)
@@ -128,4 +135,18 @@
     this.ends.fire({ life, under })
     return true
   }
+
+  /**
+   * Whether another target ended under the same request a moment ago, while this run was under way. A request that is late is at two targets; a rack that
+   * takes both would count as two ends, and a request that nothing is wrong with would be held back until its service has sound targets again.
+   */
+  private wasInLastMoment ({ requestId, beganAt }: Run): boolean {
+    const now = this.services.clock.monotonic()
+    for (const [id, at] of this.lastMoment) if (now - at > ONE_MOMENT_MS) this.lastMoment.delete(id)
+    if (requestId === '') return false
+    const endedAt = this.lastMoment.get(requestId)
+    if (endedAt !== undefined && beganAt < endedAt) return true
+    this.lastMoment.set(requestId, now)
+    return false
+  }
 }
--- a/test/actors/routes/heldRequests.test.ts
+++ b/test/actors/routes/heldRequests.test.ts
@@ -23,6 +23,7 @@
 /** Body of the request that ends its targets. */
 const FATAL = 'fatal'
 const content: RequestContent = { host: 'h', method: 'POST', path: '/a/', caller: undefined, body: FATAL }
+const REQUEST_ID = 'bulrushvalve-request-id'
 const RUN_MS = 50
 const BACK_MS = 3000
 /** How long hosts may take to know of an end, in milliseconds. */
@@ -94,9 +95,10 @@
 
   async exchange (request: TargetRequest): Promise<Result<TargetAnswer>> {
     const body = new TextDecoder().decode(request.body)
+    const id = request.headers[request.headers.indexOf(REQUEST_ID) + 1] ?? ''
     const life = this.lives.get(request.address)
     if (life?.alive !== true) return failure('targetUnreachable', 'refused')
-    if (!request.headers.includes(life.id)) return success({ status: 421, headers: { 'bulrushvalve-request-id': 'r' }, body: new Uint8Array() })
+    if (!request.headers.includes(life.id)) return success({ status: 421, headers: { [REQUEST_ID]: id }, body: new Uint8Array() })
     this.sent.push({ body, at: this.clock.now })
     life.running++
     const over = AbortSignal.any([life.end.signal, request.signal])
@@ -111,7 +113,7 @@
       this.end(request.address)
     }
     if (!life.alive || life.end.signal.aborted) return failure('unknownOutcome', 'other side closed')
-    return success({ status: 200, headers: { 'bulrushvalve-request-id': 'r', 'bulrushvalve-response-seal': 's' }, body: new Uint8Array() })
+    return success({ status: 200, headers: { [REQUEST_ID]: id, 'bulrushvalve-response-seal': 's' }, body: new Uint8Array() })
   }
 
   async open (request: TargetRequest): Promise<Result<TargetStream>> {
@@ -154,7 +156,8 @@
   }
 
   async call (body: string): Promise<string> {
-    const request = { route: this.route, requestId: 'r', method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([], options), body: new TextEncoder().encode(body), waitMs: 2000, configuration: 1, background: false, gone: this.fleet.gone.signal }
+    const id = this.fleet.newId()
+    const request = { route: this.route, requestId: id, method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([REQUEST_ID, id], options), body: new TextEncoder().encode(body), waitMs: 2000, configuration: 1, background: false, gone: this.fleet.gone.signal }
     if (this.route.kind !== 'streaming') {
       const answer = await this.calls.call(request)
       return answer.ok ? 'answered' : answer.code
@@ -181,12 +184,17 @@
   readonly disturbedAt: number[] = []
   hosts: Host[] = []
   private seeds = 1
+  private requests = 0
 
   constructor (hosts: number, targets: number, private readonly details: Partial<Route> = {}, readonly readMs = READ_SELDOM_MS) {
     this.targets = new Targets(this.clock, targets)
     for (let host = 0; host < hosts; host++) this.start()
   }
 
+  newId (): string {
+    return `r${this.requests++}`
+  }
+
   /** All callers leave. */
   leave (): void {
     this.gone.abort()
--- a/test/actors/routes/targetEnds.test.ts
+++ b/test/actors/routes/targetEnds.test.ts
@@ -63,17 +63,20 @@
   it('counts targets that end in one moment under both sends of one call once, and others each', async () => {
     // A call that was late and sent a second time was at two targets of a rack that was lost: it counted as one under which two targets had ended
     // and was held back for 3.1 s, until its service had two sound targets again (`request held back ... ends=2` in the millisecond of the loss).
-    for (const [apartMs, expected] of [[0, 1], [40, 1], [200, 2]] as const) {
+    for (const [sent, apartMs, expected] of [['together', 0, 1], ['together', 40, 1], ['together', 200, 2], ['one after the other', 0, 2]] as const) {
       const { client, clock, ends, table, target, watch } = new Scene()
       table.set(targetDefinition({ id: 'u', incarnation: asIncarnation(1), address: 'b' }))
       const other = table.get('u') ?? target
-      const [first, second] = [watch.begin(target, content('1'), 'r1'), watch.begin(other, content('1'), 'r1')]
+      const first = watch.begin(target, content('1'), 'r1')
+      const together = sent === 'together' ? watch.begin(other, content('1'), 'r1') : undefined
       const neighbour = watch.begin(other, content('2'), 'r2')
+      await clock.advance(20)
       for (const address of ['a', 'b']) client.gone.add(address)
       await first.broke()
+      const second = together ?? watch.begin(other, content('1'), 'r1')
       await clock.advance(apartMs)
       await Promise.all([second.broke(), neighbour.broke()])
-      expect(ends.filter(({ under }) => under.includes(sha256Fingerprints.of(content('1'))))).to.have.length(expected)
+      expect(ends.filter(({ under }) => under.includes(sha256Fingerprints.of(content('1')))), `${sent}, ${apartMs} ms`).to.have.length(expected)
       expect(ends.flatMap(({ under }) => under)).to.include(print('2'))
     }
   })
