An answer without a length that is reset together with its last part is none

Cause: the engine reads the last bytes, sees that nothing more will come and tells an end, not a reset; the library takes the end of the connection for the end of such an answer. Why this holds: a reset connection has no peer any more, an ended one still has; an end without a peer is told as the error that it is, before the library hears of an end.

--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -5,6 +5,7 @@
  * aside: what is in flight on it may end, everything new goes over new connections.
  */
 
+import type { Socket } from 'node:net'
 import { buildConnector, Pool } from 'undici'
 import type { Disposable } from '../../base/common/lifecycle.ts'
 
@@ -72,11 +73,26 @@
     connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
       if (error !== null) return callback(error, null)
       socket.prependListener('error', (failed: NodeJS.ErrnoException) => { if (failed.code === 'ECONNRESET') failed.code = RESET_CODE })
+      tellResetsFromEnds(socket)
       callback(null, socket)
     })
   }
 }
 
+/**
+ * Where the last bytes and a reset are there together, Node reads the bytes, sees that nothing more will come and tells an end. A connection that
+ * was reset has no peer any more, an ended one still has: so an end without a peer becomes the error that it is, before anybody hears of an end.
+ * Nothing may ask for the peer before, as Node keeps the first answer.
+ */
+function tellResetsFromEnds (socket: Socket): void {
+  const emit = socket.emit.bind(socket) as (event: string | symbol, ...details: unknown[]) => boolean
+  socket.emit = (event: string | symbol, ...details: unknown[]): boolean => {
+    if (event !== 'end' || socket.remoteAddress !== undefined) return emit(event, ...details)
+    socket.destroy(Object.assign(new Error('reset together with the last bytes'), { code: RESET_CODE }))
+    return true
+  }
+}
+
 /** Codes of errors that come before the first byte has left. */
 const beforeFirstByte: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
 /** Whether an error says that the host is there and nobody listens: its process has ended. */
