--- a/test/actors/routes/targetEnds.test.ts
+++ b/test/actors/routes/targetEnds.test.ts
@@ -81,6 +81,31 @@
     }
   })
 
+  it('counts no request that was sent after the target had broken others off', async () => {
+    // A machine failed with two targets. Calls that the first had broken off went on to the second, over kept connections that were not yet known to be dead, and
+    // were held back 3 ms after the loss as requests under which two targets had ended (eight on one played day).
+    const { client, clock, ends, target, watch } = new Scene()
+    const atWork = watch.begin(target, content('at work'), 'r1')
+    await clock.advance(50)
+    client.gone.add('a')
+    const broke = atWork.broke()
+    const late = watch.begin(target, content('late'), 'r2')
+    await Promise.all([broke, late.broke()])
+    await watch.begin(target, content('later'), 'r3').broke()
+    expect(ends.flatMap(({ under }) => under)).to.deep.equal([print('at work')])
+  })
+
+  it('counts a request that ends a target some time after a reset', async () => {
+    const { client, clock, ends, target, watch } = new Scene()
+    await watch.begin(target, content('reset'), 'r1').broke()
+    await clock.advance(1000)
+    const fatal = watch.begin(target, content('fatal'), 'r2')
+    await clock.advance(50)
+    client.gone.add('a')
+    await fatal.broke()
+    expect(ends.flatMap(({ under }) => under)).to.include(print('fatal'))
+  })
+
   it('takes a reset connection of a target that lives for no end', async () => {
     const { clock, ends, target, watch } = new Scene()
     expect(await watch.begin(target, content('1'), 'r1').broke()).to.equal(false)
