A request that was sent after the target had broken others off is not under its end

Cause: calls that the first of two lost targets had broken off went on to the second over kept connections that were not yet known to be dead.

--- a/src/actors/common/routes/targetEnds.ts
+++ b/src/actors/common/routes/targetEnds.ts
@@ -57,6 +57,8 @@
 interface Watched {
   readonly runs: Set<Run>
   ended: boolean
+  /** Monotonic time of the first break since the target was last seen to listen. */
+  brokeAt: number | undefined
   /** Present while its address is asked. */
   inquiry: Promise<boolean> | undefined
 }
@@ -92,7 +94,7 @@
   private watch (target: KnownTarget): Watched {
     const known = this.watched.get(target)
     if (known !== undefined) return known
-    const watched: Watched = { runs: new Set(), ended: false, inquiry: undefined }
+    const watched: Watched = { runs: new Set(), ended: false, brokeAt: undefined, inquiry: undefined }
     this.watched.set(target, watched)
     target.onRestart(() => { if (watched.runs.size > 0) this.end(target, watched) })
     return watched
@@ -100,6 +102,7 @@
 
   private async broke (target: KnownTarget, watched: Watched, run: Run): Promise<boolean> {
     run.broken = true
+    watched.brokeAt ??= this.services.clock.monotonic()
     this.services.clock.after(DOUBT_MS, () => { watched.runs.delete(run) })
     if (watched.ended || target.isOver) return this.end(target, watched)
     watched.inquiry ??= this.inquire(target, watched)
@@ -109,6 +112,7 @@
   private async inquire (target: KnownTarget, watched: Watched): Promise<boolean> {
     const listening = await this.services.client.listens(target.definition.address)
     watched.inquiry = undefined
+    if (listening === 'yes') watched.brokeAt = undefined
     // A process that leaves as planned stops to listen before its last requests are done.
     return listening === 'no' && !target.definition.draining ? this.end(target, watched) : watched.ended
   }
@@ -125,7 +129,9 @@
   private end (target: KnownTarget, watched: Watched, broken: readonly Run[] = [...watched.runs]): boolean {
     for (const run of broken) watched.runs.delete(run)
     watched.ended = true
-    const runs = broken.filter((run) => !this.wasInLastMoment(run))
+    // What was sent after a break came too late to cause it: kept connections to a process that has ended look sound until they are used.
+    const { brokeAt = Number.POSITIVE_INFINITY } = watched
+    const runs = broken.filter((run) => run.beganAt <= brokeAt && !this.wasInLastMoment(run))
     if (runs.length === 0) return true
     const { id, incarnation, service, address } = target.definition
     const life = targetLife(id, incarnation)
--- a/test/actors/routes/targetEnds.test.ts
+++ b/test/actors/routes/targetEnds.test.ts
@@ -89,6 +89,7 @@
     await clock.advance(50)
     client.gone.add('a')
     const broke = atWork.broke()
+    clock.freeze(1)
     const late = watch.begin(target, content('late'), 'r2')
     await Promise.all([broke, late.broke()])
     await watch.begin(target, content('later'), 'r3').broke()
