--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -390,7 +390,7 @@
       failed: !result.ok || result.value.answer.status >= SERVER_ERROR,
       outcome: result.ok ? String(result.value.answer.status) : result.code,
       why: result.ok ? '' : result.message,
-      fingerprint: isHeld ? services.held.fingerprintOf(this.content) : '',
+      ...(isHeld ? { fingerprint: services.held.fingerprintOf(this.content) } : {}),
       target: result.ok ? result.value.target : '',
       attempts: this.story.join(' '),
       rounds: this.rounds,
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -111,7 +111,7 @@
 
   private close (end: RunEnd | undefined): Failure | undefined {
     const { route, requestId } = this.request
-    this.services.stateLog.decided('stream ended', { request: requestId ?? '', route: route.name, outcome: end ?? 'no target', targets: [...this.tried].join(' '), lastEvent: this.last ?? -1, fingerprint: this.admission.type === 'held' ? this.services.held.fingerprintOf(this.content) : '' })
+    this.services.stateLog.decided('stream ended', { request: requestId ?? '', route: route.name, outcome: end ?? 'no target', targets: [...this.tried].join(' '), lastEvent: this.last ?? -1, ...(this.admission.type === 'held' ? { fingerprint: this.services.held.fingerprintOf(this.content) } : {}) })
     if (end === 'whole') {
       this.sink.end()
       return undefined
--- a/src/actors/common/steps/itemGate.ts
+++ b/src/actors/common/steps/itemGate.ts
@@ -47,6 +47,8 @@
   runEnded (host: string, itemWork: ItemWork, payload: ItemPayload, { type }: RunEnd): void {
     const trial = this.asked.get(itemWork)
     this.asked.delete(itemWork)
+    const giveBack = (): void => { if (trial !== undefined && trial !== 'asked') trial.withdraw() }
+    if (itemWork.cancel.signal.aborted) return giveBack()
     switch (type) {
       case 'complete':
       case 'failed':
@@ -54,9 +56,7 @@
         return this.services.held.answered(this.contentOf(host, payload))
       case 'refused':
       case 'moved':
-      case 'too-old':
-        if (trial !== undefined && trial !== 'asked') trial.withdraw()
-        return undefined
+      case 'too-old': return giveBack()
       case 'broken':
       case 'restarted': return undefined
     }
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -79,11 +79,11 @@
   const run = services.ends.begin(target, contentOfItem(options.host, options.payload), item.id)
   const restart = target.onRestart(() => { restarted.abort() })
   const signal = AbortSignal.any([options.cancelled, silence.signal, restarted.signal])
+  const ended = (why: string): RunEnd => target.isOver ? { type: 'restarted' } : { type: 'broken', why }
   const brokeOff = async (why: string): Promise<RunEnd> => {
     // The next run waits until it is known whether the engine has ended under this one.
     if (!signal.aborted) await run.broke()
-    if (target.isOver) return { type: 'restarted' }
-    return { type: 'broken', why }
+    return ended(why)
   }
   try {
     const { address, id } = target.definition
@@ -96,11 +96,14 @@
       ownConnection: false,
       signal
     })
-    if (!answer.ok && answer.code !== 'unknownOutcome') run.over()
+    if (!answer.ok && answer.code === 'targetUnreachable') {
+      run.over()
+      return ended(answer.message)
+    }
     if (!answer.ok) return await brokeOff(silence.signal.aborted ? 'no answer in time' : answer.message)
-    const end = await readAnswer({ services, engine, item, text, options, silence, run, furthest: text.furthest }, answer.value)
+    const read = await readAnswer({ services, engine, item, text, options, silence, run, furthest: text.furthest }, answer.value)
     run.over()
-    return end
+    return read
   } catch (error) {
     return await brokeOff(silence.signal.aborted ? 'silent' : String(error))
   } finally {
