Failing test: no failure of a target clears a request under which targets end

Found in reading: a target that fails whatever it gets says nothing of the request. With failures and ends in turn 18 targets ended in 12 asks.

--- a/test/actors/routes/heldRequests.test.ts
+++ b/test/actors/routes/heldRequests.test.ts
@@ -56,6 +56,8 @@
   readonly lives = new Map<string, Life>()
   readonly sent: Sent[] = []
   readonly ended: number[] = []
+  /** Whether targets answer all requests with a failure of their own, before they do anything. */
+  failing = false
   private started = 0
   private readonly tables: TargetTable[] = []
 
@@ -100,6 +102,7 @@
     if (life?.alive !== true) return failure('targetUnreachable', 'refused')
     if (!request.headers.includes(life.id)) return success({ status: 421, headers: { [REQUEST_ID]: id }, body: new Uint8Array() })
     this.sent.push({ body, at: this.clock.now })
+    if (this.failing) return success({ status: 500, headers: { [REQUEST_ID]: id, 'bulrushvalve-response-seal': 's' }, body: new Uint8Array() })
     life.running++
     const over = AbortSignal.any([life.end.signal, request.signal])
     await new Promise<void>((resolve) => {
@@ -292,6 +295,16 @@
     expect(fleet.hosts[1]?.guards.held.counts).to.deep.equal({ held: 1, watched: 0 })
   })
 
+  it('is cleared by no failure of a target', async () => {
+    const fleet = new Fleet(1, 6)
+    for (let repeat = 0; repeat < 12; repeat++) {
+      fleet.targets.failing = repeat % 2 === 1
+      await fleet.ask(0, FATAL, 4500)
+    }
+    expect(fleet.targets.ended.length).to.be.at.most(4)
+    expect(fleet.laterSends).to.be.at.most(MOST_LATER)
+  })
+
   it('is not sent a second time for lateness', async () => {
     const fleet = new Fleet(1, 6, { objectiveMs: 60 })
     await fleet.ask(0, 'warm', 100)
@@ -316,6 +329,8 @@
       expect(await asked).to.equal('cancelled')
     }
     expect(fleet.hosts[0]?.guards.held.counts).to.deep.equal({ held: 1, watched: 0 })
+    // The second caller left in the trial that its call had claimed: the next one comes after a pause.
+    await fleet.clock.advance(4000)
     const together = [0, 1, 0, 1, 0, 1].map((host) => fleet.hosts[host]?.call('popular'))
     await fleet.clock.advance(3000)
     expect(await Promise.all(together)).to.deep.equal(Array(6).fill('answered'))
