A held request is cleared by an answer that is no failure; its trial goes to sound targets only, once each

Cause: a failure may come before whatever ends targets, and took all ends off. Besides, a trial went on in rounds to targets that refused it, and to targets whose end was known.

--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -16,6 +16,7 @@
 import { clearedRecord, endedRecord, trialRecord } from '../../../core/common/routes/endRecords.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { TargetDefinition } from '../../../core/common/routes/target.ts'
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Fingerprints, RequestContent } from '../../../ports/common/fingerprints.ts'
@@ -115,7 +116,7 @@
     }
   }
 
-  /** A target answered the request: it does not end those that run it. */
+  /** A target answered the request, and not with a failure: it does not end those that run it. */
   answered (content: RequestContent): void {
     const standing = this.standing(content)
     if (standing.type === 'free') return
@@ -126,6 +127,11 @@
     this.tell('cleared', (nonce) => [clearedRecord(fingerprint, nonce)])
   }
 
+  /** Whether no host has seen the end of a target: its entry stays for seconds after. */
+  isSound ({ id, incarnation }: TargetDefinition): boolean {
+    return !this.fold.hasEnded(targetLife(id, incarnation))
+  }
+
   /** Keys of records whose time is over. */
   outdatedKeys (): string[] {
     return this.fold.keysOlderThan(KEPT_MS, this.services.clock.monotonic())
@@ -181,7 +187,7 @@
   /** A trial may end its target: the service must have another then, or must never have had more than this one. */
   private mayLoseOne ({ destinations }: Route): boolean {
     const targets = destinations.flatMap(({ service }) => this.services.targets.available(service))
-    const sound = targets.filter(({ definition: { id, incarnation } }) => !this.fold.hasEnded(targetLife(id, incarnation)))
+    const sound = targets.filter(({ definition }) => this.isSound(definition))
     return sound.length >= SOUND_FOR_TRIAL || (sound.length === 1 && targets.length === 1)
   }
 
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -70,8 +70,6 @@
 const REFUSED_SHARE = 0.5
 /** When to come back after a rejection, in milliseconds. */
 const RETRY_AFTER_MS = 300
-/** Status of a target that ran out of its time: it says nothing of what would have come. */
-const OUT_OF_TIME = 504
 /** Times for an answer over this are not what a target needs but what it lost. */
 const SILENT_MS = 1500
 const SERVER_ERROR = 500
@@ -95,8 +93,8 @@
   readonly trial: Trial
   /** Targets that may have run the request before. */
   readonly sentBefore: number
-  /** Whether the target broke it off, so that it may have ended. */
-  broke: boolean
+  /** Whether a target ran it to an end that does not clear it: broken off, or failed. */
+  used: boolean
 }
 
 export class RouteCalls {
@@ -178,6 +176,8 @@
     const { known, target } = this.choose()
     if (target !== undefined) return this.launch(target, !this.repeatable)
     if (this.running.size > 0) return
+    // A trial is made once at each target: rounds would bring a request that ends targets to them again and again.
+    if (this.trial !== undefined) return this.holdBack(RETRY_AFTER_MS)
     if (known.length === 0 && this.sent.size === 0) return this.settle(this.lastOr(failure('noTarget', `no target serves route ${request.route.name} now`, { retryAfterMs: RETRY_AFTER_MS })))
     // Where all that are left have had the request, waiting brings nothing; where none is left it may have run all the same.
     if (known.every(({ definition }) => this.sent.has(definition.id))) return this.settle(this.lastOr(failure('unknownOutcome', 'no target gave a usable answer')))
@@ -202,20 +202,23 @@
     switch (admission.type) {
       case 'open': return this.tryNext()
       case 'trial':
-        this.trial = { trial: admission.trial, sentBefore: this.sent.size, broke: false }
+        this.trial = { trial: admission.trial, sentBefore: this.sent.size, used: false }
         return this.tryNext()
       case 'held':
-        if (this.running.size > 0) return
-        return this.settle(this.lastOr(this.sent.size > 0 ? failure('unknownOutcome', 'targets ended while they ran it') : heldBack(admission.retryAfterMs)))
+        if (this.running.size === 0) this.holdBack(admission.retryAfterMs)
     }
   }
 
+  private holdBack (retryAfterMs: number): void {
+    this.settle(this.lastOr(this.sent.size > 0 ? failure('unknownOutcome', 'targets ended while they ran it') : heldBack(retryAfterMs)))
+  }
+
   /** The targets of the route, and the best that has not had the request. */
   private choose (): { readonly known: readonly KnownTarget[], readonly target: KnownTarget | undefined } {
     const { services, request } = this
     const service = pickDestination(request.route.destinations, services.chance.next())
     const known = service === undefined ? [] : services.targets.available(service)
-    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target, services.mechanisms.caller_slot)))
+    const free = known.filter((target) => !this.sent.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target, services.mechanisms.caller_slot)) && (this.trial === undefined || services.held.isSound(target.definition)))
     return { known, target: chooseTarget(free, preferredPlace(services), services.chance.next()) }
   }
 
@@ -297,15 +300,17 @@
     const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
     const verdict = judgeAnswer(head, this.request.requestId)
     note(verdict)
-    if ((verdict === 'answer' || verdict === 'target-failed') && head.status !== OUT_OF_TIME) this.clear()
     switch (verdict) {
       case 'answer':
         target.answered(tookMs)
+        this.clear()
         return this.settle(success(answer), attempt.fresh ? 'new connection was sooner' : 'other')
       case 'target-failed':
         target.answered(tookMs)
         this.failures++
         this.lastFailure = { ...answer, failures: this.failures }
+        // A failure may come before whatever ends targets: it clears nothing.
+        if (this.trial !== undefined) this.trial.used = true
         return this.goOn('the target failed')
       case 'not-run':
         this.notRun(target)
@@ -321,7 +326,7 @@
 
   /** Waits until it is known whether the target has ended: where it has, the request may not go on like others. */
   private brokeOff (attempt: Attempt, why: string): void {
-    if (this.trial !== undefined) this.trial.broke = true
+    if (this.trial !== undefined) this.trial.used = true
     const goOn = (): void => { if (!this.settled) this.goOn(why) }
     attempt.run.broke().then(goOn, goOn)
   }
@@ -372,7 +377,7 @@
       // The client may settle an aborted request hundreds of ms later, once its connection is given up: until then its slot would keep background calls out.
       release(attempt)
     }
-    if (this.trial?.broke === false) this.trial.trial.withdraw()
+    if (this.trial?.used === false) this.trial.trial.withdraw()
     this.tell(result)
     this.resolve(result)
   }
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -61,6 +61,8 @@
   private wentSilent = false
   private last: number | undefined
   private readonly content: RequestContent
+  /** Whether the target that answered said that it failed. */
+  private failed = false
   /** What the request was last told by those that hold back what ends targets. */
   private admission: Admission = { type: 'open' }
 
@@ -94,8 +96,8 @@
 
   /** What the run says of the request: an answer clears it, and one that ran to no end of its target is no trial. */
   private noteRun (end: RunEnd): void {
-    if (end === 'whole') this.services.held.answered(this.content)
-    else if (end !== 'broken' && this.admission.type === 'trial') this.admission.trial.withdraw()
+    if (end === 'whole' && !this.failed) this.services.held.answered(this.content)
+    else if ((end === 'not-run' || end === 'gone') && this.admission.type === 'trial') this.admission.trial.withdraw()
   }
 
   private get remainingMs (): number {
@@ -106,7 +108,7 @@
     const { targets, chance } = this.services
     const service = pickDestination(this.request.route.destinations, chance.next())
     const known = service === undefined ? [] : targets.available(service)
-    return chooseTarget(known.filter(({ definition }) => !this.tried.has(definition.id)), preferredPlace(this.services), chance.next())
+    return chooseTarget(known.filter(({ definition }) => !this.tried.has(definition.id) && (this.admission.type !== 'trial' || this.services.held.isSound(definition))), preferredPlace(this.services), chance.next())
   }
 
   private close (end: RunEnd | undefined): Failure | undefined {
@@ -160,6 +162,7 @@
         cancel()
         return await this.failedRun(target, run, verdict === 'not-run' ? 'not-run' : 'bad-answer')
       }
+      this.failed = verdict === 'target-failed'
       if (!this.headSent) this.sink.head(status, headers)
       this.headSent = true
       const reader = new EventReader()
--- a/src/actors/common/steps/itemGate.ts
+++ b/src/actors/common/steps/itemGate.ts
@@ -51,12 +51,12 @@
     if (itemWork.cancel.signal.aborted) return giveBack()
     switch (type) {
       case 'complete':
-      case 'failed':
       case 'impossible':
         return this.services.held.answered(this.contentOf(host, payload))
       case 'refused':
       case 'moved':
       case 'too-old': return giveBack()
+      case 'failed':
       case 'broken':
       case 'restarted': return undefined
     }
--- a/src/core/common/routes/endFold.ts
+++ b/src/core/common/routes/endFold.ts
@@ -30,6 +30,8 @@
  */
 const PAUSES_MS = [0, 4000, 300_000] as const
 const LONG_PAUSE_MS = PAUSES_MS[2]
+/** Pause after a trial that was given back, in milliseconds: it may have reached targets that refused it. */
+const LEAST_PAUSE_MS = 4000
 /** Lives of targets whose ends are kept in mind; marks are only pushed out by as many ends within the time for which they are kept. */
 const MOST_LIVES = 4096
 
@@ -45,6 +47,8 @@
   /** Ends that an answer has taken off: a late report of one must not count again. */
   readonly spent: Set<TargetLife>
   trials: Trial[]
+  /** Monotonic time of the last claim of a trial, also of one that was given back. */
+  triedAt: number
 }
 
 export class EndFold {
@@ -98,6 +102,7 @@
     for (const life of marks.lives) marks.spent.add(life)
     marks.lives.clear()
     marks.trials = []
+    marks.triedAt = Number.NEGATIVE_INFINITY
   }
 
   standing (fingerprint: RequestFingerprint, nowMs: number): Standing {
@@ -107,8 +112,8 @@
     if (ends < HELD_FROM) return { type: 'watched', ends }
     const last = marks.trials.at(-1)
     const trialUnderWay = last !== undefined && last.endsBefore === ends && nowMs - last.learnedAt < TRIAL_MS
-    const pauseMs = PAUSES_MS[marks.trials.length] ?? LONG_PAUSE_MS
-    const nextTrialInMs = last === undefined ? pauseMs : Math.max(0, last.learnedAt + pauseMs - nowMs)
+    const pauseMs = Math.max(LEAST_PAUSE_MS, PAUSES_MS[marks.trials.length] ?? LONG_PAUSE_MS)
+    const nextTrialInMs = Math.max(0, marks.triedAt + pauseMs - nowMs)
     return { type: 'held', ends, trials: marks.trials.length, trialUnderWay, nextTrialInMs }
   }
 
@@ -142,7 +147,9 @@
 
   private takeTrial (fingerprint: RequestFingerprint, number: number, key: string, nowMs: number): void {
     const marks = this.marksOf(fingerprint)
-    if (number === marks.trials.length + 1) marks.trials.push({ key, learnedAt: nowMs, endsBefore: marks.lives.size })
+    if (number !== marks.trials.length + 1) return
+    marks.trials.push({ key, learnedAt: nowMs, endsBefore: marks.lives.size })
+    marks.triedAt = nowMs
   }
 
   /** A record that is dropped was withdrawn, or its time is over. */
@@ -178,7 +185,7 @@
   private marksOf (fingerprint: RequestFingerprint): Marks {
     const known = this.marks.get(fingerprint)
     if (known !== undefined) return known
-    const marks: Marks = { lives: new Set(), spent: new Set(), trials: [] }
+    const marks: Marks = { lives: new Set(), spent: new Set(), trials: [], triedAt: Number.NEGATIVE_INFINITY }
     this.marks.set(fingerprint, marks)
     return marks
   }
