--- a/src/core/common/routes/endFold.ts
+++ b/src/core/common/routes/endFold.ts
@@ -9,6 +9,7 @@
 
 import type { RequestFingerprint, TargetLife } from '../../../base/common/ids.ts'
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
+import { decodeKeyPart } from '../keyedRecords.ts'
 import type { EndRecord } from './endRecords.ts'
 import { readEndRecord } from './endRecords.ts'
 
@@ -157,7 +158,7 @@
     this.learnedAt.delete(key)
     const [kind, first = ''] = key.split('/')
     if (kind === 'trial') this.dropTrial(key, first as RequestFingerprint)
-    if (kind === 'ended' && ![...this.learnedAt.keys()].some((other) => other.startsWith(`ended/${first}/`))) this.forgetLife(decodeURIComponent(first) as TargetLife)
+    if (kind === 'ended') this.dropEnd(first)
   }
 
   private dropTrial (key: string, fingerprint: RequestFingerprint): void {
@@ -167,6 +168,13 @@
     this.dropUnmarked(fingerprint, marks)
   }
 
+  /** An end is told by each host that had requests there, and forgotten with the last of its records. */
+  private dropEnd (encodedLife: string): void {
+    const life = decodeKeyPart(encodedLife)
+    if (life === undefined || [...this.learnedAt.keys()].some((other) => other.startsWith(`ended/${encodedLife}/`))) return
+    this.forgetLife(life as TargetLife)
+  }
+
   private forgetLife (life: TargetLife): void {
     for (const fingerprint of this.lives.get(life) ?? []) {
       const marks = this.marks.get(fingerprint)
