--- /dev/null
+++ b/test/actors/steps/itemGate.test.ts
@@ -0,0 +1,110 @@
+/** Which items may start while engines end under some of them. */
+
+import { expect } from 'chai'
+import type { Admission } from '../../../src/actors/common/routes/heldRequests.ts'
+import { ItemGate } from '../../../src/actors/common/steps/itemGate.ts'
+import type { RunEnd } from '../../../src/actors/common/steps/itemRun.ts'
+import type { ItemWork } from '../../../src/actors/common/steps/stepWork.ts'
+import { newWork } from '../../../src/actors/common/steps/stepWork.ts'
+import type { Standing } from '../../../src/core/common/routes/endFold.ts'
+import { ManualClock, settle } from '../../support/manualClock.ts'
+import { route } from '../../support/routes.ts'
+import { item } from '../../support/steps.ts'
+import { newText } from '../../support/texts.ts'
+
+const payload = item('i', 'g')
+const held: Standing = { type: 'held', ends: 2, trials: 0, trialUnderWay: false, nextTrialInMs: 0 }
+
+class Scene {
+  readonly clock = new ManualClock()
+  standing: Standing = held
+  admission: Admission | undefined
+  asked = 0
+  admitted = 0
+  answered = 0
+  withdrawn = 0
+  readonly work: ItemWork = newWork({ item: item('i', 'g'), rank: 'wanted' }, newText(), 0)
+  readonly gate = new ItemGate({
+    held: {
+      standing: () => this.standing,
+      admit: async () => {
+        this.asked++
+        return this.admission ?? { type: 'trial', trial: { withdraw: () => { this.withdrawn++ } } }
+      },
+      answered: () => { this.answered++ }
+    },
+    clock: this.clock,
+    onAdmitted: () => { this.admitted++ }
+  })
+
+  mayStart (): boolean {
+    return this.gate.mayStart('h', route(), this.work, payload)
+  }
+
+  end (type: RunEnd['type']): void {
+    this.gate.runEnded('h', this.work, payload, type === 'broken' ? { type, why: '' } : { type })
+  }
+}
+
+describe('the gate of items', () => {
+  it('lets items start under which no or one engine ended', () => {
+    const scene = new Scene()
+    for (const standing of [{ type: 'free' }, { type: 'watched', ends: 1 }] as const) {
+      scene.standing = standing
+      expect(scene.mayStart(), standing.type).to.equal(true)
+    }
+    expect(scene.asked).to.equal(0)
+  })
+
+  it('keeps a held item back until it has a trial, and asks for one at a time', async () => {
+    const scene = new Scene()
+    expect([scene.mayStart(), scene.mayStart(), scene.asked]).to.deep.equal([false, false, 1])
+    await settle()
+    expect([scene.admitted, scene.mayStart(), scene.asked]).to.deep.equal([1, true, 1])
+  })
+
+  it('asks again later where there is no trial now', async () => {
+    const scene = new Scene()
+    scene.admission = { type: 'held', retryAfterMs: 4000 }
+    expect(scene.mayStart()).to.equal(false)
+    await scene.clock.advance(400)
+    expect([scene.mayStart(), scene.asked]).to.deep.equal([false, 1])
+    await scene.clock.advance(200)
+    expect([scene.mayStart(), scene.asked]).to.deep.equal([false, 2])
+  })
+
+  for (const { type, withdrawn, answered } of [
+    { type: 'complete', withdrawn: 0, answered: 1 },
+    { type: 'impossible', withdrawn: 0, answered: 1 },
+    { type: 'failed', withdrawn: 0, answered: 0 },
+    { type: 'broken', withdrawn: 0, answered: 0 },
+    { type: 'restarted', withdrawn: 0, answered: 0 },
+    { type: 'refused', withdrawn: 1, answered: 0 },
+    { type: 'moved', withdrawn: 1, answered: 0 },
+    { type: 'too-old', withdrawn: 1, answered: 0 }
+  ] as const) {
+    it(`takes a trial that ended as ${type} for ${withdrawn > 0 ? 'none' : 'used'}${answered > 0 ? ', and the item for cleared' : ''}`, async () => {
+      const scene = new Scene()
+      scene.mayStart()
+      await settle()
+      scene.end(type)
+      expect([scene.withdrawn, scene.answered]).to.deep.equal([withdrawn, answered])
+      // Its next run wants a trial of its own.
+      expect([scene.mayStart(), scene.asked]).to.deep.equal([false, 2])
+    })
+  }
+
+  it('gives a trial back whose item is dropped, before the run or in it', async () => {
+    const before = new Scene()
+    before.mayStart()
+    before.work.cancel.abort()
+    await settle()
+    expect([before.withdrawn, before.admitted]).to.deep.equal([1, 0])
+    const within = new Scene()
+    within.mayStart()
+    await settle()
+    within.work.cancel.abort()
+    within.end('broken')
+    expect(within.withdrawn).to.equal(1)
+  })
+})
--- /dev/null
+++ b/test/adapters/endsOfTargets.test.ts
@@ -0,0 +1,40 @@
+/** What the watch for ends of targets asks of sockets and digests. */
+
+import { createServer } from 'node:net'
+import type { AddressInfo } from 'node:net'
+import { expect } from 'chai'
+import { Connections } from '../../src/adapters/node/connections.ts'
+import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
+import { sha256Fingerprints } from '../../src/adapters/node/sha256Fingerprints.ts'
+import type { RequestContent } from '../../src/ports/common/fingerprints.ts'
+
+const settings = { connections: 2, connectTimeoutMs: 500, silenceMs: 2000, maximumAnswerBytes: 10_000 }
+
+describe('the question whether anybody listens', () => {
+  it('is answered by a process that listens, and refused by its address once it has ended', async () => {
+    const connections = new Connections(settings)
+    const client = new HttpTargetClient(connections, settings)
+    const server = createServer((socket) => { socket.resume() })
+    await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+    const address = `127.0.0.1:${(server.address() as AddressInfo).port}`
+    expect(await client.listens(address)).to.equal('yes')
+    await new Promise((resolve) => { server.close(resolve) })
+    expect(await client.listens(address)).to.equal('no')
+    connections.dispose()
+  })
+})
+
+describe('the fingerprint of a request', () => {
+  const content: RequestContent = { host: 'h', method: 'POST', path: '/a/?b=1', caller: undefined, body: 'text' }
+
+  it('is the same for each repeat, also of bytes for a text', () => {
+    expect(sha256Fingerprints.of(content)).to.equal(sha256Fingerprints.of({ ...content, body: new TextEncoder().encode('text') }))
+    expect(sha256Fingerprints.of(content)).to.match(/^[0-9a-f]{32}$/)
+  })
+
+  it('differs where any part does, however the parts are cut', () => {
+    const others: Partial<RequestContent>[] = [{ host: 'i' }, { method: 'PUT' }, { path: '/a/' }, { caller: 'Token x' }, { body: 'texu' }, { body: undefined }, { host: 'hP', method: 'OST' }]
+    const prints = [content, ...others.map((other) => ({ ...content, ...other }))].map((each) => sha256Fingerprints.of(each))
+    expect(new Set(prints).size).to.equal(prints.length)
+  })
+})
