--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -137,6 +137,7 @@
   }
 
   register (): void {
+    if (this.over) return
     const { id, service, place, slots = 4 } = this.options
     const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
     this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...this.toldStart, ...(models.length > 0 ? { stage: 'both', models } : {}) })
--- a/test/soak/load.ts
+++ b/test/soak/load.ts
@@ -34,6 +34,8 @@
   readonly results: Result[]
 }
 
+/** Body of the request that ends its targets. */
+export const FATAL = 'ends its target'
 /** Statuses that promise that a request has not run and never will. */
 const NOT_RUN = new Set([408, 421, 429, 503])
 const ATTEMPTS = 3
@@ -65,6 +67,12 @@
     }
   }
 
+  /** The request that ends its targets, with an id of its own each time. */
+  async callFatal (): Promise<void> {
+    const answer = await this.send('/look-up/fatal', { body: FATAL })
+    if (answer?.status === 200) this.violations.push('a request that ends its targets was answered')
+  }
+
   /** Submits a step, until it is accepted or four tries have failed. */
   async submit (): Promise<void> {
     const id = `step-${this.next++}`
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -15,6 +15,11 @@
     })
   }
 
+  it('keeps them under the faults of seed 3, with a request that ends its targets all the while', async () => {
+    const { violations, faults } = await soak({ seed: 3, hosts: 3, lengthMs: 8000, faults: 10, fatal: true })
+    expect(violations, faults.join('\n')).to.deep.equal([])
+  })
+
   for (const { seed, cause } of [
     { seed: 101, cause: 'the check did not know the answer of a target that sends bytes after it' },
     { seed: 110, cause: 'the same' },
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -5,12 +5,13 @@
  */
 
 import { mkdirSync, writeFileSync } from 'node:fs'
+import { EndingTargets } from '../platform/support/endingTargets.ts'
 import { Fleet } from '../platform/support/fleet.ts'
 import type { TargetOptions } from '../platform/support/targetStandIn.ts'
 import { Draw } from './chance.ts'
 import { planFaults } from './faults.ts'
 import { Link } from './link.ts'
-import { Load } from './load.ts'
+import { FATAL, Load } from './load.ts'
 
 export interface SoakOptions {
   readonly seed: number
@@ -18,6 +19,8 @@
   /** Time in which faults begin, in milliseconds. */
   readonly lengthMs: number
   readonly faults: number
+  /** Whether one request that ends its targets comes again and again. */
+  readonly fatal?: boolean
 }
 
 export interface SoakReport {
@@ -33,6 +36,12 @@
 const CALL_MS = 60
 const STEP_MS = 900
 const READ_MS = 150
+/** Time between two repeats of a request that ends its targets, and after the last fault until all hosts know what it ended, in milliseconds. */
+const FATAL_MS = 400
+const CALM_MS = 3000
+/** Repeats after that, and how many of them may reach targets: the users' bound. */
+const FATAL_REPEATS = 12
+const MOST_FATAL = 3
 /** Share of steps that their trainer ends before they are whole. */
 const ENDED_SHARE = 0.2
 
@@ -42,7 +51,7 @@
 const pause = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
 /** Plays one seed. */
-export async function soak ({ seed, hosts, lengthMs, faults: count }: SoakOptions): Promise<SoakReport> {
+export async function soak ({ seed, hosts, lengthMs, faults: count, fatal = false }: SoakOptions): Promise<SoakReport> {
   const draw = new Draw(seed)
   const storeLinks: Link[] = []
   const wayToStore = async (door: string, host: number): Promise<string> => {
@@ -50,7 +59,9 @@
     storeLinks[host] = link
     return link.address
   }
-  const fleet = await Fleet.start(hosts, [0, 1, 2].flatMap((index) => [engine(index), worker(index)]), {}, { wayToStore })
+  const all = [0, 1, 2].flatMap((index) => [engine(index), worker(index)])
+  const fleet = await Fleet.start(hosts, fatal ? [] : all, {}, { wayToStore })
+  const targets = fatal ? await EndingTargets.start(fleet, all, { under: ({ body }) => body === FATAL, afterMs: 30, backAfterMs: 800 }) : undefined
   const callerLinks = await Promise.all(fleet.hosts.map(async ({ address }) => await Link.to(address)))
   const load = new Load(fleet, callerLinks, new Draw(seed + 1))
   const planned = planFaults(draw, { fleet, callerLinks, storeLinks }, lengthMs, count)
@@ -67,7 +78,8 @@
     const loops = [
       ...Array.from({ length: 3 }, async () => { await repeat(CALL_MS, async () => { await load.callOnce() }) }),
       repeat(STEP_MS, async () => { await load.submit() }),
-      repeat(READ_MS, async () => { await readSteps(load, draw) })
+      repeat(READ_MS, async () => { await readSteps(load, draw) }),
+      ...(fatal ? [repeat(FATAL_MS, async () => { await load.callFatal() })] : [])
     ]
     for (const { atMs, name, begin, forMs } of planned) {
       await pause(atMs - (Date.now() - began))
@@ -81,10 +93,12 @@
     stop.abort()
     await Promise.all(loops)
     await heal(load)
+    if (targets !== undefined) await checkFatal(load, targets)
     load.checkRuns()
     return { violations: load.violations, faults: told, answered: load.answered, steps: load.steps.length }
   } finally {
     stop.abort()
+    targets?.stop()
     if (load.violations.length > 0) keepLogs(seed, fleet, [...load.violations, ...told])
     await fleet.stop()
     await Promise.all([...callerLinks, ...storeLinks].map(async (link) => { await link.close() }))
@@ -110,6 +124,19 @@
   for (const { id, state, items, results } of load.steps) if (state === 'accepted' && results.length < items.size) load.violations.push(`${id} was accepted, and ${items.size - results.length} of its items are not listed ${HEAL_MS / 1000} s after the last fault`)
 }
 
+/** The request that ends targets comes on after the last fault; what hosts saw of it before counts, also if they were lost since. */
+async function checkFatal (load: Load, targets: EndingTargets): Promise<void> {
+  const ended = targets.ended.length
+  await pause(CALM_MS)
+  const runs = (): number => targets.runs.filter(({ body }) => body === FATAL).length
+  const before = runs()
+  for (let repeats = 0; repeats < FATAL_REPEATS; repeats++) {
+    await load.callFatal()
+    await pause(FATAL_MS)
+  }
+  if (ended >= MOST_FATAL && runs() - before > MOST_FATAL) load.violations.push(`a request under which ${ended} targets had ended reached ${runs() - before} more`)
+}
+
 function keepLogs (seed: number, fleet: Fleet, story: readonly string[]): void {
   const folder = `reports/soak-${seed}`
   mkdirSync(folder, { recursive: true })
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -11,6 +11,7 @@
   .option('hosts', { type: 'number', default: 4 })
   .option('seconds', { type: 'number', default: 12, describe: 'time in which faults begin' })
   .option('faults', { type: 'number', default: 20 })
+  .option('fatal', { type: 'boolean', default: false, describe: 'with a request that ends its targets' })
   .strict()
   .parse()
 
@@ -19,7 +20,7 @@
 async function play (): Promise<void> {
   while (next < options.from + options.seeds) {
     const seed = next++
-    const { violations, answered, steps } = await soak({ seed, hosts: options.hosts, lengthMs: options.seconds * 1000, faults: options.faults })
+    const { violations, answered, steps } = await soak({ seed, hosts: options.hosts, lengthMs: options.seconds * 1000, faults: options.faults, fatal: options.fatal })
     if (violations.length > 0) failed++
     process.stdout.write(`seed ${seed}: ${answered} answers, ${steps} steps, ${violations.length === 0 ? 'in order' : `broken, see reports/soak-${seed}\n  ${violations.join('\n  ')}`}\n`)
   }
