--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -5,7 +5,7 @@
  * as well: of two hosts one goes first, and the other waits for what comes of it.
  */
 
-import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
+import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { DisposableStore, Emitter } from '../../../base/common/lifecycle.ts'
 import type { RequestFingerprint } from '../../../base/common/ids.ts'
 import type { Failure } from '../../../base/common/resultCode.ts'
@@ -77,7 +77,6 @@
   private readonly untold = new Set<TargetEnd>()
   private readonly prints = new WeakMap<RequestContent, RequestFingerprint>()
   private readonly changes = new Emitter<void>()
-  readonly onChange: Event<void> = this.changes.event
   private readonly disposables = new DisposableStore()
 
   constructor (private readonly services: HeldRequestsServices) {
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -259,8 +259,7 @@
   /**
    * The target is late, or its connection went silent, and then those to other targets may have too:
    * the request goes once more over a new connection, to another target or else to the same. Without
-   * this each call of a host met the next silent connection: 49% of calls were answered while
-   * connections were silent, and all are with it.
+   * this each call of a host meets the next silent connection until all of them are given up.
    */
   private late (attempt: Attempt): void {
     if (this.settled || !this.running.has(attempt)) return
@@ -370,7 +369,7 @@
     for (const attempt of this.running) {
       this.story.push(`${attempt.target.definition.id}:${attempt.known}:ended`)
       if (this.services.mechanisms.silence_suspicion && (why === 'out of time' || now - attempt.beganAt > SILENT_MS)) unanswered(attempt)
-      // Its brothers are taken for silent too. Where no new connection was sooner the target is slow: giving its connections up for each late request cost 15 to 26 new ones for 6 requests, 6 to 9 so.
+      // Its brothers are taken for silent too. Where no new connection was sooner the target is slow: giving its connections up for each late request would only cost new ones.
       if (!attempt.fresh && why !== 'other') this.services.client.distrust(attempt.target.definition.address, now - attempt.beganAt)
       attempt.abort.abort()
       attempt.run.over()
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -135,7 +135,7 @@
     const { client, clock, protocol } = this.services
     const { request } = this
     const { address } = target.definition
-    // After a silence connections to the next target are silent by the same cause: 0 of 10 streams came whole over kept ones, all over new ones.
+    // After a silence connections to the next target are silent by the same cause; new ones are not.
     const kept = request.route.resumable && !this.wentSilent
     const run = this.services.ends.begin(target, this.content, request.requestId)
     const silence = new AbortController()
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -30,7 +30,7 @@
       if (request.ownConnection) dispatcher.close().catch(() => undefined)
       return success({ status: answer.statusCode, headers: answer.headers, body })
     } catch (error) {
-      // A client that is only closed connects again after an aborted request, to send nothing: 10 to 15 connections were made for 6 requests, 6 to 9 so.
+      // A client that is only closed connects again after an aborted request, to send nothing.
       if (request.ownConnection) dispatcher.destroy().catch(() => undefined)
       return failed(error)
     }
--- a/src/core/common/routes/silence.ts
+++ b/src/core/common/routes/silence.ts
@@ -29,7 +29,7 @@
 
 /**
  * Whether a target is late since its slots are taken. A second send would wait behind the first, and make
- * everything behind it later: with it 37 of 154 look-ups were late on a day with one target left of three, 17 without.
+ * everything behind it later, most where a service has few targets left.
  */
 export function isBusy ({ report, reportAgeMs }: Pick<TargetLoad, 'report' | 'reportAgeMs'>): boolean {
   return report !== undefined && reportAgeMs < BUSY_MS && report.running + report.waiting >= report.slots
