--- a/src/actors/common/duties/dutyKeeper.ts
+++ b/src/actors/common/duties/dutyKeeper.ts
@@ -17,6 +17,7 @@
 import type { FoldedDuty } from '../../../core/common/steps/stepFold.ts'
 import { claimRecord, dropRecord, releaseRecord, renewalRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import { pause } from '../../../ports/common/clock.ts'
 import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
 
@@ -195,7 +196,7 @@
     this.claiming = true
     try {
       const signs = source.duty(duty)?.signs
-      if (inMs > 0) await new Promise<void>((resolve) => { clock.after(inMs, resolve) })
+      if (inMs > 0) await pause(clock, inMs)
       if (this.stopping || source.isLost || source.duty(duty)?.signs !== signs) return
       // A host that woke or fell behind would claim though the holder lives: it reads to the end first.
       if (!await source.catchUp() || source.duty(duty)?.signs !== signs) return
--- a/src/actors/common/operators/operatorDesk.ts
+++ b/src/actors/common/operators/operatorDesk.ts
@@ -11,6 +11,7 @@
 import { filterRows } from '../../../core/common/language/rows.ts'
 import type { ShowStatement } from '../../../core/common/language/statement.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import { pause } from '../../../ports/common/clock.ts'
 import type { PeerHandlers, Peers } from '../../../ports/common/peers.ts'
 import type { Appender } from '../log/appender.ts'
 import type { FoldView } from '../log/controlLog.ts'
@@ -133,7 +134,7 @@
         const answer = await this.services.peers.call(member.address, 'query.rows', { view: 'none' }, FAN_OUT_TIMEOUT_MS)
         if (answer.ok && answer.value.offset >= offset) confirmed.add(member.host)
       }))
-      await new Promise<void>((resolve) => { this.services.clock.after(CONFIRM_EVERY_MS, resolve) })
+      await pause(this.services.clock, CONFIRM_EVERY_MS)
     }
   }
 }
--- a/src/actors/common/routing/grantClient.ts
+++ b/src/actors/common/routing/grantClient.ts
@@ -15,6 +15,7 @@
 import type { AcquireRequest, Grant } from '../../../core/common/routing/admissionMessages.ts'
 import { orderShards } from '../../../core/common/routing/shardChoice.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import { pause } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { AcquireAnswer, PeerHandlers, Peers } from '../../../ports/common/peers.ts'
 import type { MembershipView } from '../membership/membership.ts'
@@ -152,7 +153,7 @@
       const revoked = this.revokedEarly.delete(request.grant)
       if (answer === 'home-moved') {
         if (onlyFree) return failure('noTarget', 'the home of the shard does not answer', { retryAfterMs: 500 })
-        await this.pause(HOME_MOVED_PAUSE_MS)
+        await pause(this.services.clock, HOME_MOVED_PAUSE_MS)
         continue
       }
       return this.take(shard, request, answer, revoked)
@@ -236,10 +237,6 @@
       else this.services.peers.call(home.address, 'admission.renew', { shard, grants }, RELEASE_TIMEOUT_MS).catch(() => undefined)
     }
   }
-
-  private async pause (milliseconds: number): Promise<void> {
-    await new Promise<void>((resolve) => { this.services.clock.after(milliseconds, resolve) })
-  }
 }
 
 function onAbort (signal: AbortSignal, listener: () => void): Disposable {
--- a/src/actors/common/samples/rolloutRunner.ts
+++ b/src/actors/common/samples/rolloutRunner.ts
@@ -10,6 +10,7 @@
 import type { PayloadReference } from '../../../core/common/fold/records.ts'
 import type { RolloutProgress } from '../../../core/common/samples/rollout.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
+import { pause } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { CompletionStream, Engine, Scorer } from '../../../ports/common/targets.ts'
@@ -68,7 +69,7 @@
     while (!task.signal.aborted) {
       const prompt = await this.services.payloads.read(task.prompt)
       if (!prompt.ok) {
-        await this.pause()
+        await pause(this.services.clock, RETRY_MS)
         continue
       }
       const finished = await this.attempt(task, prompt.value, exclude)
@@ -96,7 +97,7 @@
     if (!grant.ok) {
       if (grant.code === 'noTarget') {
         exclude.length = 0
-        await this.pause()
+        await pause(this.services.clock, RETRY_MS)
       }
       return false
     }
@@ -153,12 +154,8 @@
       const score = await this.services.scorer.score(prompt, task.progress.text)
       if (score.ok) return score
       this.services.metrics.count('scorer.failed')
-      await this.pause()
+      await pause(this.services.clock, RETRY_MS)
     }
     return failure('cancelled', 'the rollout is no longer wanted')
   }
-
-  private async pause (): Promise<void> {
-    await new Promise<void>((resolve) => { this.services.clock.after(RETRY_MS, resolve) })
-  }
 }
--- a/src/actors/common/weights/engineOrders.ts
+++ b/src/actors/common/weights/engineOrders.ts
@@ -13,6 +13,7 @@
 import { parallelLoads, planLoads } from '../../../core/common/weights/loadPlan.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
+import { pause } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { EngineState, OrderVerdict, SwapMode, TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetAnswer, TargetClient, TargetRequest } from '../../../ports/common/targetClient.ts'
@@ -139,14 +140,14 @@
     if (before === undefined || engine.target.isOver || !this.services.duty.alone) return
     const verdict = await this.order(engine, load, mode, before.sequence)
     if (verdict === 'in-progress') {
-      await this.pause(LOAD_MS)
+      await pause(this.services.clock, LOAD_MS)
       await this.awaitVersion(engine, load, began)
     } else if (verdict === 'holds') {
       engine.learnVersion(load)
     } else {
       this.services.metrics.count('orders.not_taken')
       this.services.stateLog.decided('order not taken', { engine: load.engine, model: load.model, version: load.version, verdict })
-      await this.pause(PAUSE_MS)
+      await pause(this.services.clock, PAUSE_MS)
     }
   }
 
@@ -162,12 +163,12 @@
       const state = await this.report(engine)
       if (!state.ok) return undefined
       if (!this.learn(engine, state.value)) {
-        await this.pause(REPORT_MS)
+        await pause(this.services.clock, REPORT_MS)
         continue
       }
       if (engine.version(load.model) >= load.version) return undefined
       if (!state.value.ordering) return state.value
-      await this.pause(REPORT_MS)
+      await pause(this.services.clock, REPORT_MS)
     }
     return undefined
   }
@@ -191,7 +192,7 @@
           return stateLog.decided('load ended', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
         }
       }
-      await this.pause(REPORT_MS)
+      await pause(this.services.clock, REPORT_MS)
     }
     stateLog.decided('load not seen to end', { engine: load.engine, model: load.model, version: load.version, tookMs: Math.round(clock.monotonic() - began) })
   }
@@ -234,8 +235,4 @@
     if (limit.signal.aborted) client.distrust(address, limitMs)
     return answer
   }
-
-  private async pause (milliseconds: number): Promise<void> {
-    await new Promise<void>((resolve) => { this.services.clock.after(milliseconds, resolve) })
-  }
 }
--- a/src/host/node/gracefulStop.ts
+++ b/src/host/node/gracefulStop.ts
@@ -5,6 +5,7 @@
  */
 
 import type { Clock } from '../../ports/common/clock.ts'
+import { pause } from '../../ports/common/clock.ts'
 import type { StateLog } from '../../ports/common/observation.ts'
 
 /** What a stop waits for. */
@@ -46,18 +47,14 @@
     this.stateLog.changed('stop begins', { ...this.steps.underway() })
     this.steps.announce()
     this.steps.stopStarting()
-    await Promise.all([this.pause(this.settings.validForMs), this.steps.endLeases()])
-    while (this.busy() && this.clock.monotonic() - began < this.settings.timeoutMs) await this.pause(LOOK_MS)
+    await Promise.all([pause(this.clock, this.settings.validForMs), this.steps.endLeases()])
+    while (this.busy() && this.clock.monotonic() - began < this.settings.timeoutMs) await pause(this.clock, LOOK_MS)
     if (this.busy()) this.stateLog.alarm('stop does not wait longer', { ...this.steps.underway() })
-    await Promise.race([this.steps.close(), this.pause(this.settings.validForMs)])
+    await Promise.race([this.steps.close(), pause(this.clock, this.settings.validForMs)])
     this.stateLog.changed('stop ends', { milliseconds: Math.round(this.clock.monotonic() - began) })
   }
 
   private busy (): boolean {
     return Object.values(this.steps.underway()).some((count) => count > 0)
   }
-
-  private async pause (milliseconds: number): Promise<void> {
-    await new Promise<void>((resolve) => { this.clock.after(milliseconds, resolve) })
-  }
 }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -13,7 +13,7 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
 import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
-import type { Clock } from '../../ports/common/clock.ts'
+import { pause } from '../../ports/common/clock.ts'
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
 import { countItems, setGauges } from './hostGauges.ts'
@@ -115,7 +115,3 @@
   disposables.dispose()
   await output.drained(OUTPUT_DRAIN_MS)
 }
-
-async function pause (clock: Clock, milliseconds: number): Promise<void> {
-  await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) })
-}
--- a/src/ports/common/clock.ts
+++ b/src/ports/common/clock.ts
@@ -16,6 +16,11 @@
   every (periodMs: number, task: () => void): Disposable
 }
 
+/** Lets time pass on a clock. */
+export async function pause (clock: Clock, milliseconds: number): Promise<void> {
+  await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) })
+}
+
 /** Source of random numbers. */
 export interface Chance {
   /** A number from 0 up to but without 1. */
