Held requests: one rule for the pause between trials, digests made once for each content

No change of behaviour: the table of pauses and the least pause said the same twice; the watch for ends and the held requests each made the digest of the same content.

--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import { DisposableStore, Emitter } from '../../../base/common/lifecycle.ts'
+import { Emitter } from '../../../base/common/lifecycle.ts'
 import type { RequestFingerprint } from '../../../base/common/ids.ts'
 import type { Failure } from '../../../base/common/resultCode.ts'
 import { failure } from '../../../base/common/resultCode.ts'
@@ -75,12 +75,11 @@
   private readonly fold = new EndFold()
   /** Ends that the topic has not confirmed: a topic that is read anew does not hold them yet. */
   private readonly untold = new Set<TargetEnd>()
-  private readonly prints = new WeakMap<RequestContent, RequestFingerprint>()
   private readonly changes = new Emitter<void>()
-  private readonly disposables = new DisposableStore()
+  private readonly subscription: Disposable
 
   constructor (private readonly services: HeldRequestsServices) {
-    this.disposables.add(services.ends.onEnd((end) => { this.tellEnd(end) }))
+    this.subscription = services.ends.onEnd((end) => { this.tellEnd(end) })
     services.topic.share({ reset: (entries) => { this.reset(entries) }, apply: (entries) => { this.apply(entries) } })
   }
 
@@ -137,17 +136,12 @@
   }
 
   dispose (): void {
-    this.disposables.dispose()
+    this.subscription.dispose()
     this.changes.dispose()
   }
 
-  /** Digest of a request's content; made once for each content that is asked for. */
   fingerprintOf (content: RequestContent): RequestFingerprint {
-    const known = this.prints.get(content)
-    if (known !== undefined) return known
-    const print = this.services.fingerprints.of(content)
-    this.prints.set(content, print)
-    return print
+    return this.services.fingerprints.of(content)
   }
 
   private tellEnd (end: TargetEnd): void {
@@ -179,8 +173,10 @@
 
   private apply (entries: readonly KeyedEntry[]): void {
     const now = this.services.clock.monotonic()
+    let isNews = false
     // Nearly all records of the topic are of steps.
-    if (entries.filter((entry) => this.fold.apply(entry, now)).length > 0) this.changes.fire()
+    for (const entry of entries) isNews = this.fold.apply(entry, now) || isNews
+    if (isNews) this.changes.fire()
   }
 
   /** A trial may end its target: the service must have another then, or must never have had more than this one. */
--- a/src/actors/common/routes/targetEnds.ts
+++ b/src/actors/common/routes/targetEnds.ts
@@ -6,7 +6,7 @@
  */
 
 import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
-import { DisposableStore, Emitter } from '../../../base/common/lifecycle.ts'
+import { Emitter } from '../../../base/common/lifecycle.ts'
 import { targetLife } from '../../../base/common/ids.ts'
 import type { RequestFingerprint, TargetLife } from '../../../base/common/ids.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -69,10 +69,10 @@
   /** Requests under the ends of the last moment, by their ids, with its monotonic time. */
   private readonly lastMoment = new Map<string, number>()
   readonly onEnd: Event<TargetEnd> = this.ends.event
-  private readonly disposables = new DisposableStore()
+  private readonly subscription: Disposable
 
   constructor (private readonly services: TargetEndsServices) {
-    this.disposables.add(services.targets.onGone((target) => { if (!target.definition.draining) this.entryGone(target) }))
+    this.subscription = services.targets.onGone((target) => { if (!target.definition.draining) this.entryGone(target) })
   }
 
   /** Notes that a request is sent to a target. */
@@ -87,7 +87,7 @@
   }
 
   dispose (): void {
-    this.disposables.dispose()
+    this.subscription.dispose()
     this.ends.dispose()
   }
 
--- a/src/core/common/routes/endFold.ts
+++ b/src/core/common/routes/endFold.ts
@@ -26,13 +26,14 @@
 /** How long a trial may last before its host counts as lost, in milliseconds: longer than the short requests that such a host had begun. */
 const TRIAL_MS = 3000
 /**
- * Pauses before the first trial, the second and each further one, in milliseconds. With the first the third target ends at the latest. The second is for
- * a request that met another's end in its first; by then the target of that is back. Whoever is still held may have had bad luck twice, which time mends.
+ * Trials that follow each other soon: with the first the third target ends at the latest, and the second is for a request that met another's end in its
+ * first. Whoever is still held after that may have had bad luck twice, which time mends.
  */
-const PAUSES_MS = [0, 4000, 300_000] as const
-const LONG_PAUSE_MS = PAUSES_MS[2]
-/** Pause after a trial that was given back, in milliseconds: it may have reached targets that refused it. */
-const LEAST_PAUSE_MS = 4000
+const SOON_TRIALS = 2
+/** Pause after such a trial, in milliseconds, also after one that was given back: its target is back then if it ended, and a target that refused it is not asked again and again. */
+const PAUSE_MS = 4000
+/** Pause after each further one, in milliseconds. */
+const LONG_PAUSE_MS = 300_000
 /** Lives of targets whose ends are kept in mind; marks are only pushed out by as many ends within the time for which they are kept. */
 const MOST_LIVES = 4096
 
@@ -113,7 +114,7 @@
     if (ends < HELD_FROM) return { type: 'watched', ends }
     const last = marks.trials.at(-1)
     const trialUnderWay = last !== undefined && last.endsBefore === ends && nowMs - last.learnedAt < TRIAL_MS
-    const pauseMs = Math.max(LEAST_PAUSE_MS, PAUSES_MS[marks.trials.length] ?? LONG_PAUSE_MS)
+    const pauseMs = marks.trials.length < SOON_TRIALS ? PAUSE_MS : LONG_PAUSE_MS
     const nextTrialInMs = Math.max(0, marks.triedAt + pauseMs - nowMs)
     return { type: 'held', ends, trials: marks.trials.length, trialUnderWay, nextTrialInMs }
   }
--- a/src/ports/common/fingerprints.ts
+++ b/src/ports/common/fingerprints.ts
@@ -14,6 +14,6 @@
 }
 
 export interface Fingerprints {
-  /** A digest that nobody can have two contents share on purpose; the content cannot be read from it. */
+  /** A digest that nobody can have two contents share on purpose; the content cannot be read from it. It is made once for each content object. */
   of (content: RequestContent): RequestFingerprint
 }
