--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -5,64 +5,22 @@
  * run it.
  */
 
+import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
+import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
-import { judgeAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { isBusy, lateAfterMs } from '../../../core/common/routes/silence.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
-import type { Mechanisms } from '../../../core/common/mechanisms.ts'
-import type { Chance, Clock } from '../../../ports/common/clock.ts'
-import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
-import type { OutgoingOptions, TargetProtocol } from '../../../ports/common/protocols.ts'
-import type { TargetAnswer, TargetClient } from '../../../ports/common/targetClient.ts'
-import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
-import type { Admission, HeldRequests, Trial } from './heldRequests.ts'
+import type { TargetAnswer } from '../../../ports/common/targetClient.ts'
+import type { Admission, Trial } from './heldRequests.ts'
 import { heldBack } from './heldRequests.ts'
-import type { RunAtTarget, TargetEnds } from './targetEnds.ts'
-import type { KnownTarget, TargetTable } from './targetTable.ts'
-
-export interface RoutedRequest {
-  readonly route: Route
-  readonly requestId: string | undefined
-  readonly method: string
-  readonly path: string
-  readonly headers: (options: OutgoingOptions) => string[]
-  readonly body: Uint8Array | undefined
-  /** How long the caller waits from now on, in milliseconds. */
-  readonly waitMs: number
-  /** Version of the configuration that the route is of. */
-  readonly configuration: number
-  /** Background calls leave a slot of each target to callers that wait. */
-  readonly background: boolean
-  /** What the caller shows of itself, where callers have to. */
-  readonly caller?: string | undefined
-  /** Aborted when the caller has gone. */
-  readonly gone: AbortSignal
-}
-
-export interface RoutedAnswer {
-  readonly answer: TargetAnswer
-  readonly target: string
-  /** Answers of targets that said that they failed, this one included. */
-  readonly failures: number
-}
-
-export interface RouteCallServices {
-  readonly targets: TargetTable
-  readonly client: TargetClient
-  readonly ends: TargetEnds
-  readonly held: HeldRequests
-  readonly protocol: TargetProtocol
-  readonly clock: Clock
-  readonly chance: Chance
-  readonly metrics: Metrics
-  readonly stateLog: StateLog
-  readonly place: string
-  readonly mechanisms: Pick<Mechanisms, 'second_sends' | 'silence_suspicion' | 'caller_slot' | 'nearest_targets'>
-}
+import type { RouteCallServices, RoutedAnswer, RoutedRequest } from './routedRequest.ts'
+import { contentOf, preferredPlace } from './routedRequest.ts'
+import type { RunAtTarget } from './targetEnds.ts'
+import type { KnownTarget } from './targetTable.ts'
 
 /** Pause before targets that refused are asked again, in milliseconds: about the time of a short request. */
 const ROUND_MS = 40
@@ -404,16 +362,6 @@
   }
 }
 
-/** What a request asks, alike in each of its repeats. */
-export function contentOf ({ route: { host }, method, path, caller, body }: RoutedRequest): RequestContent {
-  return { host, method, path, caller, body }
-}
-
-/** The failure domain whose targets go first; `undefined`: none. */
-export function preferredPlace ({ place, mechanisms }: Pick<RouteCallServices, 'place' | 'mechanisms'>): string | undefined {
-  return mechanisms.nearest_targets ? place : undefined
-}
-
 /** Ends the counting of an attempt among those in flight. */
 function release (attempt: Attempt): void {
   if (attempt.holdsSlot) attempt.target.inFlight--
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { allMechanisms } from '../../../src/core/common/mechanisms.ts'
 import { RouteCalls } from '../../../src/actors/common/routes/routeCalls.ts'
-import type { RoutedAnswer } from '../../../src/actors/common/routes/routeCalls.ts'
+import type { RoutedAnswer } from '../../../src/actors/common/routes/routedRequest.ts'
 import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import type { Failure, Result } from '../../../src/base/common/resultCode.ts'
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -2,7 +2,7 @@
 
 import { RouteCalls } from '../../src/actors/common/routes/routeCalls.ts'
 import { allMechanisms } from '../../src/core/common/mechanisms.ts'
-import type { RoutedRequest } from '../../src/actors/common/routes/routeCalls.ts'
+import type { RoutedRequest } from '../../src/actors/common/routes/routedRequest.ts'
 import { StreamCalls } from '../../src/actors/common/routes/streamCalls.ts'
 import { TargetTable } from '../../src/actors/common/routes/targetTable.ts'
 import { Connections } from '../../src/adapters/node/connections.ts'
