Connections read only what their reader asks for: an end that came while the HTTP parser was paused ended the process

Cause: connections read ahead, so the end is emitted while the parser is paused over the last bytes, and it asserts that it is not. Trace: push 10240, read 10240, pause, push end, emit end, assert. Why this holds: a read from the network begins only after the reader was told that nothing is left, so the parser is not paused whenever an end or an error can come.

--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -59,6 +59,9 @@
   }
 }
 
+/** Buffers of connections: reading stops after each piece, until the reader asks for more. */
+const BUFFERS = { highWaterMark: undefined, readableHighWaterMark: 1, writableHighWaterMark: 65_536 }
+
 /** Code of an error that says that a connection was reset. */
 const RESET_CODE = 'CONNECTION_RESET'
 
@@ -68,12 +71,13 @@
  * answered. It goes by the error's code, so the error gets another one before the library sees it.
  */
 export function connector (timeoutMs: number): buildConnector.connector {
-  const connect = buildConnector({ timeout: timeoutMs })
+  const connect = buildConnector({ timeout: timeoutMs, ...BUFFERS })
   return (options, callback) => {
     connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
       if (error !== null) return callback(error, null)
       socket.prependListener('error', (failed: NodeJS.ErrnoException) => { if (failed.code === 'ECONNRESET') failed.code = RESET_CODE })
       tellResetsFromEnds(socket)
+      readOnDemand(socket)
       callback(null, socket)
     })
   }
@@ -93,6 +97,25 @@
   }
 }
 
+/**
+ * Makes a connection read from the network only once its reader has taken all that came and asks for more. Where it reads ahead, an end is
+ * emitted while the parser is paused over the last bytes, and the library throws out of the event, where nobody can catch it.
+ */
+function readOnDemand (socket: Socket): void {
+  const read = socket.read.bind(socket)
+  const startReading = socket._read.bind(socket)
+  let isWanted = false
+  socket._read = () => { isWanted = true }
+  socket.read = (size?: number): unknown => {
+    const piece: unknown = read(size)
+    if (piece === null && isWanted) {
+      isWanted = false
+      startReading(0)
+    }
+    return piece
+  }
+}
+
 /** Codes of errors that come before the first byte has left. */
 const beforeFirstByte: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL', 'UND_ERR_CONNECT_TIMEOUT'])
 /** Whether an error says that the host is there and nobody listens: its process has ended. */
--- /dev/null
+++ b/test/promises/slowCallers.test.ts
@@ -0,0 +1,89 @@
+/** Promises: a caller that reads slowly harms nobody, on processes. */
+
+import { expect } from 'chai'
+import type { Server } from 'node:http'
+import { createServer } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+import { connect } from 'node:net'
+import type { Cluster } from '../support/hostProcess.ts'
+import { keys } from '../support/hostProcess.ts'
+import type { Platform } from '../support/platform.ts'
+import { startPlatform } from '../support/platform.ts'
+
+/** Answers of every length around what the sockets take from a host while their caller reads nothing. */
+const EVENTS = Array.from({ length: 40 }, (_, index) => 70 + index)
+const EVENT_BYTES = 50_000
+/** Time for an event to be read by itself, in milliseconds. */
+const GAP_MS = 2
+/** How long callers read nothing, in milliseconds. */
+const PAUSE_MS = 1500
+
+describe('a host whose callers read slowly', function () {
+  this.timeout(40_000)
+  let platform: Platform
+  let cluster: Cluster
+  let engine: Server
+
+  before(async () => {
+    engine = startUnframedEngine()
+    await new Promise<void>((resolve) => { engine.listen(0, '127.0.0.1', resolve) })
+    platform = await startPlatform({})
+    cluster = await platform.startCluster([{ name: 'abdali-1', place: 'Abdali' }])
+    await cluster.order(
+      'create pool drafter copies 1', 'create lane desk pool drafter priority 0 deadline 20s',
+      `create target drafter-0 pool drafter address "http://127.0.0.1:${(engine.address() as AddressInfo).port}" place Abdali slots 128 fenced true`
+    )
+  })
+
+  after(async () => {
+    await cluster.stop()
+    await platform.close()
+    engine.close()
+    engine.closeAllConnections()
+  })
+
+  it('lives on when answers without a length end while their readers pause', async () => {
+    // Guards against an exception out of the HTTP library's parser, which ends the process with all that it serves.
+    const texts = await Promise.all(EVENTS.map(async (count) => await readLate(Number(new URL(cluster.host(0).address).port), count)))
+    expect(cluster.host(0).running, cluster.host(0).output.slice(-2000)).to.equal(true)
+    expect(texts.map((text) => [text.match(/^data: .*"choices"/gm)?.length, text.includes('event: complete')])).to.deep.equal(EVENTS.map((count) => [count, true]))
+  })
+})
+
+/** An engine whose answers have no length and end with their connection. */
+function startUnframedEngine (): Server {
+  return createServer((request, response) => {
+    const chunks: Buffer[] = []
+    request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+    request.on('end', () => {
+      if (request.url !== '/v1/completions') return response.writeHead(200, { 'content-type': 'application/json' }).end('{"weight_version":1,"running":0,"queued":0,"leaving":false}')
+      const { id, prompt } = JSON.parse(Buffer.concat(chunks).toString()) as { id: string, prompt: string }
+      sendUnframed(response.socket as Socket, id, Number(prompt)).catch(() => undefined)
+    })
+  })
+}
+
+async function sendUnframed (socket: Socket, id: string, count: number): Promise<void> {
+  socket.on('error', () => undefined)
+  socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n\r\n')
+  for (let event = 1; event <= count; event++) {
+    await new Promise((resolve) => setTimeout(resolve, GAP_MS))
+    socket.write(`data: ${JSON.stringify({ id, choices: [{ index: 0, text: 'x'.repeat(EVENT_BYTES), finish_reason: event === count ? 'stop' : null }], weight_version: 1, tokens: 1 })}\n\n`)
+  }
+  socket.end()
+}
+
+/** Reads a stream of so many events, but nothing of it for a while, as a phone without network does. */
+async function readLate (port: number, count: number): Promise<string> {
+  const body = JSON.stringify({ stream: true, prompt: String(count), max_tokens: 1000 })
+  const socket = connect(port, '127.0.0.1')
+  socket.write(`POST /v1/lanes/desk/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer ${keys.caller}\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
+  await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
+  const pieces: Buffer[] = []
+  try {
+    for await (const piece of socket as AsyncIterable<Buffer>) pieces.push(piece)
+  } catch {
+    // What came is what was read.
+  }
+  return Buffer.concat(pieces).toString().replace(/\r\n[0-9a-f]+\r\n/g, '')
+}
