Answers that are cut are reset unless a missing chunk tells it: cut streams looked whole to callers of HTTP/1.0

A caller of HTTP/1.0 got 200, two events and an orderly end where the only engine had broken off after two events, and where its host stopped and waited no longer. Cause: answers were cut by destroying them, which ends the connection in order, and without chunks that is the end of the answer. Why this holds: all places that end an answer early (streams, handlers that fail, what is open when a server is disposed) go through one function; the metrics page has a length.

--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -11,6 +11,7 @@
 import { failure, failureBody } from '../../base/common/resultCode.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import type { Identities } from '../common/identity.ts'
+import { OpenAnswers, cutAnswer } from './cutAnswers.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
 import { listenAt } from './listenAt.ts'
@@ -34,6 +35,7 @@
 
 export class EntryServer implements Disposable {
   private readonly server
+  private readonly openAnswers: OpenAnswers
   private inFlight = 0
   private internalInFlight = 0
 
@@ -46,6 +48,7 @@
     }, (request, response) => {
       this.serve(request, response).catch((error: unknown) => { this.crashed(error, response) })
     })
+    this.openAnswers = new OpenAnswers(this.server)
     this.server.maxConnections = settings.maximumConnections
     this.server.on('drop', () => { services.metrics.count('connections.dropped') })
     this.server.on('clientError', (error, socket) => { this.rejectBroken(error, socket as Socket) })
@@ -70,6 +73,7 @@
 
   dispose (): void {
     this.server.close()
+    this.openAnswers.cut()
     this.server.closeAllConnections()
   }
 
@@ -109,7 +113,7 @@
   private crashed (error: unknown, response: ServerResponse): void {
     this.services.metrics.count('requests.crashed')
     this.services.stateLog.alarm('a request handler failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
-    if (response.headersSent) response.destroy()
+    if (response.headersSent) cutAnswer(response)
     else response.writeHead(500, { 'content-type': 'application/json' }).end(JSON.stringify(failureBody(failure('unknownOutcome', 'this host failed while it served the request'))))
   }
 
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -4,6 +4,7 @@
 import type { StreamCalls } from '../../../actors/common/routes/streamCalls.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FrontRequest, TargetProtocol } from '../../../ports/common/protocols.ts'
+import { cutAnswer } from '../cutAnswers.ts'
 import type { FrontExchange } from './frontExchange.ts'
 
 export interface ForwardServices {
@@ -35,8 +36,7 @@
         head: (status, headers) => { exchange.response.writeHead(status, protocol.answerHeaders(headers)) },
         write: (piece) => { exchange.response.write(piece) },
         end: () => { exchange.response.end() },
-        // An answer that is cut off must not look complete, so its connection is reset.
-        cut: () => { exchange.response.destroy() }
+        cut: () => { cutAnswer(exchange.response) }
       })
       if (failed !== undefined) exchange.fail(failed, true)
       return
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -14,6 +14,7 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
+import { OpenAnswers } from '../cutAnswers.ts'
 import { listenAt } from '../listenAt.ts'
 import { ByteBudget, FrontExchange } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
@@ -59,6 +60,7 @@
 export class FrontServer implements Disposable {
   private readonly server: Server
   private readonly budget: ByteBudget
+  private readonly openAnswers: OpenAnswers
   private inFlight = 0
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
@@ -70,6 +72,7 @@
       keepAliveTimeout: FIRST_LIMITS.idleTimeoutMs + IDLE_SLACK_MS,
       maxHeaderSize: settings.headBytes
     }, (request, response) => { this.receive(request, response) })
+    this.openAnswers = new OpenAnswers(this.server)
     this.server.maxConnections = settings.maximumConnections
     this.server.on('clientError', (error, socket) => { this.rejectBroken(error, socket as Socket) })
     services.operator.onChange(() => { this.takeLimits() })
@@ -92,6 +95,7 @@
 
   dispose (): void {
     this.server.close()
+    this.openAnswers.cut()
     this.server.closeAllConnections()
   }
 
--- a/src/entry/node/front/metricsServer.ts
+++ b/src/entry/node/front/metricsServer.ts
@@ -19,7 +19,9 @@
         return
       }
       refresh()
-      metrics.text().then((text) => { response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' }).end(text) }, () => { response.destroy() })
+      metrics.text().then((text) => {
+        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text) }).end(text)
+      }, () => { response.destroy() })
     })
   }
 
--- a/test/promises/slowCallers.test.ts
+++ b/test/promises/slowCallers.test.ts
@@ -4,11 +4,11 @@
 import type { Server } from 'node:http'
 import { createServer } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
-import { connect } from 'node:net'
 import type { Cluster } from '../support/hostProcess.ts'
 import { keys } from '../support/hostProcess.ts'
 import type { Platform } from '../support/platform.ts'
 import { startPlatform } from '../support/platform.ts'
+import { rawCall } from '../support/rawCaller.ts'
 
 /** Answers of every length around what the sockets take from a host while their caller reads nothing. */
 const EVENTS = Array.from({ length: 40 }, (_, index) => 70 + index)
@@ -44,7 +44,7 @@
 
   it('lives on when answers without a length end while their readers pause', async () => {
     // Guards against an exception out of the HTTP library's parser, which ends the process with all that it serves.
-    const texts = await Promise.all(EVENTS.map(async (count) => await readLate(Number(new URL(cluster.host(0).address).port), count)))
+    const texts = await Promise.all(EVENTS.map(async (count) => await readLate(cluster.host(0).address, count)))
     expect(cluster.host(0).running, cluster.host(0).output.slice(-2000)).to.equal(true)
     expect(texts.map((text) => [text.match(/^data: .*"choices"/gm)?.length, text.includes('event: complete')])).to.deep.equal(EVENTS.map((count) => [count, true]))
   })
@@ -74,16 +74,9 @@
 }
 
 /** Reads a stream of so many events, but nothing of it for a while, as a phone without network does. */
-async function readLate (port: number, count: number): Promise<string> {
+async function readLate (address: string, count: number): Promise<string> {
   const body = JSON.stringify({ stream: true, prompt: String(count), max_tokens: 1000 })
-  const socket = connect(port, '127.0.0.1')
-  socket.write(`POST /v1/lanes/desk/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer ${keys.caller}\r\ncontent-length: ${body.length}\r\n\r\n${body}`)
-  await new Promise((resolve) => setTimeout(resolve, PAUSE_MS))
-  const pieces: Buffer[] = []
-  try {
-    for await (const piece of socket as AsyncIterable<Buffer>) pieces.push(piece)
-  } catch {
-    // What came is what was read.
-  }
-  return Buffer.concat(pieces).toString().replace(/\r\n[0-9a-f]+\r\n/g, '')
+  const message = `POST /v1/lanes/desk/completions HTTP/1.1\r\nhost: a\r\nconnection: close\r\nauthorization: Bearer ${keys.caller}\r\ncontent-length: ${body.length}\r\n\r\n${body}`
+  const { text } = await rawCall({ address, message, pauseMs: PAUSE_MS })
+  return text.replace(/\r\n[0-9a-f]+\r\n/g, '')
 }
