Streams are passed on as bytes: what is no text, or ends within a character, came out altered

Callers of a streaming route got 200 with another body than the target's. Cause: pieces were decoded as text to find the ends of events, and the text was passed on; what the decoder held at the end was dropped. Evidence: the new test of routeCalls failed before ('head' and two replacement characters for ff d8, the last two bytes gone). Why this holds: events are found in the bytes and passed on as bytes; fields alone are decoded.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -28,7 +28,7 @@
 /** Where a stream goes. */
 export interface StreamSink {
   head (status: number, headers: ReceivedHeaders): void
-  write (piece: string): void
+  write (piece: Uint8Array): void
   end (): void
   /** Ends the answer so that it is seen to be incomplete. */
   cut (): void
@@ -166,15 +166,14 @@
       if (!this.headSent) this.sink.head(status, headers)
       this.headSent = true
       const reader = new EventReader()
-      const decoder = new TextDecoder()
       for await (const piece of pieces) {
         timer.dispose()
         timer = clock.after(silenceMs, () => { silence.abort() })
-        for (const event of reader.take(decoder.decode(piece, { stream: true }))) this.pass(event)
+        for (const event of reader.take(piece)) this.pass(event)
       }
       run.over()
       target.answered(clock.monotonic() - this.began)
-      if (reader.rest === '') return 'whole'
+      if (reader.rest.length === 0) return 'whole'
       // What is not a stream of events is passed on as it stands.
       if (this.last === request.resumeAfter) {
         this.sink.write(reader.rest)
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -140,12 +140,11 @@
 
 async function readEvents ({ services, engine, item, text, options, silence, run, furthest }: RunContext, stream: TargetStream): Promise<RunEnd> {
   const reader = new EventReader()
-  const decoder = new TextDecoder()
   let firstAt: number | undefined
   let lastAt: number | undefined
   let count = 0
   for await (const piece of stream.pieces) {
-    for (const { fields } of reader.take(decoder.decode(piece, { stream: true }))) {
+    for (const { fields } of reader.take(piece)) {
       const event = services.protocol.event(fields)
       if (event === undefined || !text.add(event)) {
         stream.cancel()
@@ -168,7 +167,7 @@
     }
   }
   if (firstAt !== undefined && lastAt !== undefined) engine.pace.noteRun(lastAt - firstAt, count)
-  return reader.rest.trim() !== '' ? { type: 'broken', why: 'the stream ended within an event' } : { type: 'complete' }
+  return new TextDecoder().decode(reader.rest).trim() !== '' ? { type: 'broken', why: 'the stream ended within an event' } : { type: 'complete' }
 }
 
 /** Aborts a run whose engine says nothing for too long: its connection may be silent for good, or the engine. */
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -207,7 +207,7 @@
     let ended = ''
     const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
       head: () => { got += 'head ' },
-      write: (piece) => { got += piece },
+      write: (piece) => { got += Buffer.from(piece).toString('latin1') },
       end: () => { ended = 'end' },
       cut: () => { ended = 'cut' }
     })
@@ -220,6 +220,13 @@
     expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
   })
 
+  it('is passed on as it came, also what is no text or ends within a character', async () => {
+    // Guards against a 200 whose body is not the target's: pieces were decoded as text on their way.
+    const raw = Buffer.from([0xff, 0xd8, 0x0a, 0x0a, 0x00, 0xe2, 0x82])
+    const { got, ended } = await stream({ a: [{ ...good(), events: [{ afterMs: 5, raw: raw.subarray(0, 1) }, { afterMs: 5, raw: raw.subarray(1) }] }] })
+    expect([got, ended]).to.deep.equal([`head ${raw.toString('latin1')}`, 'end'])
+  })
+
   it('goes on at another target after its last whole event, torn pieces left out', async () => {
     const torn = [...events(0, 2) ?? [], { afterMs: 5, raw: 'id: 2\nda' }]
     const { got, ended, client } = await stream({ a: [{ ...good(), events: torn, breaks: true }], b: [{ ...good(), events: events(2, 4) }] })
--- a/test/support/scriptedClient.ts
+++ b/test/support/scriptedClient.ts
@@ -13,7 +13,7 @@
   readonly headers?: Record<string, string>
   readonly failure?: 'targetUnreachable' | 'unknownOutcome'
   /** Events of a stream, each with the time before it. */
-  readonly events?: readonly { readonly afterMs: number, readonly raw: string }[]
+  readonly events?: readonly { readonly afterMs: number, readonly raw: string | Uint8Array }[]
   /** Whether the stream ends without being whole. */
   readonly breaks?: boolean
 }
@@ -60,7 +60,7 @@
     for (const { afterMs, raw } of events) {
       await this.wait(afterMs, signal)
       if (signal.aborted) throw new Error('aborted')
-      yield new TextEncoder().encode(raw)
+      yield typeof raw === 'string' ? new TextEncoder().encode(raw) : raw
     }
     if (breaks) throw new Error('reset')
   }
