A statement that a host may have run is no longer said to be not run

An operator whose host broke off after it had read a command was told 1004 targetUnreachable, which means not run, and never the id with which to repeat it. Cause: the command line's client took every failure for one to connect. Evidence: 'is not said to be not run once a host may have run it' failed before (targetUnreachable where the host had read the command and reset the connection). Why this holds: the error says whether a byte left, as at targets; what one host may have run is not outdone by a later host that cannot be reached.

--- a/src/commandLine/node/operatorClient.ts
+++ b/src/commandLine/node/operatorClient.ts
@@ -1,6 +1,7 @@
 /** What `query` and `order` do: send a statement to a host and print the answer. */
 
 import { Client } from 'undici'
+import { connector, neverSent } from '../../adapters/node/connections.ts'
 import type { FailureBody, Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { CommandAnswer, RowsAnswer } from '../../actors/common/operators/operatorDesk.ts'
@@ -21,19 +22,22 @@
   | { readonly type: 'answer', readonly answer: RowsAnswer | CommandAnswer }
   | { readonly type: 'refused', readonly error: FailureBody['error'] }
 
-/** Sends a statement. A command carries an id, so that asking a second host does not repeat it. */
+/**
+ * Sends a statement. A command carries an id, so that asking a second host does not repeat it. The failure is `targetUnreachable` only
+ * where no host can have run it.
+ */
 export async function sendStatement (call: OperatorCall): Promise<Result<OperatorOutcome>> {
   let last = failure('targetUnreachable', 'no host was given')
   for (const host of call.hosts) {
     const outcome = await sendTo(host, call)
     if (outcome.ok) return outcome
-    last = outcome
+    if (last.code !== 'unknownOutcome') last = outcome
   }
   return last
 }
 
 async function sendTo (host: string, call: OperatorCall): Promise<Result<OperatorOutcome>> {
-  const client = new Client(host)
+  const client = new Client(host, { connect: connector(call.timeoutMs) })
   try {
     const answer = await client.request({
       method: 'POST',
@@ -47,7 +51,9 @@
       ? { type: 'answer', answer: body as RowsAnswer | CommandAnswer }
       : { type: 'refused', error: (body as FailureBody).error })
   } catch (error) {
-    return failure('targetUnreachable', `${host}: ${(error as Error).message}`)
+    const message = `${host}: ${(error as Error).message}`
+    if (neverSent(error)) return failure('targetUnreachable', message)
+    return failure('unknownOutcome', call.id === undefined ? message : `${message}; repeat it with the id ${call.id}`)
   } finally {
     client.destroy().catch(() => undefined)
   }
