A wait for a slow caller leaves no listener behind

A host wrote MaxListenersExceededWarning for each stream whose caller paused more than ten times, and kept a listener for each pause until the stream ended. Cause: of the two listeners of a wait only the one that fired was taken off. The check in promises/slowCallers failed before, and passes now.

--- a/src/entry/node/routes/completionRoutes.ts
+++ b/src/entry/node/routes/completionRoutes.ts
@@ -175,8 +175,13 @@
     const { response, gone } = this.exchange
     if (gone.aborted) return
     await new Promise<void>((resolve) => {
-      response.once('drain', resolve)
-      response.once('close', resolve)
+      const settle = (): void => {
+        response.off('drain', settle)
+        response.off('close', settle)
+        resolve()
+      }
+      response.once('drain', settle)
+      response.once('close', settle)
     })
   }
 }
--- a/test/promises/slowCallers.test.ts
+++ b/test/promises/slowCallers.test.ts
@@ -43,9 +43,10 @@
   })
 
   it('lives on when answers without a length end while their readers pause', async () => {
-    // Guards against an exception out of the HTTP library's parser, which ends the process with all that it serves.
+    // Guards against a listener that is left behind by each pause of a caller, and against an exception out of the HTTP library's parser, which ends the process with all that it serves.
     const texts = await Promise.all(EVENTS.map(async (count) => await readLate(cluster.host(0).address, count)))
     expect(cluster.host(0).running, cluster.host(0).output.slice(-2000)).to.equal(true)
+    expect(cluster.host(0).output).not.to.include('MaxListenersExceededWarning')
     expect(texts.map((text) => [text.match(/^data: .*"choices"/gm)?.length, text.includes('event: complete')])).to.deep.equal(EVENTS.map((count) => [count, true]))
   })
 })
