--- a/test/adapters/resetAnswers.test.ts
+++ b/test/adapters/resetAnswers.test.ts
@@ -11,9 +11,7 @@
 const HEAD = 'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/plain\r\n\r\n'
 
 describe('an answer without a length', () => {
-  // What happened: a target crashed while it sent such an answer, and the caller got the first part of it as a
-  // whole one. The end of the connection is the only mark that such an answer has, and the library takes a reset
-  // connection for an ended one.
+  // Guards against the first part of an answer that passes for a whole one, since its connection's reset is taken for its end.
   let server: Server
   let connections: Connections
   let client: HttpTargetClient
@@ -58,9 +56,7 @@
     })
 
     it(`is none if its connection is reset together with what it has sent, over ${way}`, async () => {
-      // Symptom: of some 40 played days one had a caller that got the first part of such an answer as a whole one (varied day garble-unframed,
-      // seed 895258712195, three plays of it, one on the code before). Sequence: the last part and the reset are there before the host looks at
-      // the connection. The engine reads the part, sees that nothing more will come, and tells an end, not a reset.
+      // Guards against a reset that is told as an end because it is there together with the last bytes (garble-unframed, varied, seed 895258712195).
       atOnce = true
       afterHead = (socket) => { socket.resetAndDestroy() }
       expect(await client.exchange(request(ownConnection))).to.deep.include({ ok: false, code: 'unknownOutcome' })
