Streams wait for their callers: a caller that read nothing cost a host whatever its target sent

Eight callers that asked for streams of 30 MB and read nothing took 160 to 215 MB of a host, 64 took 281 to 314, 400 took 815; a host that runs out of memory is gone with all that it holds. Cause: what response.write returns was dropped, and the target was read as fast as it sent. Now a stream waits for its caller, 16 KB are read ahead, the wait counts neither as silence nor as slowness of the target, and a caller that reads nothing for limits.caller_pause is given up, its run with it. Tried and left: reads of 16 KB into one shared buffer (25, 66, 85 MB; no difference). Events of one read are passed on in one piece. Streams only: a budget over all callers stays open.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -1,7 +1,8 @@
 /**
  * Streams of a route: passed on event by event as they come. A stream that breaks goes on at another
  * target after the last whole event, where the route allows it, within the one answer that the
- * caller has; else it is cut off, so that it cannot be taken for whole.
+ * caller has; else it is cut off, so that it cannot be taken for whole. A target is read as fast as the caller reads; a caller
+ * that reads nothing for too long is given up.
  */
 
 import type { Failure } from '../../../base/common/resultCode.ts'
@@ -10,7 +11,7 @@
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { ReadEvent } from '../../../core/common/streams/eventReader.ts'
-import { EventReader } from '../../../core/common/streams/eventReader.ts'
+import { EventReader, bytesOf } from '../../../core/common/streams/eventReader.ts'
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routedRequest.ts'
 import { contentOf, preferredPlace } from './routedRequest.ts'
@@ -28,14 +29,15 @@
 /** Where a stream goes. */
 export interface StreamSink {
   head (status: number, headers: ReceivedHeaders): void
-  write (piece: Uint8Array): void
+  /** Takes a piece; where the caller does not keep up, the result comes once it does, or has gone. */
+  write (piece: Uint8Array): Promise<void> | undefined
   end (): void
   /** Ends the answer so that it is seen to be incomplete. */
   cut (): void
 }
 
 /** How one run at one target ended. */
-type RunEnd = 'whole' | 'not-run' | 'broken' | 'gone'
+type RunEnd = 'whole' | 'not-run' | 'broken' | 'gone' | 'unread'
 
 /** Longest silence of a stream, in relation to the route's objective; callers give up after four times it. */
 const SILENCE_SHARE = 3
@@ -43,12 +45,20 @@
 const LEAST_SILENCE_MS = 1500
 const RETRY_AFTER_MS = 300
 
+/** The caller has read nothing for too long. */
+class UnreadStream extends Error {
+  constructor (readonly waitedMs: number) {
+    super('the caller reads nothing')
+  }
+}
+
 export class StreamCalls {
-  constructor (private readonly services: RouteCallServices) {}
+  /** @param callerPauseMs longest time for which a caller may read nothing */
+  constructor (private readonly services: RouteCallServices, private readonly callerPauseMs: number) {}
 
   /** Serves a stream; the result is a failure that nothing has been sent for yet. */
   async call (request: StreamRequest, sink: StreamSink): Promise<Failure | undefined> {
-    return await new StreamCall(this.services, request, sink).run()
+    return await new StreamCall(this.services, this.callerPauseMs, request, sink).run()
   }
 }
 
@@ -63,10 +73,13 @@
   private readonly content: RequestContent
   /** Whether the target that answered said that it failed. */
   private failed = false
+  private passedBytes = 0
+  /** How long this host waited for the caller to read, in milliseconds. */
+  private unreadMs = 0
   /** What the request was last told by those that hold back what ends targets. */
   private admission: Admission = { type: 'open' }
 
-  constructor (private readonly services: RouteCallServices, private readonly request: StreamRequest, private readonly sink: StreamSink) {
+  constructor (private readonly services: RouteCallServices, private readonly callerPauseMs: number, private readonly request: StreamRequest, private readonly sink: StreamSink) {
     this.began = services.clock.monotonic()
     this.last = request.resumeAfter
     this.content = contentOf(request)
@@ -89,7 +102,7 @@
       target.inFlight--
       if (end !== 'not-run') runs++
       this.noteRun(end)
-      if (end === 'whole' || end === 'gone' || (end === 'broken' && !route.resumable)) break
+      if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && !route.resumable)) break
     }
     return this.close(end)
   }
@@ -97,7 +110,7 @@
   /** What the run says of the request: an answer clears it, and one that ran to no end of its target is no trial. */
   private noteRun (end: RunEnd): void {
     if (end === 'whole' && !this.failed) this.services.held.answered(this.content)
-    else if ((end === 'not-run' || end === 'gone') && this.admission.type === 'trial') this.admission.trial.withdraw()
+    else if ((end === 'not-run' || end === 'gone' || end === 'unread') && this.admission.type === 'trial') this.admission.trial.withdraw()
   }
 
   private get remainingMs (): number {
@@ -168,19 +181,20 @@
       const reader = new EventReader()
       for await (const piece of pieces) {
         timer.dispose()
+        await this.pass(reader.take(piece))
         timer = clock.after(silenceMs, () => { silence.abort() })
-        for (const event of reader.take(piece)) this.pass(event)
       }
       run.over()
-      target.answered(clock.monotonic() - this.began)
+      target.answered(clock.monotonic() - this.began - this.unreadMs)
       if (reader.rest.length === 0) return 'whole'
       // What is not a stream of events is passed on as it stands.
       if (this.last === request.resumeAfter) {
-        this.sink.write(reader.rest)
+        await this.write(reader.rest)
         return 'whole'
       }
       return 'broken'
-    } catch {
+    } catch (error) {
+      if (error instanceof UnreadStream) return this.giveUp(target, run, error.waitedMs)
       return kept && silence.signal.aborted ? this.silentRun(target, run, silenceMs) : await this.failedRun(target, run, 'broke')
     } finally {
       timer.dispose()
@@ -188,13 +202,51 @@
     }
   }
 
-  private pass ({ raw, fields }: ReadEvent): void {
+  /** Passes on events, up to the first that does not follow the one before. */
+  private async pass (events: readonly ReadEvent[]): Promise<void> {
+    const missing = events.findIndex((event) => !this.follows(event))
+    const passed = missing < 0 ? events : events.slice(0, missing)
+    if (passed.length > 0) await this.write(bytesOf(passed))
+    if (missing >= 0) throw new Error('an event is missing or doubled')
+  }
+
+  private follows ({ fields }: ReadEvent): boolean {
     const id = this.services.protocol.event(fields)?.id
-    if (id !== undefined) {
-      if (this.last !== undefined && id !== this.last + 1) throw new Error('an event is missing or doubled')
-      this.last = id
-    }
-    this.sink.write(raw)
+    if (id === undefined) return true
+    if (this.last !== undefined && id !== this.last + 1) return false
+    this.last = id
+    return true
+  }
+
+  private async write (piece: Uint8Array): Promise<void> {
+    this.passedBytes += piece.length
+    const reading = this.sink.write(piece)
+    if (reading !== undefined) await this.hold(reading)
+  }
+
+  /** Waits until the caller reads on. Nothing is read from the target meanwhile, so its silence means nothing. */
+  private async hold (reading: Promise<void>): Promise<void> {
+    const { clock } = this.services
+    const began = clock.monotonic()
+    let isOver = false
+    await new Promise<void>((resolve, reject) => {
+      const bound = clock.after(this.callerPauseMs, () => {
+        isOver = true
+        resolve()
+      })
+      reading.finally(() => { bound.dispose() }).then(resolve, reject)
+    })
+    const waitedMs = clock.monotonic() - began
+    this.unreadMs += waitedMs
+    if (isOver) throw new UnreadStream(waitedMs)
+  }
+
+  private giveUp ({ definition }: KnownTarget, run: RunAtTarget, waitedMs: number): RunEnd {
+    const { metrics, stateLog } = this.services
+    run.over()
+    metrics.count('streams.unread')
+    stateLog.decided('stream given up', { request: this.request.requestId ?? '', target: definition.id, failed: true, bytes: this.passedBytes, waitedMs: Math.round(waitedMs) })
+    return 'unread'
   }
 
   /** A kept connection said nothing for too long. */
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -12,6 +12,9 @@
 /** Longest wait for a connection that only asks whether anybody listens, in milliseconds: who waits for the answer has a request to send elsewhere. */
 const LISTENING_MS = 100
 
+/** Bytes that are read ahead of whoever takes a stream. */
+const READ_AHEAD_BYTES = 16_384
+
 export interface TargetClientSettings {
   /** Longest time for a connection to open, in milliseconds. */
   readonly connectTimeoutMs: number
@@ -40,7 +43,7 @@
     const dispatcher = this.dispatcher(request)
     const end = new AbortController()
     try {
-      const answer = await this.send(dispatcher, { ...request, signal: AbortSignal.any([request.signal, end.signal]) })
+      const answer = await this.send(dispatcher, { ...request, signal: AbortSignal.any([request.signal, end.signal]) }, READ_AHEAD_BYTES)
       // A cancelled body reports its end as an error; whoever cancelled it knows.
       answer.body.on('error', () => undefined)
       return success({ status: answer.statusCode, headers: answer.headers, pieces: answer.body, cancel: () => { end.abort() } })
@@ -75,8 +78,9 @@
     return new Client(origin, { connect: connector(this.settings.connectTimeoutMs), maxResponseSize: this.settings.maximumAnswerBytes })
   }
 
-  private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest): Promise<Dispatcher.ResponseData> {
-    return await dispatcher.request({ method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body ?? null, signal })
+  private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, readAheadBytes?: number): Promise<Dispatcher.ResponseData> {
+    const bounds = readAheadBytes === undefined ? {} : { highWaterMark: readAheadBytes }
+    return await dispatcher.request({ method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body ?? null, signal, ...bounds })
   }
 }
 
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -78,6 +78,7 @@
   decided: {
     'call ended': 'a request has its answer: route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, age of the newest load report',
     'call rejected': 'a request was rejected before it was sent anywhere, with the code and the configuration version',
+    'stream given up': 'a caller has read nothing for too long; with the bytes that were passed on and the wait',
     'stream ended': 'a stream is whole, cut or refused; with the targets and the last event',
     'append not confirmed': 'records were refused by the store, or it is not known whether it has them; with the topic, the first key, the way (`direct` or the host asked instead), and how many refusals of the same way had no line since the last one',
     'step submitted': 'a submission was accepted or not; with offset and time',
--- a/src/core/common/streams/eventReader.ts
+++ b/src/core/common/streams/eventReader.ts
@@ -46,6 +46,12 @@
   }
 }
 
+/** The bytes of events that were taken together: they lie one after the other. */
+export function bytesOf (events: readonly ReadEvent[]): Uint8Array {
+  const first = events[0]?.raw ?? new Uint8Array(0)
+  return new Uint8Array(first.buffer, first.byteOffset, events.reduce((sum, { raw }) => sum + raw.length, 0))
+}
+
 function joined (first: Uint8Array, second: Uint8Array): Uint8Array {
   const whole = new Uint8Array(first.length + second.length)
   whole.set(first)
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -4,6 +4,7 @@
 import type { StreamCalls } from '../../../actors/common/routes/streamCalls.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FrontRequest, TargetProtocol } from '../../../ports/common/protocols.ts'
+import { drained } from '../backpressure.ts'
 import { cutAnswer } from '../cutAnswers.ts'
 import type { FrontExchange } from './frontExchange.ts'
 
@@ -34,7 +35,7 @@
     if (route.kind === 'streaming') {
       const failed = await streams.call({ ...call, resumeAfter: read.resumeAfter }, {
         head: (status, headers) => { exchange.response.writeHead(status, protocol.answerHeaders(headers)) },
-        write: (piece) => { exchange.response.write(piece) },
+        write: (piece) => exchange.response.write(piece) ? undefined : drained(exchange.response),
         end: () => { exchange.response.end() },
         cut: () => { cutAnswer(exchange.response) }
       })
--- a/src/entry/node/routes/completionRoutes.ts
+++ b/src/entry/node/routes/completionRoutes.ts
@@ -13,6 +13,7 @@
 import type { Hash } from '../../../ports/common/hash.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { CompletionPart } from '../../../ports/common/targets.ts'
+import { drained } from '../backpressure.ts'
 import type { Exchange } from '../exchange.ts'
 import type { Router } from '../router.ts'
 import type { RequestRegistry } from '../requestRegistry.ts'
@@ -141,7 +142,8 @@
 
   part (part: CompletionPart): Promise<void> | undefined {
     if (this.write(`data: ${part.raw}\n\n`)) return undefined
-    return this.drained()
+    // The deadline of the call bounds the wait.
+    return drained(this.exchange.response)
   }
 
   /** The marker that tells a whole answer from a cut one. */
@@ -169,19 +171,4 @@
     this.lastWrite = this.clock.monotonic()
     return response.write(text)
   }
-
-  /** Resolves when the caller has read, or has gone; its deadline bounds the wait. */
-  private async drained (): Promise<void> {
-    const { response, gone } = this.exchange
-    if (gone.aborted) return
-    await new Promise<void>((resolve) => {
-      const settle = (): void => {
-        response.off('drain', settle)
-        response.off('close', settle)
-        resolve()
-      }
-      response.once('drain', settle)
-      response.once('close', settle)
-    })
-  }
 }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -63,7 +63,7 @@
   const steps: HostSteps = createSteps(base, { others, links, topics, client, guards, calls })
 
   let leaving = false
-  const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices), protocol: targetProtocol })
+  const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol })
   const servers = createServers(base, { others, topics, steps, forward, isLeaving: () => leaving })
   const load = (): number => servers.isReady() ? Math.min(MOST_LOAD, servers.front.requests / settings.limits.connections) : 1
   others.membership.tellWithProbes({ offset: () => topics.topic.position, load, reachesStore: () => links.reach.reached, pressures: () => ({}) })
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -51,6 +51,7 @@
   answer_bytes: count(33_554_432, 'bytes of a whole answer from a target'),
   connect_timeout: milliseconds(400, 'time for a connection to a target to open'),
   target_connections: count(64, 'connections to one target'),
+  caller_pause: milliseconds(10_000, 'longest time for which a caller of a stream may read nothing'),
   stop_serving: milliseconds(5500, 'how long a stopping host goes on serving callers that still know it'),
   stop_timeout: milliseconds(1500, 'longest wait after that for requests in flight')
 })
--- a/test/actors/routes/heldRequests.test.ts
+++ b/test/actors/routes/heldRequests.test.ts
@@ -21,6 +21,8 @@
 import { guards } from '../../support/targetEnds.ts'
 
 /** Body of the request that ends its targets. */
+/** Longest time for which a caller of a stream may read nothing, in milliseconds. */
+const CALLER_PAUSE_MS = 10_000
 const FATAL = 'fatal'
 const content: RequestContent = { host: 'h', method: 'POST', path: '/a/', caller: undefined, body: FATAL }
 const REQUEST_ID = 'bulrushvalve-request-id'
@@ -154,7 +156,7 @@
     this.guards.followed.reload()
     const services = { targets: this.table, client: targets, ...this.guards, protocol: targetProtocol, clock, chance: seededChance(seed), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
     this.calls = new RouteCalls(services)
-    this.streams = new StreamCalls(services)
+    this.streams = new StreamCalls(services, CALLER_PAUSE_MS)
     const reading = clock.every(fleet.readMs, () => { if (this.lost) reading.dispose(); else this.guards.followed.catchUp().catch(() => undefined) })
   }
 
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -7,6 +7,7 @@
 import { StreamCalls } from '../../../src/actors/common/routes/streamCalls.ts'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import type { Failure, Result } from '../../../src/base/common/resultCode.ts'
+import { pause } from '../../../src/ports/common/clock.ts'
 import type { Route } from '../../../src/core/common/routes/routeConfiguration.ts'
 import { targetProtocol } from '../../../platform/index.ts'
 import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
@@ -195,24 +196,29 @@
 })
 
 describe('a stream', () => {
+  /** Longest time for which a caller may read nothing, in milliseconds. */
+  const CALLER_PAUSE_MS = 5000
   const event = (id: number): string => `id: ${id}\ndata: ${id}\n\n`
   const events = (from: number, to: number, afterMs = 10): ScriptedAnswer['events'] => Array.from({ length: to - from }, (_, index) => ({ afterMs, raw: event(from + index) }))
   const whole = [0, 1, 2, 3].map(event).join('')
 
-  async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient }> {
+  async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}, reads?: (clock: ManualClock) => Promise<void> | undefined): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient, answerMs: number | undefined }> {
     const stage = scene(targets)
-    const calls = new StreamCalls({ targets: stage.table, client: stage.client, ...guards(stage.table, stage.client, stage.clock), protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
+    const calls = new StreamCalls({ targets: stage.table, client: stage.client, ...guards(stage.table, stage.client, stage.clock), protocol: targetProtocol, clock: stage.clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }, CALLER_PAUSE_MS)
     stage.table.get('b')?.answered(90)
     let got = ''
     let ended = ''
     const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
       head: () => { got += 'head ' },
-      write: (piece) => { got += Buffer.from(piece).toString('latin1') },
+      write: (piece) => {
+        got += Buffer.from(piece).toString('latin1')
+        return reads?.(stage.clock)
+      },
       end: () => { ended = 'end' },
       cut: () => { ended = 'cut' }
     })
-    await stage.clock.advance(9000)
-    return { got, ended, failed: await done, client: stage.client }
+    await stage.clock.advance(12_000)
+    return { got, ended, failed: await done, client: stage.client, answerMs: stage.table.get('a')?.answerMs }
   }
 
   it('is passed on whole', async () => {
@@ -227,6 +233,21 @@
     expect([got, ended]).to.deep.equal([`head ${raw.toString('latin1')}`, 'end'])
   })
 
+  it('is read from its target only as fast as its caller reads, and a pause of the caller is no silence of the target', async () => {
+    // Guards against targets that are left, or thought slow, because a caller pauses.
+    const { got, ended, client, answerMs } = await stream({ a: [{ ...good(), events: events(0, 4) }], b: [good()] }, {}, (clock) => pause(clock, 2000))
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+    expect(client.sent.map(({ address }) => address)).to.deep.equal(['a'])
+    expect(answerMs).to.be.below(200)
+  })
+
+  it('is cut, and its run ended, where its caller reads nothing for too long', async () => {
+    // Guards against a slot of a target that is held for somebody who has gone without a word.
+    const { got, ended, client } = await stream({ a: [{ ...good(), events: events(0, 4) }], b: [good()] }, {}, () => new Promise(() => undefined))
+    expect([got, ended]).to.deep.equal([`head ${event(0)}`, 'cut'])
+    expect(client.sent).to.have.length(1)
+  })
+
   it('goes on at another target after its last whole event, torn pieces left out', async () => {
     const torn = [...events(0, 2) ?? [], { afterMs: 5, raw: 'id: 2\nda' }]
     const { got, ended, client } = await stream({ a: [{ ...good(), events: torn, breaks: true }], b: [{ ...good(), events: events(2, 4) }] })
--- a/test/actors/routes/workOfFormerLives.test.ts
+++ b/test/actors/routes/workOfFormerLives.test.ts
@@ -83,7 +83,7 @@
     // entry had told of another start long before.
     const stream = new Scene({ a: [{ afterMs: 5, headers: own, events: [event(0), event(1), pause] }], b: [{ afterMs: 5, headers: own, events: [event(2)] }] })
     let text = ''
-    const served = await stream.timed(new StreamCalls(stream.services).call({ ...stream.request({ kind: 'streaming', resumable: true, objectiveMs: 200 }), resumeAfter: undefined }, { head: () => undefined, write: (piece) => { text += new TextDecoder().decode(piece) }, end: () => { text += 'end' }, cut: () => { text += 'cut' } }))
+    const served = await stream.timed(new StreamCalls(stream.services, 5000).call({ ...stream.request({ kind: 'streaming', resumable: true, objectiveMs: 200 }), resumeAfter: undefined }, { head: () => undefined, write: (piece) => { text += new TextDecoder().decode(piece); return undefined }, end: () => { text += 'end' }, cut: () => { text += 'cut' } }))
     expect([served.value, served.tookMs, text.match(/d\d|end|cut/g), stream.asked]).to.deep.equal([undefined, RESTART_MS + 15, ['d0', 'd1', 'd2', 'end'], ['a', 'b']])
 
     const run = new Scene({ a: [{ afterMs: 5, headers: { 'bulrushvalve-request-id': 'i', 'bulrushvalve-response-seal': 's', 'bulrushvalve-weight-versions': '3' }, events: [event(0), event(1), pause] }] })
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -84,7 +84,7 @@
     const client = new HttpTargetClient(connections, { connectTimeoutMs: 400, maximumAnswerBytes: 100_000 })
     const metrics = { ...quietMetrics, count: (name: CounterName) => { if (name === 'calls.second_target') this.secondSends++ } }
     const services = { targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(index + 1), metrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms }
-    this.hosts.push({ client, table, calls: new RouteCalls(services), streams: new StreamCalls(services) })
+    this.hosts.push({ client, table, calls: new RouteCalls(services), streams: new StreamCalls(services, 10_000) })
   }
 
   /** One call by one host. */
