--- a/src/adapters/node/connections.ts
+++ b/src/adapters/node/connections.ts
@@ -59,7 +59,10 @@
   }
 }
 
-/** Buffers of connections: reading stops after each piece, until the reader asks for more. */
+/**
+ * Buffers of connections in bytes: reading stops after each piece, until the reader asks for more. The library's own mark for both directions would go
+ * before these.
+ */
 const BUFFERS = { highWaterMark: undefined, readableHighWaterMark: 1, writableHighWaterMark: 65_536 }
 
 /** Code of an error that says that a connection was reset. */
