Fleets of tests take ports that are free at their own addresses

Cause: ports were looked for at 127.0.0.1, and fleets listen at 127.0.1.1 and on: a port that another fleet has there was offered. The log of the first failure was not kept; it took as long and is taken for the same.

--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -69,8 +69,8 @@
   static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { wayToStore }: FleetOptions = {}): Promise<Fleet> {
     const store = new StoreStandIn()
     const folder = mkdtempSync(join(tmpdir(), 'fleet-'))
-    const [callers = 0, readiness = 0, peers = 0, directory = 0] = await freePorts(4)
     const ip = (index: number): string => `127.0.1.${index + 1}`
+    const [callers = 0, readiness = 0, peers = 0, directory = 0] = await freePorts(4, Array.from({ length: count }, (_, index) => ip(index)))
     const hosts = await Promise.all(Array.from({ length: count }, async (_, index): Promise<FleetHost> => {
       const name = `host-${index}`
       const door = await store.open()
--- a/test/support/hostProcess.ts
+++ b/test/support/hostProcess.ts
@@ -194,21 +194,22 @@
 const LOWEST_PORT = 12_000
 const HIGHEST_PORT = 32_000
 
-/** Finds free ports on loopback. */
-export async function freePorts (count: number): Promise<number[]> {
+/** Finds ports that are free at each of some loopback addresses. */
+export async function freePorts (count: number, addresses: readonly string[] = ['127.0.0.1']): Promise<number[]> {
   const ports = new Set<number>()
   while (ports.size < count) {
     const port = LOWEST_PORT + Math.floor(Math.random() * (HIGHEST_PORT - LOWEST_PORT))
-    if (await isFree(port)) ports.add(port)
+    const free = await Promise.all(addresses.map(async (address) => await isFree(port, address)))
+    if (free.every(Boolean)) ports.add(port)
   }
   return [...ports]
 }
 
-async function isFree (port: number): Promise<boolean> {
+async function isFree (port: number, address: string): Promise<boolean> {
   const server = createServer()
   return await new Promise((resolve) => {
     server.once('error', () => { resolve(false) })
-    server.listen(port, '127.0.0.1', () => { server.close(() => { resolve(true) }) })
+    server.listen(port, address, () => { server.close(() => { resolve(true) }) })
   })
 }
 
