--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -242,10 +242,8 @@
   }
 
   private giveUp ({ definition }: KnownTarget, run: RunAtTarget, waitedMs: number): RunEnd {
-    const { metrics, stateLog } = this.services
     run.over()
-    metrics.count('streams.unread')
-    stateLog.decided('stream given up', { request: this.request.requestId ?? '', target: definition.id, failed: true, bytes: this.passedBytes, waitedMs: Math.round(waitedMs) })
+    this.services.stateLog.decided('stream given up', { request: this.request.requestId ?? '', target: definition.id, failed: true, bytes: this.passedBytes, waitedMs: Math.round(waitedMs) })
     return 'unread'
   }
 
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -80,7 +80,6 @@
   'store.calls_failed': 'calls to the store without an answer',
   'store.relayed': 'calls to the store through another host',
   'store.reloads': 'topics loaded anew since their history was gone',
-  'streams.unread': 'streams given up since their callers read nothing',
   'targets.outdated_entries': 'entries of earlier lives of targets, passed over',
   'targets.ended': 'processes of targets that ended while requests of this host ran there',
   'targets.restarted': 'targets that started again under their id',
