The callers' server counts its open answers once; a wait for a caller has its outcome as its value; options of a stream are passed as they are

Read once more, without change of behaviour: the requests in flight were counted beside the set of open answers, the flag of a wait beside its promise. 68 tests of the modules pass.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -228,17 +228,13 @@
   private async hold (reading: Promise<void>): Promise<void> {
     const { clock } = this.services
     const began = clock.monotonic()
-    let isOver = false
-    await new Promise<void>((resolve, reject) => {
-      const bound = clock.after(this.callerPauseMs, () => {
-        isOver = true
-        resolve()
-      })
-      reading.finally(() => { bound.dispose() }).then(resolve, reject)
+    const readOn = await new Promise<boolean>((resolve, reject) => {
+      const bound = clock.after(this.callerPauseMs, () => { resolve(false) })
+      reading.finally(() => { bound.dispose() }).then(() => { resolve(true) }, reject)
     })
     const waitedMs = clock.monotonic() - began
     this.unreadMs += waitedMs
-    if (isOver) throw new UnreadStream(waitedMs)
+    if (!readOn) throw new UnreadStream(waitedMs)
   }
 
   private giveUp ({ definition }: KnownTarget, run: RunAtTarget, waitedMs: number): RunEnd {
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -43,7 +43,7 @@
     const dispatcher = this.dispatcher(request)
     const end = new AbortController()
     try {
-      const answer = await this.send(dispatcher, { ...request, signal: AbortSignal.any([request.signal, end.signal]) }, READ_AHEAD_BYTES)
+      const answer = await this.send(dispatcher, { ...request, signal: AbortSignal.any([request.signal, end.signal]) }, { highWaterMark: READ_AHEAD_BYTES })
       // A cancelled body reports its end as an error; whoever cancelled it knows.
       answer.body.on('error', () => undefined)
       return success({ status: answer.statusCode, headers: answer.headers, pieces: answer.body, cancel: () => { end.abort() } })
@@ -78,8 +78,7 @@
     return new Client(origin, { connect: connector(this.settings.connectTimeoutMs), maxResponseSize: this.settings.maximumAnswerBytes })
   }
 
-  private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, readAheadBytes?: number): Promise<Dispatcher.ResponseData> {
-    const bounds = readAheadBytes === undefined ? {} : { highWaterMark: readAheadBytes }
+  private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, bounds: { readonly highWaterMark?: number } = {}): Promise<Dispatcher.ResponseData> {
     return await dispatcher.request({ method: method as Dispatcher.HttpMethod, path, headers: [...headers], body: body ?? null, signal, ...bounds })
   }
 }
--- a/src/entry/node/cutAnswers.ts
+++ b/src/entry/node/cutAnswers.ts
@@ -11,7 +11,7 @@
   else response.socket.resetAndDestroy()
 }
 
-/** The answers of a server that have begun and are not whole yet. */
+/** The answers that a server owes: from the head of each request until its answer is whole or its connection gone. */
 export class OpenAnswers {
   private readonly answers = new Set<ServerResponse>()
 
@@ -22,7 +22,11 @@
     })
   }
 
-  /** Cuts all of them. */
+  get count (): number {
+    return this.answers.size
+  }
+
+  /** Cuts those that have begun. */
   cut (): void {
     for (const response of this.answers) if (response.headersSent) cutAnswer(response)
   }
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -61,7 +61,6 @@
   private readonly server: Server
   private readonly budget: ByteBudget
   private readonly openAnswers: OpenAnswers
-  private inFlight = 0
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
     this.budget = new ByteBudget(settings.heldBytes)
@@ -80,7 +79,7 @@
 
   /** Requests in flight. */
   get requests (): number {
-    return this.inFlight
+    return this.openAnswers.count
   }
 
   async listen (): Promise<void> {
@@ -111,8 +110,6 @@
   private receive (request: IncomingMessage, response: ServerResponse): void {
     const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.tellRejected(exchange, failed) })
     if (this.settings.isLeaving()) response.shouldKeepAlive = false
-    this.inFlight++
-    response.once('close', () => { this.inFlight-- })
     this.serve(exchange).catch((error: unknown) => {
       this.services.stateLog.alarm('request failed', { path: exchange.path, error: String((error as Error).stack ?? error) })
       exchange.fail(failure('unknownOutcome', 'the host failed'))
