Tests of streams share their request, their reader and the project's stand-in and measure

Read once more: two new test files each wrote the request for a stream and the reading of event numbers (a third had the latter), one measured a process's memory beside tools/bench, and a second stand-in of an engine registered and reported like the first.

--- a/test/adapters/answerEndings.test.ts
+++ b/test/adapters/answerEndings.test.ts
@@ -5,6 +5,7 @@
 import { Connections } from '../../src/adapters/node/connections.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
 import type { TargetRequest } from '../../src/ports/common/targetClient.ts'
+import { pause } from '../../standins/httpStandIn.ts'
 import type { AnswerCase, EndingCase, Told } from '../support/answerEndings.ts'
 import { endingCases, play } from '../support/answerEndings.ts'
 
@@ -38,8 +39,8 @@
     try {
       for await (const piece of stream.value.pieces) {
         pieces.push(piece)
-        const pause = pausesMs[pieces.length % pausesMs.length] ?? 0
-        if (pause > 0) await new Promise((resolve) => setTimeout(resolve, pause))
+        const pauseMs = pausesMs[pieces.length % pausesMs.length] ?? 0
+        if (pauseMs > 0) await pause(pauseMs)
       }
     } catch {
       whole = false
--- a/test/platform/cutStreams.test.ts
+++ b/test/platform/cutStreams.test.ts
@@ -1,10 +1,10 @@
 /** Streams that end early, as callers see them who know no chunked coding. */
 
 import { expect } from 'chai'
-import { rawCall } from '../support/rawCaller.ts'
-import type { RawAnswer } from '../support/rawCaller.ts'
+import { pause } from '../../standins/httpStandIn.ts'
 import { waitUntil } from '../support/hostProcess.ts'
-import { CALLS_HOST, Fleet, configuration } from './support/fleet.ts'
+import { Fleet, configuration } from './support/fleet.ts'
+import { eventNumbers, hasLastChunk, readStream } from './support/rawStreams.ts'
 
 describe('a stream that ends early', function () {
   this.timeout(60_000)
@@ -18,39 +18,32 @@
 
   afterEach(async () => { await fleet.stop() })
 
-  async function read (version: '1.0' | '1.1', events: number): Promise<RawAnswer> {
-    const { address } = fleet.host(0)
-    return await rawCall({ address, message: `POST /chat/events-${events}/x HTTP/${version}\r\nhost: ${CALLS_HOST}\r\nconnection: close\r\nbulrushvalve-request-id: ${fleet.newId()}\r\nbulrushvalve-deadline-ms: 30000\r\nbulrushvalve-model: m\r\ncontent-length: 0\r\n\r\n` })
-  }
-
-  const numbers = (text: string): number[] => [...text.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number))
-
   it('is reset for a caller of HTTP/1.0 where its engine broke off', async () => {
     // Guards against a cut stream that looks whole: without chunks the end of the connection is the end of the answer.
     fleet.target('e-0').fault = 'breaks'
-    const { text, end } = await read('1.0', 6)
-    expect([text.slice(0, 15), numbers(text), end]).to.deep.equal(['HTTP/1.1 200 OK', [0, 1], 'reset'])
+    const { text, end } = await readStream(fleet, '1.0', 6)
+    expect([text.slice(0, 15), eventNumbers(text), end]).to.deep.equal(['HTTP/1.1 200 OK', [0, 1], 'reset'])
   })
 
   it('lacks its last chunk for a caller of HTTP/1.1', async () => {
     fleet.target('e-0').fault = 'breaks'
-    const { text } = await read('1.1', 6)
-    expect([numbers(text), text.endsWith('\r\n0\r\n\r\n')]).to.deep.equal([[0, 1], false])
+    const answer = await readStream(fleet, '1.1', 6)
+    expect([eventNumbers(answer.text), hasLastChunk(answer)]).to.deep.equal([[0, 1], false])
   })
 
   it('ends in order for both where it is whole', async () => {
-    const [older, newer] = await Promise.all([read('1.0', 6), read('1.1', 6)])
-    expect([numbers(older.text), older.end]).to.deep.equal([[0, 1, 2, 3, 4, 5], 'ended'])
-    expect([numbers(newer.text), newer.text.endsWith('\r\n0\r\n\r\n')]).to.deep.equal([[0, 1, 2, 3, 4, 5], true])
+    const [older, newer] = await Promise.all([readStream(fleet, '1.0', 6), readStream(fleet, '1.1', 6)])
+    expect([eventNumbers(older.text), older.end]).to.deep.equal([[0, 1, 2, 3, 4, 5], 'ended'])
+    expect([eventNumbers(newer.text), hasLastChunk(newer)]).to.deep.equal([[0, 1, 2, 3, 4, 5], true])
   })
 
   it('is reset for a caller of HTTP/1.0 where its host stops and waits no longer', async () => {
     // Guards against a stop that ends open streams in order.
-    const reading = read('1.0', 2000)
+    const reading = readStream(fleet, '1.0', 2000)
     await waitUntil(() => fleet.target('e-0').runs.some(({ ended }) => ended === 'open'), 3000, 'the stream runs')
-    await new Promise((resolve) => setTimeout(resolve, 100))
+    await pause(100)
     fleet.host(0).process.terminate()
     const { text, end } = await reading
-    expect([numbers(text).length > 0, end]).to.deep.equal([true, 'reset'])
+    expect([eventNumbers(text).length > 0, end]).to.deep.equal([true, 'reset'])
   })
 })
--- a/test/platform/slowStreams.test.ts
+++ b/test/platform/slowStreams.test.ts
@@ -3,16 +3,16 @@
 import { expect } from 'chai'
 import { connect } from 'node:net'
 import type { Socket } from 'node:net'
-import { readFileSync } from 'node:fs'
-import { rawCall } from '../support/rawCaller.ts'
-import type { RawAnswer } from '../support/rawCaller.ts'
+import { pause } from '../../standins/httpStandIn.ts'
+import { usageOf } from '../../tools/bench/processUsage.ts'
 import { waitUntil } from '../support/hostProcess.ts'
-import { BusyEngine } from './support/busyEngine.ts'
-import { CALLS_HOST, Fleet } from './support/fleet.ts'
+import { Fleet } from './support/fleet.ts'
+import { eventNumbers, hasLastChunk, readStream, streamMessage } from './support/rawStreams.ts'
+import type { TargetStandIn } from './support/targetStandIn.ts'
 
-const MEGABYTE = 1024 * 1024
 /** Memory above rest that a host may take for callers that read nothing. */
 const MOST_MEGABYTES = 48
+const EVENT_BYTES = 1500
 /** Events of a stream of 30 MB. */
 const LONG = 20_000
 const SHORT = 40
@@ -24,28 +24,24 @@
 describe('streams to callers that read slowly', function () {
   this.timeout(60_000)
   let fleet: Fleet
-  let engine: BusyEngine
+  let engine: TargetStandIn
   const open: Socket[] = []
 
   async function start (callerPauseMs: number): Promise<void> {
-    fleet = await Fleet.start(2, [{ id: 'w-0', service: 'app', place: 'place-0' }], { limits: { target_connections: 500, caller_pause: callerPauseMs } })
-    engine = await BusyEngine.start('e-0', fleet.store)
-    await waitUntil(async () => (await read('1.1', 1)).text.includes(' 200 '), 5000, 'the engine is known')
+    fleet = await Fleet.start(2, [
+      { id: 'w-0', service: 'app', place: 'place-0' },
+      { id: 'e-0', service: 'engines', place: 'place-0', slots: 500, engine: { models: ['m'], eventMs: 0, loadMs: 10, eventBytes: EVENT_BYTES } }
+    ], { limits: { target_connections: 500, caller_pause: callerPauseMs } })
+    engine = fleet.target('e-0')
+    await waitUntil(async () => (await readStream(fleet, '1.1', 1)).text.includes(' 200 '), 5000, 'the engine is known')
     engine.runs.length = 0
   }
 
   afterEach(async () => {
     for (const socket of open.splice(0)) socket.destroy()
     await fleet.stop()
-    await engine.stop()
   })
 
-  const message = (version: '1.0' | '1.1', events: number): string => `POST /chat/events-${events}/x HTTP/${version}\r\nhost: ${CALLS_HOST}\r\nconnection: close\r\nbulrushvalve-request-id: ${fleet.newId()}\r\nbulrushvalve-deadline-ms: 20000\r\nbulrushvalve-model: m\r\ncontent-length: 0\r\n\r\n`
-
-  async function read (version: '1.0' | '1.1', events: number, pauseMs = 0): Promise<RawAnswer> {
-    return await rawCall({ address: fleet.host(0).address, message: message(version, events), pauseMs })
-  }
-
   /** Asks for streams and reads nothing of them. */
   function neglect (count: number): void {
     const { hostname, port } = new URL(fleet.host(0).address)
@@ -53,14 +49,13 @@
       const socket = connect({ host: hostname, port: Number(port) })
       socket.pause()
       socket.on('error', () => undefined)
-      socket.write(message(index % 2 === 0 ? '1.0' : '1.1', LONG))
+      socket.write(streamMessage(fleet, index % 2 === 0 ? '1.0' : '1.1', LONG))
       open.push(socket)
     }
   }
 
-  const numbers = (text: string): number[] => [...text.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number))
   const upTo = (count: number): number[] => Array.from({ length: count }, (_, number) => number)
-  const residentMegabytes = (): number => Number(/VmRSS:\s+(\d+)/.exec(readFileSync(`/proc/${fleet.host(0).process.pid}/status`, 'utf8'))?.[1] ?? NaN) * 1024 / MEGABYTE
+  const residentMegabytes = (): number => usageOf(fleet.host(0).process.pid).residentMegabytes
 
   /** Most memory that the host takes above rest until something has ended. */
   async function mostAboveRest (load: () => Promise<void>): Promise<number> {
@@ -80,9 +75,9 @@
     neglect(callers)
     await waitUntil(() => engine.runs.length >= callers, 30_000, 'all streams run')
     for (let round = 0; round < 10; round++) {
-      const [stream, answer] = await Promise.all([read('1.1', SHORT), fleet.call(fleet.host(0), '/look-up/x')])
-      expect([numbers(stream.text), answer.status]).to.deep.equal([upTo(SHORT), 200])
-      await new Promise((resolve) => setTimeout(resolve, 100))
+      const [stream, answer] = await Promise.all([readStream(fleet, '1.1', SHORT), fleet.call(fleet.host(0), '/look-up/x')])
+      expect([eventNumbers(stream.text), answer.status]).to.deep.equal([upTo(SHORT), 200])
+      await pause(100)
     }
     expect(fleet.host(0).process.running).to.equal(true)
   }
@@ -99,17 +94,16 @@
     const taken = await mostAboveRest(async () => { await besideNeglected(MANY) })
     for (const socket of open.splice(0)) socket.destroy()
     await fleet.stop()
-    await engine.stop()
     await start(60_000)
-    const usual = await mostAboveRest(async () => { await Promise.all(Array.from({ length: MANY }, async () => { await read('1.1', ABSORBED) })) })
+    const usual = await mostAboveRest(async () => { await Promise.all(Array.from({ length: MANY }, async () => { await readStream(fleet, '1.1', ABSORBED) })) })
     expect(taken - usual, `${taken.toFixed(1)} and ${usual.toFixed(1)} MB`).to.be.below(MOST_MEGABYTES)
   })
 
   it('reach a caller that pauses and goes on with every event once', async () => {
     await start(5000)
-    const [older, newer] = await Promise.all([read('1.0', LONG, 2000), read('1.1', LONG, 2000)])
-    expect([numbers(older.text), older.end]).to.deep.equal([upTo(LONG), 'ended'])
-    expect([numbers(newer.text), newer.text.endsWith('\r\n0\r\n\r\n')]).to.deep.equal([upTo(LONG), true])
+    const [older, newer] = await Promise.all([readStream(fleet, '1.0', LONG, 2000), readStream(fleet, '1.1', LONG, 2000)])
+    expect([eventNumbers(older.text), older.end]).to.deep.equal([upTo(LONG), 'ended'])
+    expect([eventNumbers(newer.text), hasLastChunk(newer)]).to.deep.equal([upTo(LONG), true])
     expect(engine.runs.map(({ ended }) => ended)).to.deep.equal(['answered', 'answered'])
   })
 
@@ -117,11 +111,11 @@
     // Guards against a target's slot that is held for somebody who has gone without a word.
     await start(5000)
     const began = Date.now()
-    const late = Promise.all([read('1.0', LONG, 7000), read('1.1', LONG, 7000)])
+    const late = Promise.all([readStream(fleet, '1.0', LONG, 7000), readStream(fleet, '1.1', LONG, 7000)])
     await waitUntil(() => engine.runs.length === 2 && engine.runs.every(({ ended }) => ended === 'dropped'), 8000, 'both runs are dropped')
-    for (const { endedAt } of engine.runs) expect(endedAt - began).to.be.within(5000, 6000)
+    for (const { droppedAt = 0 } of engine.runs) expect(droppedAt - began).to.be.within(5000, 6000)
     const [older, newer] = await late
-    expect([older.end, newer.text.endsWith('\r\n0\r\n\r\n')]).to.deep.equal(['reset', false])
+    expect([older.end, hasLastChunk(newer)]).to.deep.equal(['reset', false])
     expect(fleet.host(0).process.output).to.match(/stream given up.*"bytes":\d+.*"waitedMs":5\d{3}/)
   })
 })
--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -6,6 +6,7 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { drained } from '../../../src/entry/node/backpressure.ts'
 import type { StoreStandIn } from './storeStandIn.ts'
 
 /** How a target treats the next requests. */
@@ -19,6 +20,8 @@
   readonly headers: IncomingMessage['headers']
   readonly at: number
   ended: 'open' | 'answered' | 'dropped'
+  /** When it was dropped, in milliseconds since the epoch. */
+  droppedAt?: number
   /** The whole answer, once it was given. */
   answer?: { readonly status: number, readonly body: string }
 }
@@ -44,6 +47,8 @@
   /** Time between two events, in milliseconds. */
   readonly eventMs: number
   readonly loadMs: number
+  /** Bytes of an event, about; with them events come as fast as they are read, in place of one after the other. */
+  readonly eventBytes?: number
   /** Whether the data of an event tells the run that made it, too. */
   readonly namesRuns?: boolean
 }
@@ -199,7 +204,7 @@
     if (fault === 'full' || (this.loading !== undefined && this.loading === model)) return answer(response, 503, { 'bulrushvalve-not-run': '1', 'bulrushvalve-request-id': id }, '')
     const record: RunRecord = { id, path: request.url ?? '', method: request.method ?? '', body, headers: request.headers, at: Date.now(), ended: 'open' }
     this.runs.push(record)
-    response.once('close', () => { if (record.ended === 'open') record.ended = 'dropped' })
+    response.once('close', () => { if (record.ended === 'open') Object.assign(record, { ended: 'dropped', droppedAt: Date.now() }) })
     const seal = `seal-of-${id}`
     const own = { 'bulrushvalve-request-id': id, 'bulrushvalve-response-seal': seal, 'bulrushvalve-server-load': `${this.runs.filter(({ ended }) => ended === 'open').length},0,${this.options.slots ?? 4}` }
     switch (fault) {
@@ -244,16 +249,19 @@
     const count = Number(/events-(\d+)/.exec(record.path)?.[1] ?? 3)
     const begin = last === undefined ? 0 : Number(last) + 1
     const made = this.options.engine?.namesRuns === true ? ` of ${this.options.id} run ${this.runs.indexOf(record)}` : ''
+    const { eventMs = 1, eventBytes } = this.options.engine ?? {}
+    const padding = 'x'.repeat(eventBytes ?? 0)
     let version = this.versions.get(model) ?? 1
     const { lives } = this
     response.writeHead(200, { ...own, 'content-type': 'text/event-stream', 'bulrushvalve-weight-versions': String(version) })
     for (let number = begin; number < count; number++) {
-      await delay(this.options.engine?.eventMs ?? 1)
+      if (eventBytes === undefined) await delay(eventMs)
       if (response.destroyed || lives !== this.lives) return
       const now = this.versions.get(model) ?? 1
       const changed = now === version ? '' : `bulrushvalve-weight-versions: ${now}\n`
       version = now
-      response.write(`${changed}id: ${number}\ndata: ${record.id}-${number}${made}\n\n`)
+      const keepsUp = response.write(`${changed}id: ${number}\ndata: ${record.id}-${number}${made}${padding}\n\n`)
+      if (eventBytes !== undefined && !keepsUp) await drained(response)
       if (breaks && number === begin + 1) {
         response.write(`id: ${number + 1}\ndata: torn`, () => { request.socket.resetAndDestroy() })
         return
--- a/test/platform/wholePath.test.ts
+++ b/test/platform/wholePath.test.ts
@@ -5,6 +5,7 @@
 import { waitUntil } from '../support/hostProcess.ts'
 import type { FleetHost } from './support/fleet.ts'
 import { configuration, Fleet } from './support/fleet.ts'
+import { eventNumbers } from './support/rawStreams.ts'
 import type { TargetOptions } from './support/targetStandIn.ts'
 
 const engine = (id: string, place: string, eventMs = 10): TargetOptions => ({ id, service: 'engines', place, engine: { models: ['m'], eventMs, loadMs: 150 } })
@@ -165,7 +166,7 @@
     const answers = [await fleet.call(fleet.host(0), '/chat/events-6/x', { headers: { 'bulrushvalve-model': 'm' } }), await fleet.call(fleet.host(0), '/chat/events-6/y', { headers: { 'bulrushvalve-model': 'm' } })]
     for (const { status, text } of answers) {
       expect(status).to.equal(200)
-      expect([...text.matchAll(/^id: (\d+)$/gm)].map(([, number]) => Number(number))).to.deep.equal([0, 1, 2, 3, 4, 5])
+      expect(eventNumbers(text)).to.deep.equal([0, 1, 2, 3, 4, 5])
     }
   })
 
--- a/test/promises/slowCallers.test.ts
+++ b/test/promises/slowCallers.test.ts
@@ -4,6 +4,7 @@
 import type { Server } from 'node:http'
 import { createServer } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import { pause } from '../../standins/httpStandIn.ts'
 import type { Cluster } from '../support/hostProcess.ts'
 import { keys } from '../support/hostProcess.ts'
 import type { Platform } from '../support/platform.ts'
@@ -68,7 +69,7 @@
   socket.on('error', () => undefined)
   socket.write('HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-type: text/event-stream\r\n\r\n')
   for (let event = 1; event <= count; event++) {
-    await new Promise((resolve) => setTimeout(resolve, GAP_MS))
+    await pause(GAP_MS)
     socket.write(`data: ${JSON.stringify({ id, choices: [{ index: 0, text: 'x'.repeat(EVENT_BYTES), finish_reason: event === count ? 'stop' : null }], weight_version: 1, tokens: 1 })}\n\n`)
   }
   socket.end()
--- a/test/support/answerEndings.ts
+++ b/test/support/answerEndings.ts
@@ -6,6 +6,7 @@
 import fc from 'fast-check'
 import type { AddressInfo, Server, Socket } from 'node:net'
 import { createServer } from 'node:net'
+import { pause } from '../../standins/httpStandIn.ts'
 
 export type Framing = 'none' | 'length' | 'chunked'
 /** `early end`: a framed answer lacks its last byte or chunk; one that has no frame cannot tell. */
@@ -118,13 +119,13 @@
   socket.write(`HTTP/1.1 200 OK\r\n${closing ? 'connection: close\r\n' : ''}${lengths[framing]}\r\n`)
   let at = 0
   for (const bytes of partBytes) {
-    if (gapMs > 0) await new Promise((resolve) => setTimeout(resolve, gapMs))
+    if (gapMs > 0) await pause(gapMs)
     const part = body.subarray(at, at + bytes)
     socket.write(framing === 'chunked' ? chunked(part) : part)
     at += bytes
   }
   if (framing === 'chunked' && missing === 0) socket.write('0\r\n\r\n')
-  if (gapMs > 0) await new Promise((resolve) => setTimeout(resolve, gapMs))
+  if (gapMs > 0) await pause(gapMs)
   if (ending === 'reset') socket.resetAndDestroy()
   else socket.end(() => { if (ending === 'end and reset') socket.resetAndDestroy() })
 }
