--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -90,9 +90,14 @@
     }))
     const fleet = new Fleet(store, hosts, folder)
     store.put('keyed.op', 'config', configuration(1))
-    for (const options of targets) await fleet.addTarget(options)
-    for (const { process } of hosts) process.start()
-    for (const host of hosts) await fleet.whenReady(host)
+    try {
+      for (const options of targets) await fleet.addTarget(options)
+      for (const { process } of hosts) process.start()
+      for (const host of hosts) await fleet.whenReady(host)
+    } catch (error) {
+      await fleet.stop()
+      throw error
+    }
     return fleet
   }
 
--- a/test/support/hostProcess.ts
+++ b/test/support/hostProcess.ts
@@ -122,9 +122,14 @@
 
   static async start (options: ClusterOptions): Promise<Cluster> {
     const cluster = await Cluster.prepare(options)
-    for (const host of cluster.hosts) host.start()
-    await Promise.all(cluster.hosts.map(async (host) => { await waitUntil(async () => (await host.health()).fresh === true, 30_000, () => `${host.name} is fresh\n${host.output}`) }))
-    await waitUntil(async () => (await cluster.host(0).rows('show hosts')).length === cluster.hosts.length, 20_000, 'hosts know each other')
+    try {
+      for (const host of cluster.hosts) host.start()
+      await Promise.all(cluster.hosts.map(async (host) => { await waitUntil(async () => (await host.health()).fresh === true, 30_000, () => `${host.name} is fresh\n${host.output}`) }))
+      await waitUntil(async () => (await cluster.host(0).rows('show hosts')).length === cluster.hosts.length, 20_000, 'hosts know each other')
+    } catch (error) {
+      await cluster.stop()
+      throw error
+    }
     return cluster
   }
 
