Callers' keys: workspaces of the configuration, admission by a bounded age of knowledge, and the workspace's name for targets

A key is known by its digest from the edge on. A request with a key is admitted only by a read of the configuration that was sent no longer ago than the bound; where the two clocks disagree (a suspension, a clock that was set) nothing is known and one read is made. Ruled out: age by the monotonic clock alone (stands still in a suspension), age of the answer (a long poll answers late).

--- a/src/actors/common/routes/operatorTopic.ts
+++ b/src/actors/common/routes/operatorTopic.ts
@@ -5,6 +5,7 @@
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
+import type { Instant } from '../../../core/common/identity/knowledge.ts'
 import { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { RouteConfiguration } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ModelVersion } from '../../../core/common/routes/target.ts'
@@ -41,6 +42,11 @@
     return this.tail.isLost
   }
 
+  /** When the newest complete read was sent. */
+  get readAt (): Instant | undefined {
+    return this.tail.readAt
+  }
+
   version (model: string): NamedVersion | undefined {
     return this.named.get(model)
   }
--- a/src/actors/common/routes/routedRequest.ts
+++ b/src/actors/common/routes/routedRequest.ts
@@ -1,5 +1,6 @@
 /** A caller's request on its way to a target, as calls and streams carry it, and what both need for that. */
 
+import type { WorkspaceName } from '../../../base/common/ids.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
@@ -24,8 +25,10 @@
   readonly configuration: number
   /** Background calls leave a slot of each target to callers that wait. */
   readonly background: boolean
-  /** What the caller shows of itself, where callers have to. */
+  /** Who asks, in a word that is alike for each repeat; absent where callers show nothing of themselves. */
   readonly caller?: string | undefined
+  /** Workspace that the request is counted for; absent where it belongs to none. */
+  readonly workspace?: WorkspaceName | undefined
   /** Aborted when the caller has gone. */
   readonly gone: AbortSignal
 }
--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -159,7 +159,7 @@
   }
 
   private run (start: HeadStart, work: StepWork, engine: Engine, minimumVersion: number): void {
-    const { host, model } = work.step.submission
+    const { host, workspace, model } = work.step.submission
     const payload = work.payloads?.get(start.item.id)
     if (payload === undefined) return
     const cancel = new AbortController()
@@ -167,7 +167,7 @@
     engine.running++
     this.services.metrics.count('steps.head_starts')
     this.services.stateLog.decided('head start begins', { item: start.item.id, step: start.step, engine: engine.id, minimumVersion, events: start.text.events.length })
-    runItem(this.services, engine, start.item, start.text, { host, model, minimumVersion, payload, ...this.settings, cancelled: cancel.signal, onBegin: () => undefined }).then((end) => {
+    runItem(this.services, engine, start.item, start.text, { host, workspace, model, minimumVersion, payload, ...this.settings, cancelled: cancel.signal, onBegin: () => undefined }).then((end) => {
       engine.running--
       if (cancel.signal.aborted) return
       start.cancel = undefined
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -4,6 +4,7 @@
  */
 
 import { decodeBase64 } from '../../../base/common/base64.ts'
+import type { WorkspaceName } from '../../../base/common/ids.ts'
 import { EventReader } from '../../../core/common/streams/eventReader.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
@@ -41,6 +42,8 @@
 
 export interface ItemRunOptions {
   readonly host: string
+  /** Workspace that the item belongs to; absent where trainers need no key. */
+  readonly workspace: WorkspaceName | undefined
   readonly model: string
   readonly minimumVersion: number
   readonly payload: ItemPayload
@@ -91,7 +94,7 @@
       address,
       method: 'POST',
       path: options.payload.path,
-      headers: services.protocol.itemHeaders(options.host, item.id, options.payload, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }),
+      headers: services.protocol.itemHeaders(options.host, item.id, options.payload, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }, options.workspace),
       body: decodeBase64(options.payload.body),
       ownConnection: false,
       signal
--- a/src/actors/common/steps/stepDesk.ts
+++ b/src/actors/common/steps/stepDesk.ts
@@ -1,5 +1,6 @@
 /** What trainers ask of any host: to take a step, to read its results and its items' bodies, to end it. */
 
+import type { WorkspaceName } from '../../../base/common/ids.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
@@ -33,6 +34,13 @@
   readonly submissionCharacters: number
 }
 
+/** A step as a caller names it. */
+export interface AskedStep {
+  readonly id: string
+  /** Workspace of the caller: steps of others are not found. */
+  readonly workspace: WorkspaceName | undefined
+}
+
 export interface ResultPage {
   readonly total: number
   readonly results: readonly SampleResult[]
@@ -46,6 +54,11 @@
 /** Characters of the texts of one page, at most: an answer takes no more, and what it leaves out would be read for nothing. */
 const PAGE_CHARACTERS = 1_000_000
 
+/** Whether a step belongs to a workspace; one that was submitted without a key belongs to all callers. */
+function ownedBy (step: FoldedStep | undefined, workspace: WorkspaceName | undefined): boolean {
+  return step !== undefined && (step.submission.workspace === undefined || step.submission.workspace === workspace)
+}
+
 /** Results from a position on whose texts fit into a page; one at least. */
 function pageOf (results: readonly ListedResult[], after: number): ListedResult[] {
   const page: ListedResult[] = []
@@ -67,13 +80,14 @@
    */
   async submit (submission: TrainerSubmission): Promise<Result<void>> {
     const { topic, contents, clock, stateLog } = this.services
-    if (topic.step(submission.id) !== undefined) return success(undefined)
+    const repeated = topic.step(submission.id)
+    if (repeated !== undefined) return ownedBy(repeated, submission.workspace) ? success(undefined) : failure('alreadyExists', `another workspace has a step ${submission.id}`)
     const records = submissionRecords(submission, clock.wall(), contents.nonce())
     const characters = [...records.payloads, ...records.outline].reduce((sum, { value }) => sum + (value?.length ?? 0), 0)
     if (characters > this.settings.submissionCharacters) return failure('tooLarge', `a submission may have ${this.settings.submissionCharacters} characters, this one has ${characters}`)
     const began = clock.monotonic()
     const appended = await this.append(submission, records)
-    const taken = appended.ok || (appended.code === 'commandUnknown' && await this.find(submission.id) !== undefined)
+    const taken = appended.ok || (appended.code === 'commandUnknown' && ownedBy(await this.find(submission.id), submission.workspace))
     this.services.metrics.timing('steps.accept', clock.monotonic() - began)
     stateLog.decided('step submitted', { step: submission.id, failed: !taken, number: submission.number, model: submission.model, items: submission.items.length, outcome: taken ? 'accepted' : appended.ok ? '' : appended.code, tookMs: Math.round(clock.monotonic() - began), offset: appended.ok ? appended.value : topic.position })
     return taken ? success(undefined) : appended as Result<void>
@@ -96,17 +110,19 @@
   }
 
   /** Reads results from a position on; waits for one up to `waitMs`. */
-  async results (id: string, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
+  async results (asked: AskedStep, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
     const began = this.services.clock.monotonic()
-    const read = await this.read(id, after, waitMs, gone)
+    const { id } = asked
+    const read = await this.read(asked, after, waitMs, gone)
     if (!read.ok || read.value.results.length > 0) {
       this.services.stateLog.decided('results read', { step: id, failed: !read.ok, after, results: read.ok ? read.value.results.length : 0, why: read.ok ? '' : `${read.code}: ${read.message}`, tookMs: Math.round(this.services.clock.monotonic() - began) })
     }
     return read
   }
 
-  private async read (id: string, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
-    const found = await this.known(id)
+  private async read (asked: AskedStep, after: number, waitMs: number, gone: AbortSignal): Promise<Result<ResultPage>> {
+    const { id } = asked
+    const found = await this.known(asked)
     if (!found.ok) return found
     const step = found.value
     const askedAhead = after > step.results.length
@@ -141,8 +157,9 @@
   }
 
   /** Body of an item, in base64, while the item is not listed and its step not ended. */
-  async body (id: string, item: string): Promise<Result<string>> {
-    const found = await this.known(id)
+  async body (asked: AskedStep, item: string): Promise<Result<string>> {
+    const { id } = asked
+    const found = await this.known(asked)
     if (!found.ok) return found
     const known = found.value.items.get(item)
     if (known === undefined || found.value.ended || found.value.positions.has(item)) return failure('notFound', `item ${item} of step ${id} is not open`)
@@ -151,8 +168,9 @@
   }
 
   /** Ends a step; it is done once the store has it. */
-  async end (id: string): Promise<Result<void>> {
-    const found = await this.known(id)
+  async end (asked: AskedStep): Promise<Result<void>> {
+    const { id } = asked
+    const found = await this.known(asked)
     if (!found.ok) return found
     if (found.value.ended) return success(undefined)
     const appended = await this.services.appender.append(() => [endRecord(id)], this.settings.endMs)
@@ -171,13 +189,14 @@
   }
 
   /** A step that is not known here may have been accepted elsewhere; only a host that has read to the end says that there is none. */
-  private async known (id: string): Promise<Result<FoldedStep>> {
+  private async known ({ id, workspace }: AskedStep): Promise<Result<FoldedStep>> {
     const { topic } = this.services
+    const missing = failure('notFound', `there is no step ${id}`)
     const step = topic.step(id)
-    if (step !== undefined) return success(step)
+    if (step !== undefined) return ownedBy(step, workspace) ? success(step) : missing
     if (!await topic.catchUp()) return failure('stale', 'this host may be behind the store', { retryAfterMs: STALE_RETRY_MS })
     const found = topic.step(id)
-    return found === undefined ? failure('notFound', `there is no step ${id}`) : success(found)
+    return found !== undefined && ownedBy(found, workspace) ? success(found) : missing
   }
 
   private async waitForResult (id: string, waitMs: number, gone: AbortSignal): Promise<void> {
--- a/src/actors/common/steps/stepHome.ts
+++ b/src/actors/common/steps/stepHome.ts
@@ -270,6 +270,7 @@
     engine.running++
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
+      workspace: submission.workspace,
       model: submission.model,
       minimumVersion: submission.minimumVersion,
       payload,
--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -6,7 +6,9 @@
 
 import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
+import type { Instant } from '../../../core/common/identity/knowledge.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
+import { nowOf } from '../../../ports/common/clock.ts'
 import type { KeyedEntry, KeyedLog } from '../../../ports/common/keyedLog.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 
@@ -49,7 +51,10 @@
 export class KeyedTail implements Disposable {
   private offset: number | undefined
   private contact = Number.NEGATIVE_INFINITY
+  private sentAt: Instant | undefined
   private lost = false
+  /** Whether the topic was loaded in several pages and not read since. */
+  private incomplete = false
   private regained = Number.NEGATIVE_INFINITY
   private stopped = false
   /** Failed calls in a row. */
@@ -89,6 +94,11 @@
     })
   }
 
+  /** When the newest read that came back complete was sent: all that the topic held then is known. */
+  get readAt (): Instant | undefined {
+    return this.sentAt
+  }
+
   /** Offset of the next record to read. */
   get position (): number {
     return this.offset ?? 0
@@ -121,14 +131,15 @@
 
   /** Loads what is missing at once; true if all records older than this call are known afterwards. */
   async catchUp (): Promise<boolean> {
-    const began = this.services.clock.monotonic()
+    const sent = nowOf(this.services.clock)
     if (this.offset === undefined) return false
     const asked = this.offset
     const page = await this.services.log.read(asked, 0)
     if (!page.ok || page.value.type === 'forgotten') return false
     this.take(page.value.entries, asked)
     if (this.position < page.value.end) return false
-    this.contact = Math.max(this.contact, began)
+    this.contact = Math.max(this.contact, sent.monotonic)
+    this.noteComplete(sent)
     return true
   }
 
@@ -153,7 +164,9 @@
   }
 
   private async load (): Promise<boolean> {
+    const sent = nowOf(this.services.clock)
     const found: KeyedEntry[] = []
+    let pages = 0
     let after: string | undefined
     let end: number | undefined
     do {
@@ -161,12 +174,16 @@
       if (!page.ok) return false
       end ??= page.value.end
       found.push(...page.value.entries)
+      pages++
       after = page.value.next
     } while (after !== undefined)
     const known = end
     // Pages are not a snapshot: what was written meanwhile is read again from the first page's end.
     this.listener.reset(found.filter(({ offset }) => offset < known).sort((a, b) => a.offset - b.offset))
     this.offset = known
+    // A record that was written again between two pages is in neither; the next read brings it.
+    if (pages === 1) this.noteComplete(sent)
+    else this.incomplete = true
     this.services.stateLog.changed('topic loaded', { topic: this.settings.name, records: found.length, offset: known })
     this.loads.fire()
     return true
@@ -174,7 +191,8 @@
 
   private async readOn (from: number): Promise<boolean> {
     this.reading = new AbortController()
-    const page = await this.services.log.read(from, this.settings.longPollMs, this.reading.signal)
+    const sent = nowOf(this.services.clock)
+    const page = await this.services.log.read(from, this.incomplete ? 0 : this.settings.longPollMs, this.reading.signal)
     if (!page.ok) return false
     if (page.value.type === 'forgotten') {
       this.services.stateLog.changed('topic has forgotten its history', { topic: this.settings.name, offset: from })
@@ -183,9 +201,16 @@
       return true
     }
     this.take(page.value.entries, from)
+    this.incomplete = false
+    if (this.position >= page.value.end) this.noteComplete(sent)
     return true
   }
 
+  /** A read that was sent earlier may come back later: it tells less. */
+  private noteComplete (sent: Instant): void {
+    if (this.sentAt === undefined || sent.monotonic > this.sentAt.monotonic) this.sentAt = sent
+  }
+
   /** Takes records once, though a read of the loop and one of `catchUp` may bring the same ones. */
   private take (entries: readonly KeyedEntry[], from: number): void {
     const current = this.offset
--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -26,6 +26,10 @@
 export type RequestFingerprint = Branded<'RequestFingerprint'>
 /** One life of a target, by its id and its incarnation where it tells that. */
 export type TargetLife = Branded<'TargetLife'>
+/** Name of a workspace, as the configuration gives it. */
+export type WorkspaceName = Branded<'WorkspaceName'>
+/** Digest of a key that a caller presents; keys themselves are not kept. */
+export type KeyDigest = Branded<'KeyDigest'>
 /** A part of a pool that one home admits for: `pool@place`. */
 export type ShardKey = Branded<'ShardKey'>
 
@@ -36,6 +40,8 @@
 export const asSubscriptionName = (value: string): SubscriptionName => value as SubscriptionName
 export const asPlace = (value: string): Place => value as Place
 export const asCallerName = (value: string): CallerName => value as CallerName
+export const asWorkspaceName = (value: string): WorkspaceName => value as WorkspaceName
+export const asKeyDigest = (value: string): KeyDigest => value as KeyDigest
 export const asTextId = (value: string): TextId => value as TextId
 export const asRequestFingerprint = (value: string): RequestFingerprint => value as RequestFingerprint
 
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -69,6 +69,8 @@
   'steps.resumed': 'items that went on from saved events',
   'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
+  'identity.reads': 'reads of the configuration for a key that this host could not judge by what it knew',
+  'identity.unsure': 'requests rejected since it was not known whether their key is valid',
   'steps.head_starts': 'runs begun for a step to come',
   'steps.head_starts_used': 'items that went on from such a run',
   'steps.reused': 'items served by a result of an earlier step',
--- /dev/null
+++ b/src/core/common/identity/knowledge.ts
@@ -0,0 +1,27 @@
+/**
+ * How old a host's knowledge of the configuration is. The store's answers are linearizable, so a read tells all that had been
+ * acknowledged when it was sent; what came later is not known. The age is told by two clocks: the monotonic one stands still while
+ * the machine is suspended, the time of day may be set. Where they disagree nothing is known for sure, and the next read decides.
+ */
+
+/** A moment on both clocks of one host, in milliseconds. */
+export interface Instant {
+  readonly monotonic: number
+  readonly wall: number
+}
+
+/** Difference of the clocks that is not taken for a suspension or for a clock that was set, in milliseconds. */
+export const CLOCK_TOLERANCE_MS = 100
+
+/** Milliseconds between two moments; infinite where the clocks do not agree on it. */
+export function elapsedMs (since: Instant | undefined, now: Instant): number {
+  if (since === undefined) return Number.POSITIVE_INFINITY
+  const monotonic = now.monotonic - since.monotonic
+  const wall = now.wall - since.wall
+  return Math.abs(wall - monotonic) > CLOCK_TOLERANCE_MS ? Number.POSITIVE_INFINITY : Math.max(monotonic, wall)
+}
+
+/** Whether what was read at a moment may still be relied on; the bound covers what the clocks may differ unnoticed. */
+export function isWithin (boundMs: number, since: Instant | undefined, now: Instant): boolean {
+  return elapsedMs(since, now) <= boundMs - CLOCK_TOLERANCE_MS
+}
--- a/src/core/common/routes/routeConfiguration.ts
+++ b/src/core/common/routes/routeConfiguration.ts
@@ -3,6 +3,9 @@
  * within which limits. A configuration is replaced as a whole and never by an older one.
  */
 
+import type { WorkspaceDefinition } from '../identity/workspaces.ts'
+import { WorkspaceKeys } from '../identity/workspaces.ts'
+
 /** What may be done with a request twice. */
 export type RouteKind = 'idempotent' | 'once-only' | 'streaming' | 'steps'
 
@@ -29,6 +32,8 @@
   readonly attempts: number
   /** Whether a broken stream may go on at another target. */
   readonly resumable: boolean
+  /** Whether callers need no key. */
+  readonly isPublic: boolean
   /** Steps: time from the submission to the last wanted result, in milliseconds. */
   readonly dueMs: number
   /** Steps: time after which an item may be given up, in milliseconds. */
@@ -62,12 +67,16 @@
   readonly routes: readonly Route[]
   readonly services: readonly ServiceDefinition[]
   readonly limits: CallerLimits
+  /** Absent where callers need no keys. */
+  readonly workspaces?: readonly WorkspaceDefinition[] | undefined
 }
 
 /** A configuration made ready for look-ups. */
 export class RouteTable {
   private readonly byHost = new Map<string, Route[]>()
   private readonly services = new Map<string, ServiceDefinition>()
+  /** Whose keys are valid; absent where callers need none. */
+  readonly keys: WorkspaceKeys | undefined
 
   constructor (readonly configuration: RouteConfiguration) {
     for (const route of configuration.routes) {
@@ -77,6 +86,7 @@
     }
     for (const routes of this.byHost.values()) routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
     for (const service of configuration.services) this.services.set(service.name, service)
+    this.keys = configuration.workspaces === undefined ? undefined : new WorkspaceKeys(configuration.workspaces)
   }
 
   get version (): number {
--- a/src/core/common/steps/step.ts
+++ b/src/core/common/steps/step.ts
@@ -1,5 +1,7 @@
 /** Steps of trainers: what is submitted and what comes out. */
 
+import type { WorkspaceName } from '../../../base/common/ids.ts'
+
 /** Call that scores a finished sample; it goes through the routes. */
 export interface ScorerCall {
   readonly requestId: string
@@ -39,6 +41,8 @@
   readonly path: string
   readonly number: number
   readonly model: string
+  /** Workspace whose trainer submitted it; absent where trainers need no key. */
+  readonly workspace?: WorkspaceName | undefined
   /** Oldest version of the weights that may generate its tokens. */
   readonly minimumVersion: number
   /** Complete groups that the trainer waits for. */
--- a/src/core/common/steps/stepFold.ts
+++ b/src/core/common/steps/stepFold.ts
@@ -106,10 +106,11 @@
     return (this.claimKeys.get(name) ?? []).filter((claim) => claim.term < term).map(({ key }) => key)
   }
 
-  /** A complete result of the item in another step, if all its versions may be used. */
+  /** A complete result of the item in another step of the same workspace, if all its versions may be used. */
   earlierResult (item: string, exceptStep: string, minimumVersion: number): EarlierResult | undefined {
+    const workspace = this.folded.get(exceptStep)?.submission.workspace
     for (const step of this.folded.values()) {
-      if (step.submission.id === exceptStep) continue
+      if (step.submission.id === exceptStep || step.submission.workspace !== workspace) continue
       const position = step.positions.get(item)
       const result = position === undefined ? undefined : step.results[position]
       const source = step.items.get(item)
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -10,6 +10,7 @@
 
 import { z } from 'zod'
 import type { KeyedEntry, KeyedRecord } from '../../../ports/common/keyedLog.ts'
+import { asWorkspaceName } from '../../../base/common/ids.ts'
 import { decodeKeyPart, readValue } from '../keyedRecords.ts'
 import { payloadKeys, payloadRecords, splitText } from './contentRecords.ts'
 import type { ContentPlace, ListedResult, StepSubmission, TrainerSubmission } from './step.ts'
@@ -66,6 +67,7 @@
     path: z.string(),
     number: z.number(),
     model: z.string(),
+    workspace: z.string().transform(asWorkspaceName).optional(),
     minimumVersion: z.number(),
     wantedGroups: z.number(),
     items: z.array(itemSchema)
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -8,11 +8,13 @@
 import { createServer } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import type { Failure } from '../../../base/common/resultCode.ts'
+import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
+import type { CallerIdentity } from '../../../core/common/identity/workspaces.ts'
 import type { CallerLimits, Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
+import type { CallerGate } from '../../../actors/common/identity/callerGate.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
 import { OpenAnswers } from '../cutAnswers.ts'
 import { listenAt } from '../listenAt.ts'
@@ -23,6 +25,7 @@
 export interface FrontServerServices {
   readonly protocol: FrontProtocol
   readonly operator: OperatorTopic
+  readonly gate: CallerGate
   /** Waits, for a limited time, until the host has read what a request of this kind needs. */
   readonly whenLoaded: (need: 'routes' | 'steps', limitMs: number) => Promise<void>
   readonly forward: ForwardRoutes
@@ -135,17 +138,26 @@
     if (this.services.operator.routes === undefined) return exchange.fail(failure('stale', 'this host knows no configuration yet'))
     if (headBytes(exchange.request) > this.limits.headerBytes) return exchange.fail(failure('headTooLarge', `the head of a request may have ${this.limits.headerBytes} bytes`))
     if (read.value.type === 'routed') return await this.serveRouted(exchange, read.value)
-    await this.services.steps.serve(exchange, read.value)
+    const caller = await this.admit(exchange, false)
+    if (!caller.ok) return exchange.fail(caller)
+    await this.services.steps.serve(exchange, read.value, caller.value)
   }
 
   private async serveRouted (exchange: FrontExchange, read: Extract<FrontRequest, { type: 'routed' }>): Promise<void> {
     const route = await this.findRoute(exchange)
     if (route === 'unknown') return exchange.fail(failure('stale', 'this host may be behind the configuration'))
     if (route === undefined) return exchange.fail(failure('notFound', `no route for host ${exchange.host} and path ${exchange.path}`))
+    const caller = await this.admit(exchange, route.isPublic)
+    if (!caller.ok) return exchange.fail(caller)
     const body = await exchange.body(this.limits.bodyBytes, this.budget)
     if (!body.ok) return exchange.fail(body)
-    if (route.kind === 'steps') return await this.services.steps.submit(exchange, read, route, body.value)
-    await this.services.forward.serve(exchange, read, route, this.services.operator.routes?.version ?? 0, body.value)
+    const request = { read, route, configuration: this.services.operator.routes?.version ?? 0, caller: caller.value, body: body.value }
+    if (route.kind === 'steps') return await this.services.steps.submit(exchange, request)
+    await this.services.forward.serve(exchange, request)
+  }
+
+  private async admit (exchange: FrontExchange, isPublic: boolean): Promise<Result<CallerIdentity>> {
+    return await this.services.gate.admit(this.services.protocol.presentedKey(exchange.request.rawHeaders), isPublic)
   }
 
   /** The route of a request; a missing one may be newer than what this host has read. */
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -1,6 +1,7 @@
 /** Where a host is reached: by callers, by those who ask which hosts to use, and by other hosts. */
 
 import type { Membership } from '../../../actors/common/membership/membership.ts'
+import { CallerGate } from '../../../actors/common/identity/callerGate.ts'
 import { EntryServer } from '../../../entry/node/entryServer.ts'
 import { Identities } from '../../../entry/common/identity.ts'
 import { DirectoryServer } from '../../../entry/node/front/directoryServer.ts'
@@ -34,13 +35,15 @@
 }
 
 export function createServers (base: HostBase, { others, topics, steps, forward, isLeaving }: ServedParts): HostServers {
-  const { settings: { limits, listen }, services, disposables } = base
+  const { settings, services, disposables } = base
+  const { limits, listen } = settings
   const { operator, targetTopic, topic } = topics
   const isReady = (): boolean => !isLeaving() && operator.routes !== undefined && targetTopic.loaded && topic.loaded
   const front = disposables.add(new FrontServer({
     ...services,
     protocol: frontProtocol,
     operator,
+    gate: new CallerGate({ ...services, operator }, { revocationMs: settings.identity.revocation }),
     whenLoaded: async (need, limitMs) => { await Promise.all((need === 'routes' ? [operator, targetTopic] : [operator, topic]).map(async (followed) => await followed.whenLoaded(limitMs))) },
     forward,
     steps: new StepRoutes(steps.desk, frontProtocol)
--- a/src/ports/common/clock.ts
+++ b/src/ports/common/clock.ts
@@ -3,6 +3,7 @@
  */
 
 import type { Disposable } from '../../base/common/lifecycle.ts'
+import type { Instant } from '../../core/common/identity/knowledge.ts'
 
 /** Clocks of this host. */
 export interface Clock {
@@ -16,6 +17,11 @@
   every (periodMs: number, task: () => void): Disposable
 }
 
+/** This moment on both clocks. */
+export function nowOf (clock: Clock): Instant {
+  return { monotonic: clock.monotonic(), wall: clock.wall() }
+}
+
 /** Lets time pass on a clock. */
 export async function pause (clock: Clock, milliseconds: number): Promise<void> {
   await new Promise<void>((resolve) => { clock.after(milliseconds, resolve) })
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -3,8 +3,9 @@
  * and neither send nor wait: they turn the product's types into messages and messages into types.
  */
 
-import type { Incarnation } from '../../base/common/ids.ts'
+import type { Incarnation, WorkspaceName } from '../../base/common/ids.ts'
 import type { Result } from '../../base/common/resultCode.ts'
+import type { CallerIdentity, PresentedKey } from '../../core/common/identity/workspaces.ts'
 import type { RouteConfiguration } from '../../core/common/routes/routeConfiguration.ts'
 import type { ItemPayload, SampleResult, TrainerSubmission } from '../../core/common/steps/step.ts'
 import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
@@ -85,6 +86,8 @@
 export interface FrontProtocol {
   directoryRequest (method: string, path: string, query: URLSearchParams): DirectoryRequest | undefined
   request (method: string, path: string, query: URLSearchParams, headers: Readonly<Record<string, string | undefined>>): Result<FrontRequest>
+  /** Reads the key that a caller presents. */
+  presentedKey (received: HeaderPairs): PresentedKey
   /** Reads the body of a submitted step. */
   submission (stepId: string, body: string): Result<TrainerSubmission>
   results (total: number, results: readonly SampleResult[], after: number): FrontAnswer
@@ -153,9 +156,9 @@
 
 export interface TargetProtocol {
   /** Headers of a caller's request as they go on to a target. */
-  forwardHeaders (received: HeaderPairs, options: OutgoingOptions): string[]
+  forwardHeaders (received: HeaderPairs, options: OutgoingOptions, caller: CallerIdentity): string[]
   /** Headers of an item's run. */
-  itemHeaders (host: string, item: string, payload: ItemPayload, options: OutgoingOptions): string[]
+  itemHeaders (host: string, item: string, payload: ItemPayload, options: OutgoingOptions, workspace: WorkspaceName | undefined): string[]
   /** Headers of a call to a scorer. */
   scorerHeaders (host: string, requestId: string, options: OutgoingOptions): string[]
   answerHead (status: number, headers: Readonly<Record<string, string | string[] | undefined>>): TargetAnswerHead
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -65,6 +65,10 @@
   status: milliseconds(150_000, 'how long a step is kept after its submission, at least')
 })
 
+const identitySchema = z.strictObject({
+  revocation: z.number().int().min(500).optional().describe('longest time for which a key is accepted after it was taken away, in milliseconds: a host that has not read the configuration for so long takes no request with a key; without it keys hold while a host does not reach the store')
+})
+
 const metricsSchema = z.strictObject({
   listen: endpoint.optional().describe('where counters and histograms are served as text, under /metrics'),
   collector: endpoint.optional().describe('StatsD collector')
@@ -81,6 +85,7 @@
   duty: dutySchema.prefault({}),
   limits: limitsSchema.prefault({}),
   steps: stepsSchema.prefault({}),
+  identity: identitySchema.prefault({}),
   metrics: metricsSchema.optional(),
   mechanisms: z.strictObject(switches).prefault({}).describe('decisions that an experiment leaves out, to learn what they are worth; each has a log line at the start')
 })
--- a/test/actors/routes/heldRequests.test.ts
+++ b/test/actors/routes/heldRequests.test.ts
@@ -162,7 +162,7 @@
 
   async call (body: string): Promise<string> {
     const id = this.fleet.newId()
-    const request = { route: this.route, requestId: id, method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([REQUEST_ID, id], options), body: new TextEncoder().encode(body), waitMs: 2000, configuration: 1, background: false, gone: this.fleet.gone.signal }
+    const request = { route: this.route, requestId: id, method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([REQUEST_ID, id], options, { type: 'open' }), body: new TextEncoder().encode(body), waitMs: 2000, configuration: 1, background: false, gone: this.fleet.gone.signal }
     if (this.route.kind !== 'streaming') {
       const answer = await this.calls.call(request)
       return answer.ok ? 'answered' : answer.code
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -45,7 +45,7 @@
   const calls = new RouteCalls({ targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const began = clock.now
   let ended = Number.POSITIVE_INFINITY
-  const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs, configuration: 1, background, gone: gone.signal })
+  const result = calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs, configuration: 1, background, gone: gone.signal })
   result.then(() => { ended = clock.now }).catch(() => undefined)
   await clock.advance(advanceMs)
   return { result: await result, tookMs: ended - began }
@@ -208,7 +208,7 @@
     stage.table.get('b')?.answered(90)
     let got = ''
     let ended = ''
-    const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
+    const done = calls.call({ route: route({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
       head: () => { got += 'head ' },
       write: (piece) => {
         got += Buffer.from(piece).toString('latin1')
--- a/test/actors/routes/silence.test.ts
+++ b/test/actors/routes/silence.test.ts
@@ -36,7 +36,7 @@
   const stage: Stage = { clock, table, ended: undefined }
   const calls = new RouteCalls({ targets: table, client, ...guards(table, client, clock), protocol: targetProtocol, clock, chance: seededChance(3), metrics: quietMetrics, stateLog: quietLog, place: 'here', mechanisms: allMechanisms })
   const beganAt = clock.now
-  calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 2000, configuration: 1, background, gone: new AbortController().signal })
+  calls.call({ route: route(details), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs: 2000, configuration: 1, background, gone: new AbortController().signal })
     .then((result) => { stage.ended = { result, tookMs: clock.now - beganAt } }, () => undefined)
   return stage
 }
--- a/test/actors/routes/workOfFormerLives.test.ts
+++ b/test/actors/routes/workOfFormerLives.test.ts
@@ -57,7 +57,7 @@
   }
 
   request (details: Partial<Route>) {
-    return { route: route({ objectiveMs: 2000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([], options), body: undefined, waitMs: 2000, configuration: 1, background: false, gone: new AbortController().signal }
+    return { route: route({ objectiveMs: 2000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options: Parameters<typeof targetProtocol.forwardHeaders>[1]) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs: 2000, configuration: 1, background: false, gone: new AbortController().signal }
   }
 
   get asked (): string[] {
@@ -90,7 +90,7 @@
     const [engine] = new EngineBoard(run.table, run.clock, () => new RouteTable({ version: 1, routes: [], services: [{ name: 's', maximumConnections: 9, engine: { slots: 4, models: ['m'] } }], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })).all()
     if (engine === undefined) throw new Error('no engine')
     const held = newText()
-    const ended = await run.timed(runItem(run.services, engine, item('i', 'g'), held, { host: 'h', model: 'm', minimumVersion: 1, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: new AbortController().signal, onBegin: () => undefined }))
+    const ended = await run.timed(runItem(run.services, engine, item('i', 'g'), held, { workspace: undefined, host: 'h', model: 'm', minimumVersion: 1, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: new AbortController().signal, onBegin: () => undefined }))
     expect([ended.value, ended.tookMs, held.text, [...held.versions]]).to.deep.equal([{ type: 'restarted' }, RESTART_MS, 'd0\nd1', [3]])
   })
 })
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -36,7 +36,7 @@
   let tookMs = Number.POSITIVE_INFINITY
   let firstMs = Number.POSITIVE_INFINITY
   const began = clock.now
-  const ended = runItem({ client, protocol: targetProtocol, clock, ends: watchEnds(table, client, clock) }, engine, item('i', 'g'), text, { host: 'h', model: 'm', minimumVersion, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal, onBegin: () => { firstMs = clock.now - began } })
+  const ended = runItem({ client, protocol: targetProtocol, clock, ends: watchEnds(table, client, clock) }, engine, item('i', 'g'), text, { workspace: undefined, host: 'h', model: 'm', minimumVersion, payload: item('i', 'g'), firstEventMs: 1000, silenceMs: 500, cancelled: cancel.signal, onBegin: () => { firstMs = clock.now - began } })
   ended.then(() => { tookMs = clock.now - began }).catch(() => undefined)
   await clock.advance(5000)
   return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs }
--- a/test/actors/steps/resultNotes.test.ts
+++ b/test/actors/steps/resultNotes.test.ts
@@ -69,7 +69,7 @@
     const spent: Record<string, PhaseTimes> = { a: { payloads: 30, waiting: 200, running: 900 }, b: { running: 40 } }
     const timings: [string, number][] = []
     const metrics = { ...quietMetrics, timing: (name: string, milliseconds: number) => { timings.push([name, milliseconds]) } }
-    const route = { name: 'r', host: 'steps.example', pathPrefix: '/', kind: 'steps', destinations: [], timeoutMs: 1, objectiveMs: 1, priority: 0, attempts: 1, resumable: true, dueMs: 7500, retentionMs: 1, singleVersion: false } as const
+    const route = { name: 'r', host: 'steps.example', pathPrefix: '/', kind: 'steps', destinations: [], timeoutMs: 1, objectiveMs: 1, priority: 0, attempts: 1, resumable: true, dueMs: 7500, retentionMs: 1, singleVersion: false, isPublic: false } as const
     const routes = new RouteTable({ version: 1, routes: [route], services: [], limits: { headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
     const notes = noteResults({ topic, duty: { holds: true, term: 4 }, clock, metrics, stateLog: log, routes: () => routes, phasesOf: (_, of) => spent[of] })
     store.write([result('b', '1'), result('c', '1'), result('a', '1')])
--- a/test/actors/steps/stepDesk.test.ts
+++ b/test/actors/steps/stepDesk.test.ts
@@ -20,7 +20,7 @@
       const topic = { step: (id: string) => fold.step(id), isLost }
       const contents = { texts: async () => [undefined, 'text', undefined] }
       const desk = new StepDesk({ topic: topic as never, appender: {} as never, contents: contents as never, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { acceptMs: 1, endMs: 1, longestWaitMs: 1, submissionCharacters: 1 })
-      const page = await desk.results('s', 0, 0, new AbortController().signal)
+      const page = await desk.results({ id: 's', workspace: undefined }, 0, 0, new AbortController().signal)
       expect(page).to.include({ ok: false, code: 'stale', message: `2 of 3 texts cannot be had now, store ${isLost ? 'lost' : 'reached'}` })
     })
   }
@@ -42,7 +42,7 @@
     }
     const contents = { texts: async () => ['text'] }
     const desk = new StepDesk({ topic: topic as never, appender: {} as never, contents: contents as never, clock: new ManualClock(), metrics: quietMetrics, stateLog: quietLog }, { acceptMs: 1, endMs: 1, longestWaitMs: 1, submissionCharacters: 1 })
-    const page = await desk.results('s', 0, 0, new AbortController().signal)
+    const page = await desk.results({ id: 's', workspace: undefined }, 0, 0, new AbortController().signal)
     expect(page.ok && page.value.results.map(({ item: id }) => id)).to.deep.equal(['a'])
   })
 })
--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -144,7 +144,7 @@
 describe('the protocol of targets', () => {
   it('passes on headers, but for those of the connection and its own', () => {
     const received = ['Host', 'h', 'Connection', 'keep-alive, x-hop', 'X-Hop', '1', 'X-Own', 'kept', 'Bulrushvalve-Deadline-Ms', '9', 'Bulrushvalve-Request-Id', 'r', 'Transfer-Encoding', 'chunked', 'Content-Length', '3', 'Bulrushvalve-Expect-Instance', 'forged']
-    expect(targetProtocol.forwardHeaders(received, { expectedTarget: 't', remainingMs: 5.7 })).to.deep.equal(['Host', 'h', 'X-Own', 'kept', 'Bulrushvalve-Request-Id', 'r', 'bulrushvalve-expect-instance', 't', 'bulrushvalve-deadline-ms', '5'])
+    expect(targetProtocol.forwardHeaders(received, { expectedTarget: 't', remainingMs: 5.7 }, { type: 'open' })).to.deep.equal(['Host', 'h', 'X-Own', 'kept', 'Bulrushvalve-Request-Id', 'r', 'bulrushvalve-expect-instance', 't', 'bulrushvalve-deadline-ms', '5'])
   })
 
   it('reads heads of answers', () => {
--- a/test/support/manualClock.ts
+++ b/test/support/manualClock.ts
@@ -13,6 +13,7 @@
 
 export class ManualClock implements Clock {
   now = 1_000_000
+  private suspendedMs = 0
   private readonly timers = new Set<Timer>()
 
   monotonic (): number {
@@ -20,7 +21,7 @@
   }
 
   wall (): number {
-    return this.now
+    return this.now + this.suspendedMs
   }
 
   after (delayMs: number, task: () => void): Disposable {
@@ -53,6 +54,11 @@
     this.now += milliseconds
   }
 
+  /** Moves only the time of day, as a suspension of the machine does. */
+  suspend (milliseconds: number): void {
+    this.suspendedMs += milliseconds
+  }
+
   private add (timer: Timer): Disposable {
     this.timers.add(timer)
     return toDisposable(() => { this.timers.delete(timer) })
--- a/test/support/routes.ts
+++ b/test/support/routes.ts
@@ -18,6 +18,7 @@
     dueMs: 7500,
     retentionMs: 40_000,
     singleVersion: false,
+    isPublic: false,
     ...details
   }
 }
--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -166,7 +166,7 @@
     requestId: id,
     method: 'POST',
     path: `/${called.name}/`,
-    headers: (options) => ['bulrushvalve-request-id', id, ...targetProtocol.forwardHeaders([], options)],
+    headers: (options) => ['bulrushvalve-request-id', id, ...targetProtocol.forwardHeaders([], options, { type: 'open' })],
     body: undefined,
     waitMs: called.timeoutMs,
     configuration: 1,
