--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -84,7 +84,8 @@
         membership: { seeds: [`http://${ip(0)}:${peers}`, `http://${ip(1)}:${peers}`], probe_period: 200, ...settings.membership },
         limits: { stop_serving: 700, ...settings.limits },
         duty: { ...settings.duty },
-        steps: { ...settings.steps }
+        steps: { ...settings.steps },
+        identity: { ...settings.identity }
       } as unknown as Record<string, Record<string, unknown>>))
       return { name, door, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, process: new HostProcess(name, '', '', settingsPath, PROGRAM) }
     }))
