Usage reports: counts handed in to the store, windows sealed before the first send, reports by the holder of the duty

Ways weighed: each host to the holder over the peers' interface (no call to the store, lost with the holder); counts by host and window once at its end (7.5 s lost with a host); counts as soon as there are any, at most once a second (taken: about a second is lost). The holder of the steps' duty reports: its term and its rest before it acts alone are those of orders to engines.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -77,6 +77,8 @@
 /** The state of one request on its way. */
 class RouteCall {
   private readonly running = new Set<Attempt>()
+  /** Attempts that may have run the request. */
+  private readonly mayHaveRun = new Set<Attempt>()
   /** Targets that may have run the request, each with the number of sends of which it may. */
   private readonly sent = new Map<string, number>()
   /** Targets that refused it in this round. */
@@ -196,6 +198,7 @@
     const { services, request } = this
     const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: knownOf(target), fresh, run: services.ends.begin(target, this.content, request.requestId), holdsSlot: true }
     this.running.add(attempt)
+    this.mayHaveRun.add(attempt)
     this.sent.set(target.definition.id, (this.sent.get(target.definition.id) ?? 0) + 1)
     target.inFlight++
     // No answer comes from a former life, and a connection to it may stay silent: the caller would wait in vain.
@@ -248,7 +251,7 @@
       this.refused.add(target.definition.id)
       if (result.code !== 'targetUnreachable') return this.brokeOff(attempt, result.message)
       attempt.run.over()
-      this.notRun(target)
+      this.notRun(attempt)
       return this.goOn(result.message)
     }
     attempt.run.over()
@@ -270,7 +273,7 @@
         if (this.trial !== undefined) this.trial.used = true
         return this.goOn('the target failed')
       case 'not-run':
-        this.notRun(target)
+        this.notRun(attempt)
         this.refused.add(target.definition.id)
         return this.goOn('the target refused')
       case 'unusable':
@@ -295,7 +298,9 @@
   }
 
   /** One send ran nothing; another to the same target still may have. */
-  private notRun ({ definition: { id } }: KnownTarget): void {
+  private notRun (attempt: Attempt): void {
+    const { id } = attempt.target.definition
+    this.mayHaveRun.delete(attempt)
     const others = (this.sent.get(id) ?? 0) - 1
     if (others > 0) this.sent.set(id, others)
     else this.sent.delete(id)
@@ -335,10 +340,18 @@
       release(attempt)
     }
     if (this.trial?.used === false) this.trial.trial.withdraw()
+    this.noteUsage(now)
     this.tell(result)
     this.resolve(result)
   }
 
+  /** A request counts once, from the first target that may have run it. */
+  private noteUsage (now: number): void {
+    const { workspace } = this.request
+    if (workspace === undefined || this.mayHaveRun.size === 0) return
+    this.services.usage?.began(workspace, now - Math.min(...[...this.mayHaveRun].map(({ beganAt }) => beganAt)))
+  }
+
   private tell (result: Result<RoutedAnswer>): void {
     const { request, services } = this
     services.metrics.timing('calls.answer', this.elapsedMs)
--- a/src/actors/common/routes/routedRequest.ts
+++ b/src/actors/common/routes/routedRequest.ts
@@ -40,6 +40,11 @@
   readonly failures: number
 }
 
+/** Takes note of the requests that targets begin to run. */
+export interface UsageSink {
+  began (workspace: WorkspaceName, agoMs: number): void
+}
+
 export interface RouteCallServices {
   readonly targets: TargetTable
   readonly client: TargetClient
@@ -50,6 +55,8 @@
   readonly chance: Chance
   readonly metrics: Metrics
   readonly stateLog: StateLog
+  /** Absent where usage is not reported. */
+  readonly usage?: UsageSink | undefined
   readonly place: string
   readonly mechanisms: Pick<Mechanisms, 'second_sends' | 'silence_suspicion' | 'caller_slot' | 'nearest_targets'>
 }
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -176,7 +176,10 @@
         return await this.failedRun(target, run, verdict === 'not-run' ? 'not-run' : 'bad-answer')
       }
       this.failed = verdict === 'target-failed'
-      if (!this.headSent) this.sink.head(status, headers)
+      if (!this.headSent) {
+        this.sink.head(status, headers)
+        if (request.workspace !== undefined) this.services.usage?.began(request.workspace, 0)
+      }
       this.headSent = true
       const reader = new EventReader()
       for await (const piece of pieces) {
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -72,6 +72,10 @@
     'steps not taken over': 'a fault of this program',
     'step not forgotten': 'a fault of this program',
     'ends of targets not forgotten': 'a fault of this program',
+    'usage not handed in': 'counts of requests could not be written; they are offered again, or too many wait',
+    'usage not reported': 'a fault of this program',
+    'usage report rejected': 'the platform does not take the report of a window; it is not sent again',
+    'usage counted too late for its report': 'a host handed in counts after those of their window were final; how many requests are in no report',
     'ends of targets not told': 'the store did not take for a minute under which requests targets ended; other hosts do not know of them'
   },
   /** A decision that touches a request, a step or an order. */
@@ -101,6 +105,7 @@
     'run moved to a faster engine': 'a run goes on at another engine; with the slowness of both that decided it',
     'item listed as lost': 'an item was given up, and why',
     'duty claimed': 'the holder was silent, or released the duty; with its silence',
+    'usage reported': "the sealed counts of a window were sent; with the platform's verdict, the time since the window's end and the term",
     'engine assigned': 'an engine follows another model',
     'load begins': 'an engine is ordered to load a version; with what waits and runs',
     'load ended': 'the engine reports the version',
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -69,6 +69,8 @@
   'steps.resumed': 'items that went on from saved events',
   'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
+  'duties.calls': "calls to the platform's interface for duties",
+  'duties.calls_failed': 'such calls without an answer',
   'identity.reads': 'reads of the configuration for a key that this host could not judge by what it knew',
   'identity.unsure': 'requests rejected since it was not known whether their key is valid',
   'steps.head_starts': 'runs begun for a step to come',
@@ -88,6 +90,10 @@
   'targets.silent': 'targets that went silent',
   'targets.unreadable_entries': 'entries of targets that cannot be read',
   'task.failed': 'messages that made a task fail',
+  'usage.handed_in': 'records of counts that the store has taken',
+  'usage.late': 'requests that were counted after the counts of their window were final',
+  'usage.report_failed': 'usage reports that were refused or not answered, to be sent again',
+  'usage.reported': 'usage reports that the platform has taken',
   'weights.changed': 'changes of weights seen'
 } as const
 
@@ -103,6 +109,7 @@
   'items.waiting': 'items of this host that wait for an engine',
   'steps.items': 'items under way at this host',
   'store.backlog': 'records that the store has not confirmed',
+  'usage.reported_through': 'last window up to which all usage is reported, as this host knows it',
   'targets.known': 'targets that have an entry',
   'targets.suspect': 'targets that failed lately and are asked last'
 } as const
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -27,6 +27,8 @@
 import { createSteps } from './routed/hostSteps.ts'
 import type { OtherHosts } from './routed/otherHosts.ts'
 import { createOtherHosts } from './routed/otherHosts.ts'
+import type { HostUsage } from './routed/hostUsage.ts'
+import { createUsage } from './routed/hostUsage.ts'
 import { createStoreLinks } from './routed/storeLinks.ts'
 import { SettingsReloader } from './settingsReloader.ts'
 
@@ -58,10 +60,12 @@
   const topics = createFollowedTopics(base, others, links)
   const client = createTargetClient(base, topics.targets)
   const guards = createCallGuards(base, topics, client)
-  const callServices = { ...services, targets: topics.targets, client, ...guards, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
+  const usage = createUsage(base, others, links)
+  const callServices = { ...services, usage: usage?.meter, targets: topics.targets, client, ...guards, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
   const calls = new RouteCalls(callServices)
   const steps: HostSteps = createSteps(base, { others, links, topics, client, guards, calls })
 
+  const reporter = usage?.reportWith(steps.duty)
   let leaving = false
   const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol })
   const servers = createServers(base, { others, topics, steps, forward, isLeaving: () => leaving })
@@ -70,7 +74,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, targets: topics.targets.counts })
+      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
@@ -85,7 +89,7 @@
     look: () => { reloader.look() },
     stop: async () => {
       leaving = true
-      await stop(base, others, steps, servers)
+      await stop(base, { others, steps, servers, usage })
     }
   }
 }
@@ -102,14 +106,23 @@
   return client
 }
 
+interface StoppingParts {
+  readonly others: OtherHosts
+  readonly steps: HostSteps
+  readonly servers: HostServers
+  readonly usage: HostUsage | undefined
+}
+
 /** Hands the steps over and goes on serving those who still know this host; ends what is left after a time. */
-async function stop ({ settings: { limits }, services, output, disposables }: HostBase, { membership }: OtherHosts, { duty, home, backlog }: HostSteps, { front }: HostServers): Promise<void> {
+async function stop ({ settings: { limits }, services, output, disposables }: HostBase, { others: { membership }, steps: { duty, home, backlog: stepBacklog }, servers: { front }, usage }: StoppingParts): Promise<void> {
   const { clock, stateLog } = services
+  const backlog = (): number => stepBacklog() + (usage?.meter.backlog ?? 0)
   const began = clock.monotonic()
   stateLog.changed('stop begins', { requests: front.requests, items: home.underway, records: backlog() })
   membership.leave()
   await Promise.all([pause(clock, limits.stop_serving), home.handOver().then(async () => { await duty.release() })])
   front.closeIdle()
+  usage?.meter.flush()
   while ((front.requests > 0 || backlog() > 0) && clock.monotonic() - began < limits.stop_serving + limits.stop_timeout) await pause(clock, LOOK_MS)
   stateLog.changed('stop ends', { requests: front.requests, records: backlog(), tookMs: Math.round(clock.monotonic() - began) })
   disposables.dispose()
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -8,6 +8,8 @@
 import type { CallerIdentity, PresentedKey } from '../../core/common/identity/workspaces.ts'
 import type { RouteConfiguration } from '../../core/common/routes/routeConfiguration.ts'
 import type { ItemPayload, SampleResult, TrainerSubmission } from '../../core/common/steps/step.ts'
+import type { SealedWindow } from '../../core/common/usage/usageFold.ts'
+import type { DutyHolder, DutyVerdict } from './platformDuties.ts'
 import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
 import type { LoadReport, ModelVersion, TargetDefinition } from '../../core/common/routes/target.ts'
 
@@ -154,6 +156,19 @@
   readonly version: number | undefined
 }
 
+/** A call to the platform's interface for duties, ready to be sent. */
+export interface DutyCall {
+  readonly path: string
+  readonly headers: HeaderPairs
+  readonly body: string
+}
+
+/** Calls that one host at a time makes to the platform. */
+export interface DutyProtocol {
+  usageReport (report: SealedWindow, holder: DutyHolder): DutyCall
+  dutyVerdict (status: number): DutyVerdict
+}
+
 export interface TargetProtocol {
   /** Headers of a caller's request as they go on to a target. */
   forwardHeaders (received: HeaderPairs, options: OutgoingOptions, caller: CallerIdentity): string[]
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -69,6 +69,13 @@
   revocation: z.number().int().min(500).optional().describe('longest time for which a key is accepted after it was taken away, in milliseconds: a host that has not read the configuration for so long takes no request with a key; without it keys hold while a host does not reach the store')
 })
 
+const usageSchema = z.strictObject({
+  address: origin.describe("the platform's interface that takes usage reports"),
+  topic: z.string().min(1).default('keyed.bulrushvalve.usage').describe('the topic of counts and of what is reported'),
+  window_seconds: z.number().positive().describe('length of the windows of the time of day for which usage is reported, in seconds'),
+  due_seconds: z.number().positive().describe('time from the end of a window until its report is due, in seconds')
+}).describe('usage reports; without this table nothing is counted or reported')
+
 const metricsSchema = z.strictObject({
   listen: endpoint.optional().describe('where counters and histograms are served as text, under /metrics'),
   collector: endpoint.optional().describe('StatsD collector')
@@ -86,6 +93,7 @@
   limits: limitsSchema.prefault({}),
   steps: stepsSchema.prefault({}),
   identity: identitySchema.prefault({}),
+  usage: usageSchema.optional(),
   metrics: metricsSchema.optional(),
   mechanisms: z.strictObject(switches).prefault({}).describe('decisions that an experiment leaves out, to learn what they are worth; each has a log line at the start')
 })
