--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -85,7 +85,8 @@
         limits: { stop_serving: 700, ...settings.limits },
         duty: { ...settings.duty },
         steps: { ...settings.steps },
-        identity: { ...settings.identity }
+        identity: { ...settings.identity },
+        ...(settings.usage === undefined ? {} : { usage: settings.usage })
       } as unknown as Record<string, Record<string, unknown>>))
       return { name, door, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, process: new HostProcess(name, '', '', settingsPath, PROGRAM) }
     }))
@@ -165,6 +166,11 @@
     return await this.call(host, `/steps/${id}`, { id, body: this.stepBody(groups, details), headers: { 'content-type': 'application/json' } })
   }
 
+  /** Submits a step with headers of its caller. */
+  async submitWith (host: FleetHost, id: string, groups: readonly (readonly number[])[], headers: Record<string, string>): Promise<Reply> {
+    return await this.call(host, `/steps/${id}`, { id, body: this.stepBody(groups), headers: { 'content-type': 'application/json', ...headers } })
+  }
+
   async results (host: FleetHost, id: string, after = 0): Promise<{ total: number, next: number, results: { id: string, state: string, text: string, versions: number[], score?: string }[] }> {
     const answer = await this.call(host, `/lots/${id}?after=${after}`, { method: 'GET' })
     if (answer.status !== 200) throw new Error(`results of ${id}: ${answer.status} ${answer.text}`)
