Soak with keys that come and go and usage reports

Its first form failed on seed 4: hosts that had not read the first workspaces yet passed keys on as any other header; the soak waits for that now.

--- a/test/soak/faults.ts
+++ b/test/soak/faults.ts
@@ -1,7 +1,6 @@
 /** Faults of a soak: what happens when is drawn from the seed; they overlap, and each ends by itself. */
 
 import type { Fleet, FleetHost } from '../platform/support/fleet.ts'
-import { configuration } from '../platform/support/fleet.ts'
 import type { DoorFault } from '../platform/support/storeStandIn.ts'
 import type { TargetFault } from '../platform/support/targetStandIn.ts'
 import type { Draw } from './chance.ts'
@@ -13,6 +12,8 @@
   /** Ways of callers to the hosts, and of the hosts to the store, by host. */
   readonly callerLinks: readonly Link[]
   readonly storeLinks: readonly Link[]
+  /** Plans a change of the configuration, whose number is so much higher; the result gives what the operator writes then. */
+  readonly planConfiguration: (by: number, details: Record<string, object>) => () => object
 }
 
 export interface PlannedFault {
@@ -35,8 +36,7 @@
 }
 
 /** Faults for a soak of this length. */
-export function planFaults (draw: Draw, { fleet, callerLinks, storeLinks }: SoakedFleet, lengthMs: number, count: number): PlannedFault[] {
-  let version = 1
+export function planFaults (draw: Draw, { fleet, callerLinks, storeLinks, planConfiguration }: SoakedFleet, lengthMs: number, count: number): PlannedFault[] {
   let model = 1
   const kinds: Readonly<Record<string, () => PlannedFault['begin']>> = {
     kill: () => {
@@ -115,9 +115,8 @@
       }
     },
     configuration: () => {
-      version += draw.between(1, 3)
-      const next = configuration(version, { 'look-up': { timeout_ms: draw.between(1000, 2000) } })
-      return () => { fleet.store.put('keyed.op', 'config', next) }
+      const configured = planConfiguration(draw.between(1, 3), { 'look-up': { timeout_ms: draw.between(1000, 2000) } })
+      return () => { fleet.store.put('keyed.op', 'config', configured()) }
     },
     'version named': () => {
       model++
--- a/test/soak/load.ts
+++ b/test/soak/load.ts
@@ -4,6 +4,7 @@
 import type { Fleet } from '../platform/support/fleet.ts'
 import { CALLS_HOST } from '../platform/support/fleet.ts'
 import type { Draw } from './chance.ts'
+import type { Keys } from './keys.ts'
 import type { Link } from './link.ts'
 
 interface Answer {
@@ -23,6 +24,8 @@
 /** What is known of a step that was submitted. */
 interface SubmittedStep {
   readonly id: string
+  /** Whose it is, where callers have keys. */
+  readonly workspace: string | undefined
   /** Events of each item. */
   readonly items: ReadonlyMap<string, number>
   readonly minimumVersion: number
@@ -51,7 +54,7 @@
   private readonly onceOnly = new Map<string, number | undefined>()
   private next = 0
 
-  constructor (private readonly fleet: Fleet, private readonly links: readonly Link[], private readonly draw: Draw) {}
+  constructor (private readonly fleet: Fleet, private readonly links: readonly Link[], private readonly draw: Draw, private readonly keys?: Keys) {}
 
   /** One interactive request, of one of three kinds. */
   async callOnce (): Promise<void> {
@@ -78,7 +81,8 @@
     const id = `step-${this.next++}`
     const groups = Array.from({ length: this.draw.between(1, 3) }, () => Array.from({ length: 2 }, () => this.draw.between(1, this.draw.chance(0.2) ? 150 : 30)))
     const items = new Map(groups.flatMap((events, group) => events.map((count, index): [string, number] => [`${id}-${group}-${index}`, count])))
-    const step: SubmittedStep = { id, items, minimumVersion: 1, state: 'open', acceptedAt: 0, endedAt: 0, results: [] }
+    const workspace = this.keys === undefined ? undefined : this.draw.oneOf(this.keys.workspaces)
+    const step: SubmittedStep = { id, workspace, items, minimumVersion: 1, state: 'open', acceptedAt: 0, endedAt: 0, results: [] }
     this.steps.push(step)
     const body = JSON.stringify({
       step: 0,
@@ -89,7 +93,7 @@
     })
     const statuses: (number | undefined)[] = []
     for (let attempt = 0; attempt < 4 && step.state === 'open'; attempt++) {
-      const answer = await this.send(`/steps/${id}`, { id, body, headers: { 'content-type': 'application/json' } })
+      const answer = await this.send(`/steps/${id}`, { id, body, workspace, headers: { 'content-type': 'application/json' } })
       statuses.push(answer?.status)
       if (answer?.status === 202) {
         step.state = 'accepted'
@@ -103,7 +107,7 @@
   async read (step: SubmittedStep): Promise<void> {
     const after = this.draw.between(0, step.results.length)
     const askedAt = Date.now()
-    const answer = await this.send(`/lots/${step.id}?after=${after}`, { method: 'GET' })
+    const answer = await this.send(`/lots/${step.id}?after=${after}`, { method: 'GET', workspace: step.workspace })
     if (answer?.status === 404 && askedAt - step.acceptedAt > SETTLE_MS) this.violations.push(`${step.id} was accepted and is not found`)
     if (answer?.status !== 200) return
     const page = JSON.parse(answer.text) as { total: number, results: Result[] }
@@ -121,7 +125,7 @@
   /** Ends a step. */
   async end (step: SubmittedStep): Promise<void> {
     step.state = 'ending'
-    if ((await this.send(`/lots/${step.id}`, { method: 'DELETE' }))?.status !== 200) return
+    if ((await this.send(`/lots/${step.id}`, { method: 'DELETE', workspace: step.workspace }))?.status !== 200) return
     step.state = 'ended'
     step.endedAt = Date.now()
   }
@@ -191,11 +195,12 @@
   }
 
   /** Sends to some host over its link; `undefined` where no whole answer came. */
-  private async send (path: string, { method = 'POST', id = `ask-${this.next++}`, headers = {}, body }: { method?: string, id?: string, headers?: Record<string, string>, body?: string }): Promise<Answer | undefined> {
+  private async send (path: string, { method = 'POST', id = `ask-${this.next++}`, headers = {}, body, workspace }: { method?: string, id?: string, headers?: Record<string, string>, body?: string, workspace?: string | undefined }): Promise<Answer | undefined> {
+    const key = this.keys?.present(id, workspace)
     try {
       const answer = await request(`${this.draw.oneOf(this.links).address}${path}`, {
         method: method as 'POST',
-        headers: { host: CALLS_HOST, 'bulrushvalve-request-id': id, 'bulrushvalve-deadline-ms': '2000', ...headers },
+        headers: { host: CALLS_HOST, 'bulrushvalve-request-id': id, 'bulrushvalve-deadline-ms': '2000', ...(key === undefined ? {} : { authorization: `Token ${key}` }), ...headers },
         body: body ?? null,
         signal: AbortSignal.timeout(5000)
       })
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -20,6 +20,12 @@
     expect(violations, faults.join('\n')).to.deep.equal([])
   })
 
+  it('keeps them under the faults of seed 4, with keys that come and go and usage reports', async () => {
+    const { violations, faults, answered } = await soak({ seed: 4, hosts: 3, lengthMs: 8000, faults: 10, keys: true })
+    expect(violations, faults.join('\n')).to.deep.equal([])
+    expect(answered).to.be.greaterThan(50)
+  })
+
   for (const { seed, cause } of [
     { seed: 101, cause: 'the check did not know the answer of a target that sends bytes after it' },
     { seed: 110, cause: 'the same' },
--- a/test/soak/soak.ts
+++ b/test/soak/soak.ts
@@ -6,10 +6,14 @@
 
 import { mkdirSync, writeFileSync } from 'node:fs'
 import { EndingTargets } from '../platform/support/endingTargets.ts'
-import { Fleet } from '../platform/support/fleet.ts'
+import type { DutyFault } from '../platform/support/dutyStandIn.ts'
+import { DutyStandIn } from '../platform/support/dutyStandIn.ts'
+import { Fleet, configuration } from '../platform/support/fleet.ts'
 import type { TargetOptions } from '../platform/support/targetStandIn.ts'
+import { waitUntil } from '../support/hostProcess.ts'
 import { Draw } from './chance.ts'
 import { planFaults } from './faults.ts'
+import { Keys, REVOCATION_MS } from './keys.ts'
 import { Link } from './link.ts'
 import { FATAL, Load } from './load.ts'
 
@@ -21,6 +25,8 @@
   readonly faults: number
   /** Whether one request that ends its targets comes again and again. */
   readonly fatal?: boolean
+  /** Whether callers need keys, which come and go, and usage is reported. */
+  readonly keys?: boolean
 }
 
 export interface SoakReport {
@@ -42,6 +48,12 @@
 /** Repeats after that, and how many of them may reach targets: the users' bound. */
 const FATAL_REPEATS = 12
 const MOST_FATAL = 3
+/** Time between two changes of keys, and between two changes of how the interface for duties treats its callers, in milliseconds. */
+const ROTATE_MS = 400
+const DUTY_MS = 1500
+const dutyFaults: readonly DutyFault[] = ['many', 'down', 'silent', 'unanswered']
+/** Longest time after the last fault in which the usage until then must be reported, in milliseconds. */
+const REPORTED_MS = 20_000
 /** Share of steps that their trainer ends before they are whole. */
 const ENDED_SHARE = 0.2
 
@@ -51,7 +63,7 @@
 const pause = async (milliseconds: number): Promise<void> => { await new Promise((resolve) => setTimeout(resolve, milliseconds)) }
 
 /** Plays one seed. */
-export async function soak ({ seed, hosts, lengthMs, faults: count, fatal = false }: SoakOptions): Promise<SoakReport> {
+export async function soak ({ seed, hosts, lengthMs, faults: count, fatal = false, keys: withKeys = false }: SoakOptions): Promise<SoakReport> {
   const draw = new Draw(seed)
   const storeLinks: Link[] = []
   const wayToStore = async (door: string, host: number): Promise<string> => {
@@ -60,11 +72,24 @@
     return link.address
   }
   const all = [0, 1, 2].flatMap((index) => [engine(index), worker(index)])
-  const fleet = await Fleet.start(hosts, fatal ? [] : all, {}, { wayToStore })
+  const duties = withKeys ? await DutyStandIn.start() : undefined
+  const settings: Record<string, Record<string, unknown>> = duties === undefined ? {} : { identity: { revocation: REVOCATION_MS }, usage: { address: duties.address, window_seconds: 1, due_seconds: 4 } }
+  const fleet = await Fleet.start(hosts, fatal ? [] : all, settings, { wayToStore })
   const targets = fatal ? await EndingTargets.start(fleet, all, { under: ({ body }) => body === FATAL, afterMs: 30, backAfterMs: 800 }) : undefined
   const callerLinks = await Promise.all(fleet.hosts.map(async ({ address }) => await Link.to(address)))
-  const load = new Load(fleet, callerLinks, new Draw(seed + 1))
-  const planned = planFaults(draw, { fleet, callerLinks, storeLinks }, lengthMs, count)
+  let version = 1
+  const nextVersion = (by = 1): number => { version += by; return version }
+  const keys = withKeys ? new Keys(fleet, new Draw(seed + 2), nextVersion) : undefined
+  if (keys !== undefined) await beginKeys(fleet, keys)
+  const load = new Load(fleet, callerLinks, new Draw(seed + 1), keys)
+  const planConfiguration = (by: number, details: Record<string, object>): (() => object) => {
+    // Without keys the numbers are given as planned, so that some changes are older than the one in force.
+    if (keys !== undefined) return () => keys.configured(nextVersion(by), details)
+    const next = configuration(nextVersion(by), details)
+    return () => next
+  }
+  const planned = planFaults(draw, { fleet, callerLinks, storeLinks, planConfiguration }, lengthMs, count)
+  const dutyDraw = new Draw(seed + 3)
   const told: string[] = []
   const stop = new AbortController()
   const repeat = async (everyMs: number, work: () => Promise<void>): Promise<void> => {
@@ -79,6 +104,8 @@
       ...Array.from({ length: 3 }, async () => { await repeat(CALL_MS, async () => { await load.callOnce() }) }),
       repeat(STEP_MS, async () => { await load.submit() }),
       repeat(READ_MS, async () => { await readSteps(load, draw) }),
+      ...(keys === undefined ? [] : [repeat(ROTATE_MS, async () => { keys.rotate() })]),
+      ...(duties === undefined ? [] : [repeat(DUTY_MS, async () => { duties.fault = dutyDraw.chance(0.3) ? dutyDraw.oneOf(dutyFaults) : 'none' })]),
       ...(fatal ? [repeat(FATAL_MS, async () => { await load.callFatal() })] : [])
     ]
     for (const { atMs, name, begin, forMs } of planned) {
@@ -94,17 +121,26 @@
     await Promise.all(loops)
     await heal(load)
     if (targets !== undefined) await checkFatal(load, targets)
+    if (duties !== undefined) await checkReports(load, duties)
     load.checkRuns()
+    load.violations.push(...keys?.violations() ?? [], ...duties?.violations ?? [])
     return { violations: load.violations, faults: told, answered: load.answered, steps: load.steps.length }
   } finally {
     stop.abort()
     targets?.stop()
     if (load.violations.length > 0) keepLogs(seed, fleet, [...load.violations, ...told])
     await fleet.stop()
+    await duties?.close()
     await Promise.all([...callerLinks, ...storeLinks].map(async (link) => { await link.close() }))
   }
 }
 
+/** Writes the workspaces and waits until all hosts ask for keys: before that they pass on what callers present. */
+async function beginKeys (fleet: Fleet, keys: Keys): Promise<void> {
+  keys.write()
+  await waitUntil(async () => (await Promise.all(fleet.hosts.map(async (host) => await fleet.call(host, '/look-up/x')))).every(({ status }) => status === 401), 10_000, 'all hosts ask for keys')
+}
+
 /** Reads all open steps once, and ends some. */
 async function readSteps (load: Load, draw: Draw): Promise<void> {
   for (const step of load.steps) {
@@ -137,6 +173,17 @@
   if (ended >= MOST_FATAL && runs() - before > MOST_FATAL) load.violations.push(`a request under which ${ended} targets had ended reached ${runs() - before} more`)
 }
 
+/** Reports are whole up to the present, however late. */
+async function checkReports (load: Load, duties: DutyStandIn): Promise<void> {
+  duties.fault = 'none'
+  const last = Math.floor(Date.now() / 1000)
+  const until = Date.now() + REPORTED_MS
+  while (duties.counts(last) === undefined && Date.now() < until) await pause(READ_MS)
+  const windows = new Set(duties.reports.map(({ window }) => window))
+  const missing = Array.from({ length: last - Math.min(...windows, last) + 1 }, (_, index) => last - index).filter((window) => !windows.has(window))
+  if (missing.length > 0) load.violations.push(`windows ${missing.join()} were never reported`)
+}
+
 function keepLogs (seed: number, fleet: Fleet, story: readonly string[]): void {
   const folder = `reports/soak-${seed}`
   mkdirSync(folder, { recursive: true })
--- a/tools/soak.ts
+++ b/tools/soak.ts
@@ -12,6 +12,7 @@
   .option('seconds', { type: 'number', default: 12, describe: 'time in which faults begin' })
   .option('faults', { type: 'number', default: 20 })
   .option('fatal', { type: 'boolean', default: false, describe: 'with a request that ends its targets' })
+  .option('keys', { type: 'boolean', default: false, describe: 'with keys of callers that come and go, and usage reports' })
   .strict()
   .parse()
 
@@ -20,7 +21,7 @@
 async function play (): Promise<void> {
   while (next < options.from + options.seeds) {
     const seed = next++
-    const { violations, answered, steps } = await soak({ seed, hosts: options.hosts, lengthMs: options.seconds * 1000, faults: options.faults, fatal: options.fatal })
+    const { violations, answered, steps } = await soak({ seed, hosts: options.hosts, lengthMs: options.seconds * 1000, faults: options.faults, fatal: options.fatal, keys: options.keys })
     if (violations.length > 0) failed++
     process.stdout.write(`seed ${seed}: ${answered} answers, ${steps} steps, ${violations.length === 0 ? 'in order' : `broken, see reports/soak-${seed}\n  ${violations.join('\n  ')}`}\n`)
   }
