Limits of time over silent connections count what the program waits for, not the processor

The time in which the process had no processor is taken off now; time in which it was busy itself is not; bounds are unchanged.

--- a/test/support/silentScene.ts
+++ b/test/support/silentScene.ts
@@ -17,6 +17,7 @@
 import { startCutter } from './cutter.ts'
 import { quietLog, quietMetrics } from './fakeHost.ts'
 import { seededChance } from './manualClock.ts'
+import { ProcessorWaits } from './processorWaits.ts'
 import { route, targetDefinition } from './routes.ts'
 import { guards } from './targetEnds.ts'
 
@@ -30,6 +31,7 @@
 /** What one call came to. */
 export interface CallEnd {
   readonly beganAt: number
+  /** Without the time in which the process waited for the processor, in milliseconds. */
   readonly tookMs: number
   readonly answered: boolean
 }
@@ -54,6 +56,7 @@
   mostWaiting = 0
   private readonly targets: StandIn[] = []
   private readonly connections: Connections[] = []
+  private readonly waits = new ProcessorWaits()
   private requests = 0
 
   static async start (hosts: number, targets: number): Promise<SilentScene> {
@@ -98,7 +101,7 @@
       background
     })
     this.waiting--
-    return { beganAt, tookMs: performance.now() - beganAt, answered: answer?.ok === true }
+    return { beganAt, tookMs: this.since(beganAt), answered: answer?.ok === true }
   }
 
   /** One stream by one host; answered if it came whole. */
@@ -111,7 +114,7 @@
       end: () => { whole = true },
       cut: () => undefined
     })
-    return { beganAt, tookMs: performance.now() - beganAt, answered: whole }
+    return { beganAt, tookMs: this.since(beganAt), answered: whole }
   }
 
   /** Opens several connections of each host to each target; hosts in turn, so that no call is late and ends one. */
@@ -153,7 +156,13 @@
     return this.cutters.reduce((sum, { made }) => sum + made, 0)
   }
 
+  private since (beganAt: number): number {
+    const now = performance.now()
+    return now - beganAt - this.waits.between(beganAt, now)
+  }
+
   async close (): Promise<void> {
+    this.waits.dispose()
     for (const connections of this.connections) connections.dispose()
     for (const cutter of this.cutters) await cutter.close()
     for (const target of this.targets) await target.close()
