--- a/src/actors/common/identity/callerGate.ts
+++ b/src/actors/common/identity/callerGate.ts
@@ -50,7 +50,6 @@
     const first = this.decide(key, isPublic)
     if (first.type === 'granted') return success(first.caller)
     if (first.type === 'denied') return failure('unauthenticated', first.why)
-    this.services.metrics.count('identity.reads')
     if (this.services.operator.isLost || !await this.readSoon()) return this.unsure(first.why)
     const second = this.decide(key, isPublic)
     switch (second.type) {
--- a/src/actors/common/usage/usageMeter.ts
+++ b/src/actors/common/usage/usageMeter.ts
@@ -9,12 +9,11 @@
 import { countsRecord } from '../../../core/common/usage/usageRecords.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog, KeyedRecord } from '../../../ports/common/keyedLog.ts'
-import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { StateLog } from '../../../ports/common/observation.ts'
 
 export interface UsageMeterServices {
   readonly log: KeyedLog
   readonly clock: Clock
-  readonly metrics: Metrics
   readonly stateLog: StateLog
   readonly host: HostId
   /** Hosts that are known, this one included. */
@@ -94,7 +93,6 @@
     try {
       const appended = await this.services.log.append(records)
       if (!appended.ok) return
-      this.services.metrics.count('usage.handed_in', records.length)
       this.waiting = this.waiting.slice(records.length)
     } finally {
       this.sending = false
--- a/src/actors/common/usage/usageReporter.ts
+++ b/src/actors/common/usage/usageReporter.ts
@@ -114,7 +114,7 @@
   }
 
   private async report ({ window, counts }: SealedWindow): Promise<boolean> {
-    const { duties, duty, clock, machine, metrics, stateLog } = this.services
+    const { duties, duty, clock, machine, stateLog } = this.services
     if (!duty.alone) return false
     const lateMs = Math.round(clock.wall() - (window + 1) * this.times.windowMs)
     const verdict = await duties.reportUsage({ window, counts }, { name: machine, term: duty.term })
@@ -122,7 +122,6 @@
     stateLog.decided('usage reported', { window, workspaces: counts.size, requests, outcome: verdict, afterMs: lateMs, term: duty.term })
     switch (verdict) {
       case 'accepted':
-        metrics.count('usage.reported')
         this.acknowledged.add(window)
         return true
       case 'rejected':
@@ -132,7 +131,6 @@
         return true
       case 'later':
       case 'no-answer':
-        metrics.count('usage.report_failed')
         return false
     }
   }
--- a/src/adapters/node/httpPlatformDuties.ts
+++ b/src/adapters/node/httpPlatformDuties.ts
@@ -1,6 +1,5 @@
 /** The platform's interface for duties over HTTP. */
 
-import type { Metrics } from '../../ports/common/observation.ts'
 import type { DutyHolder, DutyVerdict, PlatformDuties } from '../../ports/common/platformDuties.ts'
 import type { DutyCall, DutyProtocol } from '../../ports/common/protocols.ts'
 import type { SealedWindow } from '../../core/common/usage/usageFold.ts'
@@ -12,7 +11,7 @@
 
 export class HttpPlatformDuties implements PlatformDuties {
   /** @param address origin of the interface */
-  constructor (private readonly connections: Connections, private readonly protocol: DutyProtocol, private readonly address: string, private readonly metrics: Metrics) {}
+  constructor (private readonly connections: Connections, private readonly protocol: DutyProtocol, private readonly address: string) {}
 
   async reportUsage (report: SealedWindow, holder: DutyHolder): Promise<DutyVerdict> {
     return await this.send(this.protocol.usageReport(report, holder))
@@ -20,13 +19,11 @@
 
   private async send ({ path, headers, body }: DutyCall): Promise<DutyVerdict> {
     const pool = this.connections.to(this.address)
-    this.metrics.count('duties.calls')
     try {
       const answer = await pool.request({ method: 'POST', path, headers: [...headers], body, signal: AbortSignal.timeout(ANSWER_MS) })
       await answer.body.bytes()
       return this.protocol.dutyVerdict(answer.statusCode)
     } catch (error) {
-      this.metrics.count('duties.calls_failed')
       if (wentSilent(error)) this.connections.suspect(this.address, pool)
       return 'no-answer'
     }
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -69,9 +69,6 @@
   'steps.resumed': 'items that went on from saved events',
   'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
-  'duties.calls': "calls to the platform's interface for duties",
-  'duties.calls_failed': 'such calls without an answer',
-  'identity.reads': 'reads of the configuration for a key that this host could not judge by what it knew',
   'identity.unsure': 'requests rejected since it was not known whether their key is valid',
   'steps.head_starts': 'runs begun for a step to come',
   'steps.head_starts_used': 'items that went on from such a run',
@@ -90,15 +87,13 @@
   'targets.silent': 'targets that went silent',
   'targets.unreadable_entries': 'entries of targets that cannot be read',
   'task.failed': 'messages that made a task fail',
-  'usage.handed_in': 'records of counts that the store has taken',
   'usage.late': 'requests that were counted after the counts of their window were final',
-  'usage.report_failed': 'usage reports that were refused or not answered, to be sent again',
-  'usage.reported': 'usage reports that the platform has taken',
   'weights.changed': 'changes of weights seen'
 } as const
 
 export const gauges = {
   'checkpoint.characters': 'characters of the newest checkpoint',
+  'configuration.age': 'milliseconds since the newest complete read of the configuration was sent; absent while the clocks of the host disagree on it',
   'duty.alone': "1 while this host surely is the only one that holds the steps' duty, otherwise 0",
   'duty.term': "term of the steps' duty as this host knows it",
   'front.requests': 'requests of callers in flight',
--- a/src/host/node/routed/hostUsage.ts
+++ b/src/host/node/routed/hostUsage.ts
@@ -33,7 +33,7 @@
     meter,
     reportWith: (duty) => {
       const connections = disposables.add(new Connections({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: DUTY_CONNECTIONS, silenceMs: DUTY_SILENCE_MS }))
-      const duties = new HttpPlatformDuties(connections, dutyProtocol, usage.address, services.metrics)
+      const duties = new HttpPlatformDuties(connections, dutyProtocol, usage.address)
       return disposables.add(new UsageReporter({ ...services, duty, log, duties, machine }, times))
     }
   }
--- a/test/actors/usage/usageMeter.test.ts
+++ b/test/actors/usage/usageMeter.test.ts
@@ -2,7 +2,7 @@
 import { UsageMeter } from '../../../src/actors/common/usage/usageMeter.ts'
 import { asHostId, asWorkspaceName } from '../../../src/base/common/ids.ts'
 import { UsageFold } from '../../../src/core/common/usage/usageFold.ts'
-import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { quietLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
 
@@ -12,7 +12,7 @@
 function scene (hosts = 12): { clock: ManualClock, log: MemoryKeyedLog, meter: UsageMeter, total: (window: number) => number } {
   const clock = new ManualClock()
   const log = new MemoryKeyedLog()
-  const meter = new UsageMeter({ log, clock, metrics: quietMetrics, stateLog: quietLog, host: asHostId('machine/life'), hosts: () => hosts }, { windowMs: WINDOW_MS })
+  const meter = new UsageMeter({ log, clock, stateLog: quietLog, host: asHostId('machine/life'), hosts: () => hosts }, { windowMs: WINDOW_MS })
   const total = (window: number): number => {
     const fold = new UsageFold()
     fold.apply(log.entries)
--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -23,8 +23,10 @@
     const items = countItems(states.map((state, index) => ({ ...newWork({ item: item(`i${index}`, 'g'), rank: 'wanted' }, newText(), 0), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...quietMetrics, gauge: (name, value) => { set[name] = value } }
-    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, targets: targets.counts })
+    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, configurationAgeMs: 812.4, usageReportedThrough: 200, targets: targets.counts })
     expect(set).to.deep.equal({
+      'configuration.age': 812,
+      'usage.reported_through': 200,
       'duty.alone': 1,
       'duty.term': 3,
       'front.requests': 5,
