--- a/src/actors/common/identity/callerGate.ts
+++ b/src/actors/common/identity/callerGate.ts
@@ -11,7 +11,6 @@
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import { nowOf } from '../../../ports/common/clock.ts'
-import type { Metrics } from '../../../ports/common/observation.ts'
 
 /** What a gate reads of the operator's topic. */
 export interface ConfigurationSource {
@@ -26,7 +25,6 @@
 export interface CallerGateServices {
   readonly operator: ConfigurationSource
   readonly clock: Clock
-  readonly metrics: Metrics
 }
 
 export interface CallerGateSettings {
@@ -65,7 +63,6 @@
   }
 
   private unsure (why: string): Failure {
-    this.services.metrics.count('identity.unsure')
     return failure('stale', why, { retryAfterMs: this.services.operator.isLost ? LOST_RETRY_MS : LATE_RETRY_MS })
   }
 
--- a/src/actors/common/usage/usageReporter.ts
+++ b/src/actors/common/usage/usageReporter.ts
@@ -12,7 +12,7 @@
 import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
-import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { StateLog } from '../../../ports/common/observation.ts'
 import type { PlatformDuties } from '../../../ports/common/platformDuties.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
 import { keyNonce } from '../store/groupAppender.ts'
@@ -24,7 +24,6 @@
   readonly duties: Pick<PlatformDuties, 'reportUsage'>
   readonly clock: Clock
   readonly chance: Chance
-  readonly metrics: Metrics
   readonly stateLog: StateLog
   /** Machine of this host: the holder's name. */
   readonly machine: string
@@ -138,7 +137,6 @@
   private tellLate (): void {
     const requests = this.ledger.fold.takeLate()
     if (requests === 0) return
-    this.services.metrics.count('usage.late', requests)
     this.services.stateLog.alarm('usage counted too late for its report', { requests })
   }
 }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -81,7 +81,7 @@
   /** A decision that touches a request, a step or an order. */
   decided: {
     'call ended': 'a request has its answer: route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, age of the newest load report',
-    'call rejected': 'a request was rejected before it was sent anywhere, with the code and the configuration version',
+    'call rejected': 'a request was rejected before it was sent anywhere, with the code, the configuration version, and the milliseconds since its last complete read was sent (null where the clocks do not tell)',
     'stream given up': 'a caller has read nothing for too long; with the bytes that were passed on and the wait',
     'stream ended': 'a stream is whole, cut or refused; with the targets and the last event',
     'append not confirmed': 'records were refused by the store, or it is not known whether it has them; with the topic, the first key, the way (`direct` or the host asked instead), and how many refusals of the same way had no line since the last one',
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -69,7 +69,6 @@
   'steps.resumed': 'items that went on from saved events',
   'steps.contents_searched': 'reads of a step\'s payloads or texts among the newest records, where their place was not known or forgotten',
   'steps.contents_read': 'reads of a step\'s payloads or texts that this host did not hold',
-  'identity.unsure': 'requests rejected since it was not known whether their key is valid',
   'steps.head_starts': 'runs begun for a step to come',
   'steps.head_starts_used': 'items that went on from such a run',
   'steps.reused': 'items served by a result of an earlier step',
@@ -87,13 +86,11 @@
   'targets.silent': 'targets that went silent',
   'targets.unreadable_entries': 'entries of targets that cannot be read',
   'task.failed': 'messages that made a task fail',
-  'usage.late': 'requests that were counted after the counts of their window were final',
   'weights.changed': 'changes of weights seen'
 } as const
 
 export const gauges = {
   'checkpoint.characters': 'characters of the newest checkpoint',
-  'configuration.age': 'milliseconds since the newest complete read of the configuration was sent; absent while the clocks of the host disagree on it',
   'duty.alone': "1 while this host surely is the only one that holds the steps' duty, otherwise 0",
   'duty.term': "term of the steps' duty as this host knows it",
   'front.requests': 'requests of callers in flight',
@@ -102,9 +99,8 @@
   'items.running': 'items that engines run for this host',
   'items.scoring': 'items of this host that wait for their score',
   'items.waiting': 'items of this host that wait for an engine',
-  'steps.items': 'items under way at this host',
   'store.backlog': 'records that the store has not confirmed',
-  'usage.reported_through': 'last window up to which all usage is reported, as this host knows it',
+  'usage.reported': 'last window up to which all usage is reported, as this host knows it',
   'targets.known': 'targets that have an entry',
   'targets.suspect': 'targets that failed lately and are asked last'
 } as const
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -10,8 +10,11 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
+import { elapsedMs } from '../../../core/common/identity/knowledge.ts'
 import type { CallerIdentity } from '../../../core/common/identity/workspaces.ts'
 import type { CallerLimits, Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
+import { nowOf } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { CallerGate } from '../../../actors/common/identity/callerGate.ts'
@@ -30,6 +33,7 @@
   readonly whenLoaded: (need: 'routes' | 'steps', limitMs: number) => Promise<void>
   readonly forward: ForwardRoutes
   readonly steps: StepRoutes
+  readonly clock: Clock
   readonly metrics: Metrics
   readonly stateLog: StateLog
 }
@@ -121,9 +125,9 @@
 
   /** What was sent to a target or is a step's matter has a line of its own. */
   private tellRejected (exchange: FrontExchange, { code, message }: Failure): void {
-    const { metrics, stateLog, operator } = this.services
+    const { clock, metrics, stateLog, operator } = this.services
     metrics.count(`front.refused.${code}`)
-    stateLog.decided('call rejected', { request: this.requestId(exchange), path: exchange.path, failed: true, outcome: code, why: message, configuration: operator.routes?.version ?? 0, storeLost: operator.isLost })
+    stateLog.decided('call rejected', { request: this.requestId(exchange), path: exchange.path, failed: true, outcome: code, why: message, configuration: operator.routes?.version ?? 0, knownMs: Math.round(elapsedMs(operator.readAt, nowOf(clock))), storeLost: operator.isLost })
   }
 
   private requestId (exchange: FrontExchange): string {
--- a/src/host/node/hostGauges.ts
+++ b/src/host/node/hostGauges.ts
@@ -15,8 +15,6 @@
   readonly backlog: number
   /** Requests that are held back since targets ended under them. */
   readonly held: number
-  /** Age of what the host knows of the configuration, in milliseconds; not finite where it cannot tell. */
-  readonly configurationAgeMs?: number
   /** Last window up to which all usage is reported; absent where this host does not know. */
   readonly usageReportedThrough?: number | undefined
   readonly targets: { readonly known: number, readonly suspect: number }
@@ -29,19 +27,17 @@
   return counts
 }
 
-export function setGauges (metrics: Metrics, { duty, requests, items, backlog, held, configurationAgeMs = Number.POSITIVE_INFINITY, usageReportedThrough, targets }: HostState): void {
+export function setGauges (metrics: Metrics, { duty, requests, items, backlog, held, usageReportedThrough, targets }: HostState): void {
   metrics.gauge('duty.term', duty.term)
   metrics.gauge('duty.alone', duty.alone ? 1 : 0)
   metrics.gauge('front.requests', requests)
-  metrics.gauge('steps.items', items.running + items.scoring + items.listing)
   metrics.gauge('items.waiting', items.waiting)
   metrics.gauge('items.running', items.running)
   metrics.gauge('items.scoring', items.scoring)
   metrics.gauge('items.listing', items.listing)
   metrics.gauge('store.backlog', backlog)
   metrics.gauge('held.requests', held)
-  if (Number.isFinite(configurationAgeMs)) metrics.gauge('configuration.age', Math.round(configurationAgeMs))
-  if (usageReportedThrough !== undefined) metrics.gauge('usage.reported_through', usageReportedThrough)
+  if (usageReportedThrough !== undefined) metrics.gauge('usage.reported', usageReportedThrough)
   metrics.gauge('targets.known', targets.known)
   metrics.gauge('targets.suspect', targets.suspect)
 }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -13,8 +13,7 @@
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
 import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
-import { elapsedMs } from '../../core/common/identity/knowledge.ts'
-import { nowOf, pause } from '../../ports/common/clock.ts'
+import { pause } from '../../ports/common/clock.ts'
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
 import { countItems, setGauges } from './hostGauges.ts'
@@ -75,7 +74,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, configurationAgeMs: elapsedMs(topics.operator.readAt, nowOf(clock)), usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
+      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
--- a/test/actors/identity/callerGate.test.ts
+++ b/test/actors/identity/callerGate.test.ts
@@ -7,7 +7,6 @@
 import type { Instant } from '../../../src/core/common/identity/knowledge.ts'
 import { nowOf } from '../../../src/ports/common/clock.ts'
 import { ManualClock } from '../../support/manualClock.ts'
-import { quietMetrics } from '../../support/fakeHost.ts'
 
 const key: PresentedKey = { type: 'key', digest: asKeyDigest('valid') }
 const other: PresentedKey = { type: 'key', digest: asKeyDigest('other') }
@@ -46,7 +45,7 @@
 function scene (): { clock: ManualClock, source: Source, ask: (asked?: PresentedKey) => Promise<string> } {
   const clock = new ManualClock()
   const source = new Source(clock)
-  const gate = new CallerGate({ operator: source, clock, metrics: quietMetrics }, { revocationMs: 5000 })
+  const gate = new CallerGate({ operator: source, clock }, { revocationMs: 5000 })
   const ask = async (asked = key): Promise<string> => {
     const answer = gate.admit(asked, false)
     await clock.advance(400)
@@ -103,7 +102,7 @@
 
   it('answers a flood of wrong keys with a few reads: each would cost the store a call', async () => {
     const { clock, source } = scene()
-    const gate = new CallerGate({ operator: source, clock, metrics: quietMetrics }, { revocationMs: 5000 })
+    const gate = new CallerGate({ operator: source, clock }, { revocationMs: 5000 })
     const answers: Promise<unknown>[] = []
     for (let moment = 0; moment < 100; moment++) {
       await clock.advance(10)
--- a/test/actors/usage/usageReporter.test.ts
+++ b/test/actors/usage/usageReporter.test.ts
@@ -9,7 +9,7 @@
 import { countsRecord } from '../../../src/core/common/usage/usageRecords.ts'
 import type { Chance } from '../../../src/ports/common/clock.ts'
 import type { DutyHolder, DutyVerdict } from '../../../src/ports/common/platformDuties.ts'
-import { quietLog, quietMetrics } from '../../support/fakeHost.ts'
+import { quietLog } from '../../support/fakeHost.ts'
 import { ManualClock, seededChance } from '../../support/manualClock.ts'
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
 
@@ -73,7 +73,7 @@
   join (machine: string, skewMs = 0): Member {
     const duty = new Duty()
     const clock = { monotonic: () => this.clock.monotonic(), wall: () => this.clock.wall() + skewMs, after: this.clock.after.bind(this.clock), every: this.clock.every.bind(this.clock) }
-    const reporter = new UsageReporter({ duty, log: this.log, duties: this.platform, clock, chance: this.chance, metrics: quietMetrics, stateLog: quietLog, machine }, times)
+    const reporter = new UsageReporter({ duty, log: this.log, duties: this.platform, clock, chance: this.chance, stateLog: quietLog, machine }, times)
     return { duty, reporter }
   }
 
--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -23,10 +23,9 @@
     const items = countItems(states.map((state, index) => ({ ...newWork({ item: item(`i${index}`, 'g'), rank: 'wanted' }, newText(), 0), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...quietMetrics, gauge: (name, value) => { set[name] = value } }
-    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, configurationAgeMs: 812.4, usageReportedThrough: 200, targets: targets.counts })
+    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, usageReportedThrough: 200, targets: targets.counts })
     expect(set).to.deep.equal({
-      'configuration.age': 812,
-      'usage.reported_through': 200,
+      'usage.reported': 200,
       'duty.alone': 1,
       'duty.term': 3,
       'front.requests': 5,
@@ -35,7 +34,6 @@
       'items.scoring': 3,
       'items.waiting': 2,
       'held.requests': 1,
-      'steps.items': 5,
       'store.backlog': 4,
       'targets.known': 3,
       'targets.suspect': 1
--- a/test/platform/workspaces.test.ts
+++ b/test/platform/workspaces.test.ts
@@ -68,6 +68,9 @@
     const twice = await rawCall({ address: fleet.host(0).address, message: `POST /look-up/x HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nconnection: close\r\nbulrushvalve-request-id: twice\r\nauthorization: Token key-of-acme\r\nauthorization: Token key-of-globex\r\ncontent-length: 0\r\n\r\n` })
     told['two keys'] = twice.text.slice(9, 12)
     expect(told).toMatchSnapshot()
+    // What became of a request is told by its id.
+    const line = fleet.host(0).process.output.split('\n').find((text) => text.includes('"an-unknown-key"'))
+    expect(line).to.include('call rejected').and.include('unauthenticated').and.include('the key is not known')
   })
 
   it('need none on public routes, and their key goes to no target there', async () => {
