--- a/src/core/common/usage/usagePlan.ts
+++ b/src/core/common/usage/usagePlan.ts
@@ -22,8 +22,8 @@
   | { readonly type: 'close', readonly through: number, readonly keys: readonly string[] }
   | { readonly type: 'wait' }
 
-/** Part of the time until a report is due that hosts have to hand in their counts: requests end seconds after they began, and hosts lose the store for a while. */
-const HAND_IN_SHARE = 0.5
+/** Part of the time until a report is due that hosts have to hand in their counts, as most requests end within a second or two; the rest is for outages. */
+const HAND_IN_SHARE = 0.3
 /** Windows before the present one that are reported though nothing was counted in them, at most: an older gap is an outage of the whole system. */
 const MOST_EMPTY_WINDOWS = 120
 
