--- a/tools/days/writeDays.ts
+++ b/tools/days/writeDays.ts
@@ -78,6 +78,16 @@
   { name: 'pair-cut-and-slow-engine', faults: [{ kind: 'srv_slow', share: 0.2, x: 4, for_s: 8, at: 6 }, { kind: 'core_cut', count: 1, how: 'leader', for_s: 6, at: 8 }] },
   { name: 'pair-lost-answers-and-herd', faults: [{ kind: 'platform_lost', how: 'late', x: 0.35, for_s: 6, at: 6 }, { kind: 'herd_kill', share: 0.6, for_s: 2, at: 8 }] },
   { name: 'pair-slow-store-and-crash', faults: [{ kind: 'platform_slow', x: 60, for_s: 6, at: 6 }, { kind: 'srv_crash', how: 'dark', share: 0.2, for_s: 5, at: 8 }] },
+  // Keys that are taken away while hosts cannot hear of it.
+  { name: 'revoke-in-outage', faults: [{ kind: 'platform_down', how: 'silent', for_s: 9, at: 8 }], plan: [{ kind: 'revoke', count: 6, gap_s: 0.6, at: 6 }, { kind: 'revoke', count: 2, how: 'last', gap_s: 0.5, at: 18 }] },
+  { name: 'revoke-in-cuts', faults: [{ kind: 'node_cut', share: 0.3, how: 'meet', for_s: 9, at: 6 }, { kind: 'platform_down', share: 0.35, how: 'nodes silent revoke meet', for_s: 9, at: 18 }], plan: [{ kind: 'revoke', count: 6, gap_s: 0.8, at: 7 }] },
+  { name: 'revoke-in-freezes', faults: [{ kind: 'node_freeze', on: 'core', share: 0.25, for_s: 7, at: 6 }, { kind: 'node_freeze', on: 'core', share: 0.25, for_s: 6, at: 17 }], plan: [{ kind: 'revoke', count: 5, gap_s: 0.6, at: 6.5 }, { kind: 'revoke', count: 5, gap_s: 0.6, at: 17.5 }] },
+  { name: 'revoke-and-clock-steps', faults: [{ kind: 'clock_step', how: 'back', share: 0.3, x: 2000, for_s: 5, at: 6 }, { kind: 'clock_step', how: 'ahead', share: 0.3, x: 2000, for_s: 5, at: 15 }, { kind: 'node_freeze', on: 'core', share: 0.2, for_s: 6, at: 8 }], plan: [{ kind: 'revoke', count: 8, gap_s: 1, at: 6.5 }] },
+  // Holders of the duty that go between the end of a window and its report.
+  { name: 'duty-holders-killed', faults: [5, 9.5, 14, 18.5, 23].map((at) => ({ kind: 'node_kill', on: 'core', count: 1, how: 'leader', for_s: 3, at })) },
+  { name: 'duty-holders-frozen', faults: [6, 13, 20].map((at) => ({ kind: 'node_freeze', on: 'core', count: 1, how: 'leader', for_s: 4.5, at })) },
+  { name: 'duty-interface-away', faults: [{ kind: 'cloud_down', how: 'silent', for_s: 6, at: 5 }, { kind: 'cloud_slow', x: 50, for_s: 6, at: 14 }, { kind: 'node_kill', on: 'core', count: 1, how: 'leader', for_s: 3, at: 8 }, { kind: 'cloud_down', how: 'busy', for_s: 5, at: 22 }] },
+  { name: 'targets-reclaimed-in-steps', faults: [{ kind: 'scale_in', how: 'reclaim', x: 2, for_s: 6, at: 6 }, { kind: 'scale_in', how: 'reclaim dry', x: 2, for_s: 6, at: 16 }] },
   // Appends done late while hosts go around the store, and then every host loads its topics anew.
   {
     name: 'pair-lost-answers-and-restarts',
