--- a/src/actors/common/identity/callerGate.ts
+++ b/src/actors/common/identity/callerGate.ts
@@ -6,7 +6,7 @@
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
 import { decideAccess } from '../../../core/common/identity/access.ts'
-import type { Instant } from '../../../core/common/identity/knowledge.ts'
+import type { Instant } from '../../../base/common/instant.ts'
 import type { CallerIdentity, PresentedKey } from '../../../core/common/identity/workspaces.ts'
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
--- a/src/actors/common/routes/endsCleaner.ts
+++ b/src/actors/common/routes/endsCleaner.ts
@@ -4,7 +4,7 @@
  */
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
+import { dropRecord } from '../../../core/common/keyedRecords.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
 import type { DutyKeeper } from '../duties/dutyKeeper.ts'
--- a/src/actors/common/routes/heldRequests.ts
+++ b/src/actors/common/routes/heldRequests.ts
@@ -17,7 +17,7 @@
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { TargetDefinition } from '../../../core/common/routes/target.ts'
-import { dropRecord } from '../../../core/common/steps/stepRecords.ts'
+import { dropRecord } from '../../../core/common/keyedRecords.ts'
 import type { Chance, Clock } from '../../../ports/common/clock.ts'
 import type { Fingerprints, RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
--- a/src/actors/common/routes/operatorTopic.ts
+++ b/src/actors/common/routes/operatorTopic.ts
@@ -5,7 +5,7 @@
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
-import type { Instant } from '../../../core/common/identity/knowledge.ts'
+import type { Instant } from '../../../base/common/instant.ts'
 import { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { RouteConfiguration } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ModelVersion } from '../../../core/common/routes/target.ts'
--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -6,11 +6,12 @@
 
 import type { Disposable, Event } from '../../../base/common/lifecycle.ts'
 import { Emitter } from '../../../base/common/lifecycle.ts'
-import type { Instant } from '../../../core/common/identity/knowledge.ts'
+import type { Instant } from '../../../base/common/instant.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import { nowOf } from '../../../ports/common/clock.ts'
 import type { KeyedEntry, KeyedLog } from '../../../ports/common/keyedLog.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import { loadNewest } from './newestRecords.ts'
 
 export interface TailListener {
   /** All newest records, in order; whatever was known before is replaced. */
@@ -53,8 +54,8 @@
   private contact = Number.NEGATIVE_INFINITY
   private sentAt: Instant | undefined
   private lost = false
-  /** Whether the topic was loaded in several pages and not read since. */
-  private incomplete = false
+  /** Whether records may be missing since the topic was loaded: the next read brings them, and waits for no others. */
+  private mayMiss = false
   private regained = Number.NEGATIVE_INFINITY
   private stopped = false
   /** Failed calls in a row. */
@@ -165,26 +166,14 @@
 
   private async load (): Promise<boolean> {
     const sent = nowOf(this.services.clock)
-    const found: KeyedEntry[] = []
-    let pages = 0
-    let after: string | undefined
-    let end: number | undefined
-    do {
-      const page = await this.services.log.newest(after)
-      if (!page.ok) return false
-      end ??= page.value.end
-      found.push(...page.value.entries)
-      pages++
-      after = page.value.next
-    } while (after !== undefined)
-    const known = end
-    // Pages are not a snapshot: what was written meanwhile is read again from the first page's end.
-    this.listener.reset(found.filter(({ offset }) => offset < known).sort((a, b) => a.offset - b.offset))
-    this.offset = known
-    // A record that was written again between two pages is in neither; the next read brings it.
-    if (pages === 1) this.noteComplete(sent)
-    else this.incomplete = true
-    this.services.stateLog.changed('topic loaded', { topic: this.settings.name, records: found.length, offset: known })
+    const newest = await loadNewest(this.services.log)
+    if (newest === undefined) return false
+    const { entries, end, isWhole } = newest
+    this.listener.reset(entries)
+    this.offset = end
+    this.mayMiss = !isWhole
+    if (isWhole) this.noteComplete(sent)
+    this.services.stateLog.changed('topic loaded', { topic: this.settings.name, records: entries.length, offset: end })
     this.loads.fire()
     return true
   }
@@ -192,7 +181,7 @@
   private async readOn (from: number): Promise<boolean> {
     this.reading = new AbortController()
     const sent = nowOf(this.services.clock)
-    const page = await this.services.log.read(from, this.incomplete ? 0 : this.settings.longPollMs, this.reading.signal)
+    const page = await this.services.log.read(from, this.mayMiss ? 0 : this.settings.longPollMs, this.reading.signal)
     if (!page.ok) return false
     if (page.value.type === 'forgotten') {
       this.services.stateLog.changed('topic has forgotten its history', { topic: this.settings.name, offset: from })
@@ -201,7 +190,7 @@
       return true
     }
     this.take(page.value.entries, from)
-    this.incomplete = false
+    this.mayMiss = false
     if (this.position >= page.value.end) this.noteComplete(sent)
     return true
   }
--- a/src/actors/common/usage/usageLedger.ts
+++ b/src/actors/common/usage/usageLedger.ts
@@ -1,7 +1,8 @@
 /** The usage topic as the holder of the duty reads it: only when something is due, and always to the end. */
 
 import { UsageFold } from '../../../core/common/usage/usageFold.ts'
-import type { KeyedEntry, KeyedLog } from '../../../ports/common/keyedLog.ts'
+import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
+import { loadNewest } from '../store/newestRecords.ts'
 
 export class UsageLedger {
   readonly fold = new UsageFold()
@@ -31,21 +32,11 @@
     }
   }
 
-  /** Loads the newest records. Pages are not a snapshot: what was written meanwhile is read again from the first page's end. */
   private async load (): Promise<boolean> {
-    const found: KeyedEntry[] = []
-    let after: string | undefined
-    let end: number | undefined
-    do {
-      const page = await this.log.newest(after)
-      if (!page.ok) return false
-      end ??= page.value.end
-      found.push(...page.value.entries)
-      after = page.value.next
-    } while (after !== undefined)
-    const known = end
-    this.fold.reset(found.filter(({ offset }) => offset < known).sort((a, b) => a.offset - b.offset))
-    this.offset = known
+    const newest = await loadNewest(this.log)
+    if (newest === undefined) return false
+    this.fold.reset(newest.entries)
+    this.offset = newest.end
     return true
   }
 }
--- a/src/core/common/identity/knowledge.ts
+++ b/src/base/common/instant.ts
@@ -1,7 +1,6 @@
 /**
- * How old a host's knowledge of the configuration is. The store's answers are linearizable, so a read tells all that had been
- * acknowledged when it was sent; what came later is not known. The age is told by two clocks: the monotonic one stands still while
- * the machine is suspended, the time of day may be set. Where they disagree nothing is known for sure, and the next read decides.
+ * Moments that are told by two clocks, to know for sure how long ago something was. The monotonic clock stands still while the
+ * machine is suspended, the time of day may be set. Where they disagree nothing is known of the time between.
  */
 
 /** A moment on both clocks of one host, in milliseconds. */
@@ -21,7 +20,7 @@
   return Math.abs(wall - monotonic) > CLOCK_TOLERANCE_MS ? Number.POSITIVE_INFINITY : Math.max(monotonic, wall)
 }
 
-/** Whether what was read at a moment may still be relied on; the bound covers what the clocks may differ unnoticed. */
+/** Whether a moment is surely no longer ago than a bound, which covers what the clocks may differ unnoticed. */
 export function isWithin (boundMs: number, since: Instant | undefined, now: Instant): boolean {
   return elapsedMs(since, now) <= boundMs - CLOCK_TOLERANCE_MS
 }
--- a/src/core/common/identity/access.ts
+++ b/src/core/common/identity/access.ts
@@ -3,10 +3,13 @@
  * store, or suspended with requests in its sockets; it must not serve them by what it knew before. And callers come with keys that
  * are newer than what the host has read, or with wrong ones in any number: the first are looked up, the latter must not cost a
  * call to the store each.
+ *
+ * The store's answers are linearizable: a read tells all that had been acknowledged when it was sent. So a key is accepted only by a
+ * read that was sent no longer ago than the bound; whatever the read did not tell is newer than that.
  */
 
-import type { Instant } from './knowledge.ts'
-import { elapsedMs, isWithin } from './knowledge.ts'
+import type { Instant } from '../../../base/common/instant.ts'
+import { elapsedMs, isWithin } from '../../../base/common/instant.ts'
 import type { CallerIdentity, PresentedKey, WorkspaceKeys } from './workspaces.ts'
 
 export interface AccessQuestion {
--- a/src/core/common/keyedRecords.ts
+++ b/src/core/common/keyedRecords.ts
@@ -1,6 +1,7 @@
-/** Reading of records in keyed topics, which other writers may fill with anything: what cannot be read is `undefined`, never an error. */
+/** Records in keyed topics, which other writers may fill with anything: what cannot be read is `undefined`, never an error. */
 
 import type { z } from 'zod'
+import type { KeyedRecord } from '../../ports/common/keyedLog.ts'
 
 /** Decodes a part of a key; `undefined` where it is no percent-encoding. */
 export function decodeKeyPart (part: string): string | undefined {
@@ -19,3 +20,8 @@
     return undefined
   }
 }
+
+/** Removes a key. */
+export function dropRecord (key: string): KeyedRecord {
+  return { key, value: undefined }
+}
--- a/src/core/common/steps/stepRecords.ts
+++ b/src/core/common/steps/stepRecords.ts
@@ -132,11 +132,6 @@
   return { key: `release/${encode(claim.duty)}/${claim.term}`, value: JSON.stringify(claim) }
 }
 
-/** Removes a key. */
-export function dropRecord (key: string): KeyedRecord {
-  return { key, value: undefined }
-}
-
 /**
  * Reads a record; what is not known or cannot be read is `none` everywhere alike. Other writers may
  * leave records of any bytes here: one that threw would end the following of the topic on every host.
--- a/src/ports/common/clock.ts
+++ b/src/ports/common/clock.ts
@@ -3,7 +3,7 @@
  */
 
 import type { Disposable } from '../../base/common/lifecycle.ts'
-import type { Instant } from '../../core/common/identity/knowledge.ts'
+import type { Instant } from '../../base/common/instant.ts'
 
 /** Clocks of this host. */
 export interface Clock {
--- a/test/actors/identity/callerGate.test.ts
+++ b/test/actors/identity/callerGate.test.ts
@@ -4,7 +4,7 @@
 import { asKeyDigest, asWorkspaceName } from '../../../src/base/common/ids.ts'
 import type { PresentedKey } from '../../../src/core/common/identity/workspaces.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
-import type { Instant } from '../../../src/core/common/identity/knowledge.ts'
+import type { Instant } from '../../../src/base/common/instant.ts'
 import { nowOf } from '../../../src/ports/common/clock.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 
--- a/test/core/identity/access.test.ts
+++ b/test/core/identity/access.test.ts
@@ -2,7 +2,7 @@
 import { asKeyDigest, asWorkspaceName } from '../../../src/base/common/ids.ts'
 import type { AccessQuestion } from '../../../src/core/common/identity/access.ts'
 import { decideAccess } from '../../../src/core/common/identity/access.ts'
-import { elapsedMs, isWithin } from '../../../src/core/common/identity/knowledge.ts'
+import { elapsedMs, isWithin } from '../../../src/base/common/instant.ts'
 import { WorkspaceKeys, findClash } from '../../../src/core/common/identity/workspaces.ts'
 
 const valid = asKeyDigest('valid')
