--- a/src/actors/common/usage/usageReporter.ts
+++ b/src/actors/common/usage/usageReporter.ts
@@ -115,10 +115,10 @@
   private async report ({ window, counts }: SealedWindow): Promise<boolean> {
     const { duties, duty, clock, machine, stateLog } = this.services
     if (!duty.alone) return false
-    const lateMs = Math.round(clock.wall() - (window + 1) * this.times.windowMs)
+    const afterMs = Math.round(clock.wall() - (window + 1) * this.times.windowMs)
     const verdict = await duties.reportUsage({ window, counts }, { name: machine, term: duty.term })
     const requests = [...counts.values()].reduce((sum, count) => sum + count, 0)
-    stateLog.decided('usage reported', { window, workspaces: counts.size, requests, outcome: verdict, afterMs: lateMs, term: duty.term })
+    stateLog.decided('usage reported', { window, workspaces: counts.size, requests, outcome: verdict, afterMs, term: duty.term })
     switch (verdict) {
       case 'accepted':
         this.acknowledged.add(window)
