--- a/src/core/common/usage/usageFold.ts
+++ b/src/core/common/usage/usageFold.ts
@@ -58,10 +58,6 @@
     return open.length === 0 ? undefined : Math.min(...open)
   }
 
-  isSealed (window: number): boolean {
-    return this.isReported(window) || this.windows.get(window)?.sealed !== undefined
-  }
-
   /** All that hosts have handed in for a window so far. */
   total (window: number): UsageCounts {
     const total = new Map<WorkspaceName, number>()
@@ -84,6 +80,10 @@
     return late
   }
 
+  private isSealed (window: number): boolean {
+    return this.isReported(window) || this.windows.get(window)?.sealed !== undefined
+  }
+
   private isReported (window: number): boolean {
     return this.through !== undefined && window <= this.through
   }
