The pace of an engine does not depend on how many events were read together

Callers: a run of a step moved between two equally fast engines, which costs its item a second resumption (prompt and text read again, some 50 ms of no events), seen as the second resume in the test "go on with a step when the host that runs it is killed".

Cause: the moving average of event intervals gave each later event a lower weight to all before it. Events that waited for this host are read together as one interval with the pause and many of nought, so the average was down to a third right after a pause, and too low until as many events had come again.

Change: the average is weighted by the age of the events, so that the order and number of events read at one moment does not count. Events read together with the first one of a stream have no known time and are left out, also of the baseline.

--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -60,6 +60,12 @@
 const STATUS_IMPOSSIBLE = 422
 const STATUS_OK = 200
 
+/**
+ * Time after the first event in which further events count as read together with it. They waited for this host, so
+ * the time the engine took for them is not known.
+ */
+const MAX_FIRST_READING_MS = 2
+
 /** State of one run. */
 interface RunContext {
   readonly services: ItemRunServices
@@ -144,7 +150,7 @@
   const reader = new ServerSentEventReader()
   let firstAt: number | undefined
   let lastAt: number | undefined
-  let count = 0
+  let timedEvents = 0
   for await (const piece of stream.pieces) {
     for (const { fields } of reader.push(piece)) {
       const event = services.protocol.event(fields)
@@ -156,19 +162,20 @@
       // An item that crashes engines does so at the same event each time. A run that gets further than all before is not to blame if the engine terminates later.
       if (text.maxEvents > previousMaxEvents) run.finish()
       const now = services.clock.monotonic()
-      if (lastAt === undefined) {
+      if (firstAt === undefined) {
         engine.recordPrompt(item.group)
         options.onFirstEvent()
-      } else {
-        engine.pace.recordEventInterval(now - lastAt, now)
       }
       firstAt ??= now
+      if (lastAt !== undefined && now - firstAt >= MAX_FIRST_READING_MS) {
+        engine.pace.recordEventInterval(now - lastAt, now)
+        timedEvents++
+      }
       lastAt = now
-      count++
       silence.restart()
     }
   }
-  if (firstAt !== undefined && lastAt !== undefined) engine.pace.recordRun(lastAt - firstAt, count)
+  if (firstAt !== undefined && lastAt !== undefined) engine.pace.recordRun(lastAt - firstAt, timedEvents + 1)
   return new TextDecoder().decode(reader.rest).trim() !== '' ? { type: 'broken', why: 'the stream ended in the middle of an event' } : { type: 'complete' }
 }
 
--- a/src/core/common/steps/enginePace.ts
+++ b/src/core/common/steps/enginePace.ts
@@ -5,8 +5,11 @@
  * an engine out of use long after it has recovered.
  */
 
-/** Weight of the newest event in the moving average of event intervals, which covers about ten events. */
-const INTERVAL_EMA_WEIGHT = 0.1
+/**
+ * Time constant of the moving average of event intervals. Weights depend on the age of an event and not on the number of
+ * later ones: events that wait for this host and are read together would otherwise count without the time they took.
+ */
+const INTERVAL_TIME_CONSTANT_MS = 500
 /**
  * How long the moving average stays valid without a new event: a slow engine that is avoided must get a chance to
  * show that it has recovered.
@@ -21,15 +24,18 @@
 
 /** Tracks the event intervals of one engine. */
 export class EnginePace {
-  private meanIntervalMs: number | undefined
+  /** Sum of the event intervals and number of the events, both weighted by age. */
+  private weightedMs = 0
+  private weightedEvents = 0
   private updatedAtMs = Number.NEGATIVE_INFINITY
   private readonly runs: number[] = []
   private baselineMs: number | undefined
 
   /** Records the time between two events of a stream. */
   recordEventInterval (intervalMs: number, nowMs: number): void {
-    const previousMeanMs = this.recentIntervalMs(nowMs)
-    this.meanIntervalMs = previousMeanMs === undefined ? intervalMs : previousMeanMs + (intervalMs - previousMeanMs) * INTERVAL_EMA_WEIGHT
+    const decay = Math.exp((this.updatedAtMs - nowMs) / INTERVAL_TIME_CONSTANT_MS)
+    this.weightedMs = this.weightedMs * decay + intervalMs
+    this.weightedEvents = this.weightedEvents * decay + 1
     this.updatedAtMs = nowMs
   }
 
@@ -46,7 +52,7 @@
 
   /** Current time between two events; `undefined` if there were none recently. */
   recentIntervalMs (nowMs: number): number | undefined {
-    return nowMs - this.updatedAtMs < RECENT_INTERVAL_VALIDITY_MS ? this.meanIntervalMs : undefined
+    return nowMs - this.updatedAtMs < RECENT_INTERVAL_VALIDITY_MS ? this.weightedMs / this.weightedEvents : undefined
   }
 
   /** Time between two events while the engine is not slowed down. */
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -23,7 +23,7 @@
 const event = (id: number, version?: number): string => `${version === undefined ? '' : `bulrushvalve-weight-versions: ${version}\n`}id: ${id}\ndata: d${id}\n\n`
 const events = (...ids: number[]): ScriptedAnswer['events'] => ids.map((id) => ({ afterMs: 30, raw: event(id) }))
 
-async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunOutcome, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number, firstMs: number }> {
+async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunOutcome, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number, firstMs: number, baselineIntervalMs: number | undefined }> {
   const clock = new ManualClock()
   const table = new TargetTable({ clock, stateLog: noopStateLog })
   table.set(newTargetDefinition({ id: 'e', service: 'engines', address: 'e', models: [{ model: 'm', version: 2 }] }))
@@ -39,7 +39,7 @@
   const ended = runItem({ client, protocol: targetProtocol, clock, ends: newTargetEnds(table, client, clock) }, engine, newItem('i', 'g'), text, { workspace: undefined, host: 'h', model: 'm', minimumVersion, payload: newItem('i', 'g'), firstEventTimeoutMs: 1000, silenceTimeoutMs: 500, cancelled: cancel.signal, onFirstEvent: () => { firstMs = clock.now - began } })
   ended.then(() => { tookMs = clock.now - began }).catch(() => undefined)
   await clock.advance(5000)
-  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs }
+  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs, baselineIntervalMs: engine.pace.baselineIntervalMs }
 }
 
 describe('runItem', () => {
@@ -48,6 +48,13 @@
     expect((await run({ afterMs: 5, headers: responseHeaders, events: [] })).firstMs).to.equal(Number.POSITIVE_INFINITY)
   })
 
+  it('does not time events that are read together with the first one', async () => {
+    // Guards against an engine that looks faster than it is because its first events waited for this host.
+    const together = Array.from({ length: 8 }, (_, index) => ({ afterMs: index === 0 ? 5 : 0, raw: event(index + 1) }))
+    const { baselineIntervalMs } = await run({ afterMs: 5, headers: responseHeaders, events: [...together, ...events(...Array.from({ length: 12 }, (_, index) => index + 9)) ?? []] })
+    expect(baselineIntervalMs).to.equal(30)
+  })
+
   it('collects events and the versions that produced them', async () => {
     const { end, text, version } = await run({ afterMs: 5, headers: responseHeaders, events: [{ afterMs: 5, raw: event(1) }, { afterMs: 5, raw: event(2, 4) }, { afterMs: 5, raw: event(3) }] })
     expect([end.type, text.text, [...text.versions], version]).to.deep.equal(['complete', 'd1\nd2\nd3', [3, 4], 4])
