A run moves to another engine only if a second check confirms it

Cause: each 50 ms a single check compares the engines by what this host has read so far. After a pause it reads the engines one after the other, and of the first sometimes only the first event that had waited.

--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -35,20 +35,25 @@
     return { candidate: chooseEngine(eligible, minimumVersion, 'long'), slots: eligible.reduce((sum, { slots }) => sum + slots, 0) }
   }
 
-  /** Returns a run of this step that should move to a faster engine with a free slot. */
+  /** Returns a run of this step that should move to a faster engine with a free slot, if it should have at the previous check too. No run moves while items wait for a slot. */
   nextMove (work: StepWork, route: Route, nowMs: number): PlannedMove | undefined {
     if (!this.services.mechanisms.moves) return undefined
+    const moves = work.waiting.length > 0 ? [] : this.proposedMoves(work, route, nowMs)
+    const [confirmed] = work.moveConfirmation.confirm(moves.map(({ itemWork }) => itemWork), nowMs)
+    return moves.find(({ itemWork }) => itemWork === confirmed)
+  }
+
+  private proposedMoves (work: StepWork, route: Route, nowMs: number): PlannedMove[] {
     const candidates = this.candidates(work, route, undefined)
     const fastest = { slowness: Math.min(...candidates.map(({ slowness }) => slowness)) }
-    for (const itemWork of work.items.values()) {
-      if (itemWork.state !== 'running') continue
+    return [...work.items.values()].flatMap((itemWork) => {
+      if (itemWork.state !== 'running') return []
       const elapsedMs = nowMs - itemWork.startedAt
       const current = candidates.find(({ engine }) => engine === itemWork.engine)
-      if (current === undefined || !shouldMove(current, fastest, elapsedMs)) continue
+      if (current === undefined || !shouldMove(current, fastest, elapsedMs)) return []
       const faster = this.chooseFrom(candidates, work, itemWork)
-      if (faster !== undefined && shouldMove(current, faster, elapsedMs)) return { itemWork, current, faster }
-    }
-    return undefined
+      return faster !== undefined && shouldMove(current, faster, elapsedMs) ? [{ itemWork, current, faster }] : []
+    })
   }
 
   private candidates (work: StepWork, route: Route, group: string | undefined): EngineCandidate[] {
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -9,7 +9,7 @@
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { FoldedStep, StepChange } from '../../../core/common/steps/stepFold.ts'
 import type { PhaseTimes } from '../../../core/common/steps/itemPhases.ts'
-import { longItemThreshold } from '../../../core/common/steps/engineChoice.ts'
+import { longItemThreshold, MoveConfirmation } from '../../../core/common/steps/engineChoice.ts'
 import { ItemLengthEstimator } from '../../../core/common/steps/itemLengthEstimator.ts'
 import { planItemOrder, submittedItemOrder } from '../../../core/common/steps/stepPlan.ts'
 import { carriedOverGroups } from '../../../core/common/steps/wantedGroups.ts'
@@ -184,7 +184,7 @@
     const open = order.filter(({ item: { id } }) => !step.positions.has(id))
     const now = this.services.clock.monotonic()
     const waiting = open.map((planned) => newItemWork(planned, this.unfinishedTexts.createText(), now))
-    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longItemMinTokens: longItemThreshold(submission.items), payloads: undefined, carriedGroups: carried, finished: new Map(), waiting }
+    const work: StepWork = { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), longItemMinTokens: longItemThreshold(submission.items), payloads: undefined, carriedGroups: carried, finished: new Map(), waiting, moveConfirmation: new MoveConfirmation() }
     this.works.set(submission.id, work)
     this.services.stateLog.decided('step adopted', { step: submission.id, number: submission.number, model: submission.model, minimumVersion: submission.minimumVersion, items: open.length, wantedGroups: submission.wantedGroups, term: this.services.duty.term })
     this.readPayloads(work, saved)
@@ -394,7 +394,7 @@
 
   /** Moves one run to a faster engine. Not done for routes that require a single version, as their texts would have to start over. */
   private moveToFasterEngine (work: StepWork, route: Route): void {
-    if (route.singleVersion || work.waiting.length > 0) return
+    if (route.singleVersion) return
     const now = this.services.clock.monotonic()
     const move = this.placement.nextMove(work, route, now)
     if (move === undefined) return
--- a/src/actors/common/steps/stepWork.ts
+++ b/src/actors/common/steps/stepWork.ts
@@ -1,6 +1,7 @@
 /** State of a step and of its items on the host that holds the steps' duty. */
 
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
+import type { MoveConfirmation } from '../../../core/common/steps/engineChoice.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import { PhaseTimer } from '../../../core/common/steps/itemPhases.ts'
 import type { ItemRank, PlannedItem } from '../../../core/common/steps/stepPlan.ts'
@@ -40,6 +41,7 @@
   readonly finished: Map<string, number>
   /** Waiting items in the order in which they start. */
   readonly waiting: ItemWork[]
+  readonly moveConfirmation: MoveConfirmation<ItemWork>
 }
 
 /** Creates the state of an item that this host starts to handle at monotonic time `nowMs`. */
--- a/src/core/common/steps/engineChoice.ts
+++ b/src/core/common/steps/engineChoice.ts
@@ -71,7 +71,7 @@
 }
 
 /** Minimum time a run stays on an engine above the slowness threshold; by then the engine's speed is known. */
-const MIN_RUN_ON_SLOW_ENGINE_MS = 400
+export const MIN_RUN_ON_SLOW_ENGINE_MS = 400
 /** Factor by which another engine must be faster for a run to leave an engine above the slowness threshold. */
 const MIN_GAIN_FROM_SLOW_ENGINE = 1.5
 /**
@@ -90,3 +90,24 @@
   if (current.slowness >= SLOW_ENGINE_THRESHOLD && elapsedMs >= MIN_RUN_ON_SLOW_ENGINE_MS) return current.slowness >= candidate.slowness * MIN_GAIN_FROM_SLOW_ENGINE
   return elapsedMs >= MIN_RUN_BEFORE_MOVE_MS && current.slowness >= candidate.slowness * MIN_MOVE_GAIN
 }
+
+/** Longest time between two checks of which the second confirms the first, in milliseconds. A longer one contains a pause of this host. */
+const MAX_CONFIRMATION_TIME_MS = 100
+
+/**
+ * Confirms moves by a second check. After a pause, this host reads the events that arrived meanwhile stream by stream,
+ * and a check in between compares engines of which one was read and another was not.
+ */
+export class MoveConfirmation<Run> {
+  private proposed: ReadonlySet<Run> = new Set()
+  private proposedAtMs = Number.NEGATIVE_INFINITY
+
+  /** Returns the runs that should move at this check and should have moved at the previous one. */
+  confirm (runs: readonly Run[], nowMs: number): Run[] {
+    const isConfirming = nowMs - this.proposedAtMs <= MAX_CONFIRMATION_TIME_MS
+    const confirmed = isConfirming ? runs.filter((run) => this.proposed.has(run)) : []
+    this.proposed = new Set(runs)
+    this.proposedAtMs = nowMs
+    return confirmed
+  }
+}
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -8,6 +8,7 @@
 import { asTextId } from '../../src/base/common/ids.ts'
 import type { Result } from '../../src/base/common/resultCode.ts'
 import { failure, success } from '../../src/base/common/resultCode.ts'
+import { MoveConfirmation } from '../../src/core/common/steps/engineChoice.ts'
 import type { SubmittedItem, TrainerSubmission } from '../../src/core/common/steps/step.ts'
 import { StepFold } from '../../src/core/common/steps/stepFold.ts'
 import { submissionRecords } from '../../src/core/common/steps/stepRecords.ts'
@@ -81,7 +82,7 @@
   const step = fold.step(id)
   if (step === undefined) throw new Error(`step ${id} was not accepted`)
   const waiting = items.map((submitted) => newItemWork({ item: submitted, rank: 'wanted' }, newText(), 0))
-  return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longItemMinTokens: 0, carriedGroups: new Set(), finished: new Map(), waiting }
+  return { step, items: new Map(waiting.map((itemWork) => [itemWork.item.id, itemWork])), payloads: new Map(items.map((submitted) => [submitted.id, submitted])), longItemMinTokens: 0, carriedGroups: new Set(), finished: new Map(), waiting, moveConfirmation: new MoveConfirmation() }
 }
 
 export function itemWorkOf (work: StepWork, id: string): ItemWork {
--- a/tools/bench/steps/day.ts
+++ b/tools/bench/steps/day.ts
@@ -5,7 +5,7 @@
  * seconds takes some tens of milliseconds.
  */
 
-import { chooseEngine, longItemThreshold, shouldMove } from '../../../src/core/common/steps/engineChoice.ts'
+import { chooseEngine, longItemThreshold, MoveConfirmation, shouldMove } from '../../../src/core/common/steps/engineChoice.ts'
 import type { EngineLoad } from '../../../src/core/common/steps/engineChoice.ts'
 import { EnginePace, relativeSlowness } from '../../../src/core/common/steps/enginePace.ts'
 import { minimumVersionAfterStep, maxHeadStarts, planHeadStarts } from '../../../src/core/common/steps/headStart.ts'
@@ -68,6 +68,7 @@
   readonly items: readonly WorkItem[]
   readonly startOrder: WorkItem[]
   readonly longThreshold: number
+  readonly moveConfirmation: MoveConfirmation<WorkItem>
   wantedMs: number | undefined
 }
 
@@ -163,7 +164,7 @@
       item.rank = rank
       return [item]
     })
-    this.open.push({ number: this.next, submittedMs: this.nowMs, minimumVersion, carriedGroupIds: carriedGroups, items: allItems, startOrder: order, longThreshold: longItemThreshold(allItems.map(({ step }) => step)), wantedMs: undefined })
+    this.open.push({ number: this.next, submittedMs: this.nowMs, minimumVersion, carriedGroupIds: carriedGroups, items: allItems, startOrder: order, longThreshold: longItemThreshold(allItems.map(({ step }) => step)), moveConfirmation: new MoveConfirmation(), wantedMs: undefined })
     this.next++
   }
 
@@ -304,15 +305,15 @@
     for (const step of this.open) {
       if (step.startOrder.some((item) => isWaiting(item))) continue
       const loads = this.engineLoads()
-      for (const item of step.items) {
-        const current = loads.find(({ engine }) => engine === item.run?.engine)
-        if (current === undefined || item.run === undefined) continue
-        const better = chooseEngine(loads, step.minimumVersion, 'long')
-        if (better === undefined || !shouldMove(current, better, this.nowMs - item.run.startedMs)) continue
-        this.stopRun(item)
-        this.startRun(item, better.engine)
-        break
-      }
+      const faster = chooseEngine(loads, step.minimumVersion, 'long')
+      const proposed = step.items.filter(({ run }) => {
+        const current = loads.find(({ engine }) => engine === run?.engine)
+        return run !== undefined && current !== undefined && faster !== undefined && shouldMove(current, faster, this.nowMs - run.startedMs)
+      })
+      const [item] = step.moveConfirmation.confirm(proposed, this.nowMs)
+      if (item === undefined || faster === undefined) continue
+      this.stopRun(item)
+      this.startRun(item, faster.engine)
     }
   }
 
