A call between hosts tells a refused connection again

Callers: requests that need a slot of a killed host's shard waited until its probes had failed or its status had come from elsewhere; records that were sent through a killed relay counted as perhaps written (commandUnknown) although nothing was sent.

Cause: the JSON-RPC library turns an error of its transport into an error response that has the message and not the code. `JsonRpcPeers.call` looked for ECONNREFUSED on that response, so `targetUnreachable` was never returned, and the short way of the membership for refused connections (no second probe, no probes through others) never ran.

Change: the error of the transport is kept beside the call, and its code decides.

--- a/src/adapters/node/jsonRpcPeers.ts
+++ b/src/adapters/node/jsonRpcPeers.ts
@@ -20,6 +20,8 @@
   readonly address: string
   readonly timeoutMs: number
   readonly connections: ConnectionPools
+  /** Error that the call could not be sent or answered with. The library passes on its message only, not its code. */
+  sendError?: unknown
 }
 
 export class JsonRpcPeers implements Peers {
@@ -35,14 +37,16 @@
   }
 
   async call<Method extends PeerMethod> (address: string, method: Method, parameters: PeerMethods[Method]['parameters'], timeoutMs: number): Promise<Result<PeerMethods[Method]['result']>> {
+    const context: CallContext = { address, timeoutMs, connections: method === 'admission.acquire' ? this.longPollConnections : this.connections }
     try {
-      return success(await this.client.request(method, parameters, { address, timeoutMs, connections: method === 'admission.acquire' ? this.longPollConnections : this.connections }) as PeerMethods[Method]['result'])
+      return success(await this.client.request(method, parameters, context) as PeerMethods[Method]['result'])
     } catch (error) {
-      return isConnectionRefused(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
+      return isConnectionRefused(context.sendError) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
     }
   }
 
-  private async send (payload: JSONRPCRequest, { address, timeoutMs, connections }: CallContext): Promise<void> {
+  private async send (payload: JSONRPCRequest, context: CallContext): Promise<void> {
+    const { address, timeoutMs, connections } = context
     const pool = connections.poolFor(address)
     const body = JSON.stringify(payload)
     try {
@@ -62,6 +66,7 @@
       this.metrics.count('peers.characters', body.length + text.length)
       this.client.receive(JSON.parse(text) as JSONRPCResponse)
     } catch (error) {
+      context.sendError = error
       if (isTimeoutError(error)) connections.retire(address, pool)
       throw error
     }
