A refused connection to the home of a shard makes it suspect, and its requests go on at once

Callers: after the kill of a home, requests for its shard took 300 to 500 ms on a busy machine.

Cause: the request for a slot was refused, which proves that the home has ended, but it asked for a probe, waited for a fixed 50 ms and asked the same home again, until a probe of its own had been refused too. Each round waits for the processor in several processes. If the first probe had met the old connection, the second was refused and further hosts were asked to probe all the same.

Evidence, moments in ms after the kill: on one host sent its first acquire at 36, it was refused at 59, its probe was sent at 77 and refused at 103, the host became suspect at 233 and the acquire went to the new home at 233; in between acquires went to the killed home at 79, 114, 142, 173, 192, 203 and 203.

Change: the refusal is reported to the membership, which makes the host suspect without a probe; the request waits for the change of the home it needs, at most as long as before; a refused second probe needs no other opinion. The new test of GrantClient runs on a clock that stands still: it got no answer before.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -41,6 +41,8 @@
   readonly onChange: Event<void>
   /** Probes a host at once, because it did not answer another call. */
   probeNow (host: HostId): void
+  /** Makes a host suspect without a probe, because its address refused a connection: its process has ended. */
+  reportProcessEnded (host: HostId): void
   /** Returns the last received pressure of a shard. */
   pressureOf (shard: ShardKey): number | undefined
   /** Returns the last received load of a host, from 0 to 1. */
@@ -159,6 +161,11 @@
     this.tell({ type: 'doubt', host })
   }
 
+  reportProcessEnded (host: HostId): void {
+    const member = this.table.get(host)
+    if (member !== undefined) this.tell({ type: 'unanswered', member })
+  }
+
   /** Sets the source of the data that this host sends with its probes. */
   setProbePayload (payload: ProbePayload): void {
     this.payload = payload
@@ -241,8 +248,7 @@
     const full = this.tablesDiffer && now - this.lastFullExchangeAt >= Math.min(this.options.fullExchangeIntervalMs, (now - this.startedAt) * FULL_EXCHANGE_AGE_FACTOR)
     if (full) this.lastFullExchangeAt = now
     const answer = await this.sendProbe(member.address, full)
-    const processEnded = !answer.ok && answer.code === 'targetUnreachable'
-    if (answer.ok || (!processEnded && await this.isReachableOtherwise(member))) {
+    if (answer.ok || (!isConnectionRefused(answer) && await this.isReachableOtherwise(member))) {
       if (answer.ok) this.tell({ type: 'probed', member, answer })
       return
     }
@@ -260,6 +266,7 @@
       this.tell({ type: 'probed', member, answer: secondAnswer })
       return true
     }
+    if (isConnectionRefused(secondAnswer)) return false
     const helpers = shuffle(this.table.reachableMembers().filter((other) => other.host !== member.host && other.status === 'alive'), this.services.chance)
     const indirectAnswers = helpers.slice(0, this.options.indirect).map(async (helper) => {
       const answer = await this.services.peers.call(helper.address, 'membership.probe-for', { address: member.address }, this.options.probeTimeoutMs * 3)
@@ -342,6 +349,11 @@
   }
 }
 
+/** Returns whether an answer shows that no process listens at the address. */
+function isConnectionRefused (answer: Result<unknown>): boolean {
+  return !answer.ok && answer.code === 'targetUnreachable'
+}
+
 function shuffle<T> (items: readonly T[], chance: RandomSource): T[] {
   const result = [...items]
   for (let index = result.length - 1; index > 0; index--) {
--- a/src/actors/common/routing/grantClient.ts
+++ b/src/actors/common/routing/grantClient.ts
@@ -15,7 +15,6 @@
 import type { AcquireRequest, Grant } from '../../../core/common/routing/admissionMessages.ts'
 import { orderShards } from '../../../core/common/routing/shardChoice.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
-import { pause } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { AcquireResponse, PeerHandlers, Peers } from '../../../ports/common/peers.ts'
 import type { MembershipView } from '../membership/membership.ts'
@@ -65,7 +64,8 @@
 const RENEWAL_INTERVAL_MS = 4000
 const RPC_TIMEOUT_MARGIN_MS = 500
 const RELEASE_TIMEOUT_MS = 1000
-const HOME_MOVED_RETRY_DELAY_MS = 50
+/** Longest wait for a new home before a request is sent again. */
+const MAX_HOME_CHANGE_WAIT_MS = 50
 
 export class GrantClient implements Disposable {
   private readonly active = new Map<string, ActiveGrant>()
@@ -154,7 +154,7 @@
       const wasRevoked = this.revokedBeforeGranted.delete(request.grant)
       if (answer === 'home-moved') {
         if (onlyIfFree) return failure('noTarget', `the home of shard ${shard} does not answer`, { retryAfterMs: 500 })
-        await pause(this.services.clock, HOME_MOVED_RETRY_DELAY_MS)
+        await this.waitForOtherHome(shard, home.host)
         continue
       }
       return this.handleAnswer(shard, request, answer, wasRevoked)
@@ -173,10 +173,8 @@
       : this.acquireFromPeer(shard, home, address, request)
     const subscriptions = new DisposableStore()
     const homeMoved = new Promise<'home-moved'>((resolve) => {
-      const check = (): void => { if (this.services.homes.homeOfShard(shard)?.host !== home) resolve('home-moved') }
-      subscriptions.add(this.services.membership.onChange(check))
+      subscriptions.add(this.onOtherHome(shard, home, () => { resolve('home-moved') }))
       if (signal !== undefined) subscriptions.add(onAbort(signal, () => { resolve('home-moved') }))
-      check()
     })
     const answer = await Promise.race([pendingAnswer, homeMoved])
     subscriptions.dispose()
@@ -191,10 +189,28 @@
     const answer = await this.services.peers.call(address, 'admission.acquire', { shard, request }, request.maximumWaitMs + RPC_TIMEOUT_MARGIN_MS)
     if (answer.ok) return answer.value
     this.services.metrics.count('admission.home_silent')
-    this.services.membership.probeNow(home)
+    if (answer.code === 'targetUnreachable') this.services.membership.reportProcessEnded(home)
+    else this.services.membership.probeNow(home)
     return 'home-moved'
   }
 
+  /** Calls the listener once this host knows another home of the shard, at once if it already does. */
+  private onOtherHome (shard: ShardKey, home: HostId, listener: () => void): Disposable {
+    const check = (): void => { if (this.services.homes.homeOfShard(shard)?.host !== home) listener() }
+    const subscription = this.services.membership.onChange(check)
+    check()
+    return subscription
+  }
+
+  private async waitForOtherHome (shard: ShardKey, home: HostId): Promise<void> {
+    const subscriptions = new DisposableStore()
+    await new Promise<void>((resolve) => {
+      subscriptions.add(this.onOtherHome(shard, home, resolve))
+      subscriptions.add(this.services.clock.after(MAX_HOME_CHANGE_WAIT_MS, resolve))
+    })
+    subscriptions.dispose()
+  }
+
   private handleAnswer (shard: ShardKey, request: AcquireRequest, answer: AcquireResponse, revoked: boolean): Result<HeldGrant> {
     this.receivedPressures.set(shard, answer.pressure)
     if (answer.type === 'refused') return answer.reason
--- a/test/actors/routing/grantClient.test.ts
+++ b/test/actors/routing/grantClient.test.ts
@@ -2,12 +2,14 @@
 
 import { expect } from 'chai'
 import { asHostId, asFailureDomain, asPoolName, asTargetName, shardKey } from '../../../src/base/common/ids.ts'
-import { success } from '../../../src/base/common/resultCode.ts'
+import { failure, success } from '../../../src/base/common/resultCode.ts'
 import type { GrantClientServices } from '../../../src/actors/common/routing/grantClient.ts'
 import { GrantClient } from '../../../src/actors/common/routing/grantClient.ts'
 import type { AcquireResponse } from '../../../src/ports/common/peers.ts'
 import type { AcquireRequest } from '../../../src/core/common/routing/admissionMessages.ts'
 import { NodeRandomSource, NodeClock } from '../../../src/adapters/node/nodeClock.ts'
+import { Emitter } from '../../../src/base/common/lifecycle.ts'
+import { ManualClock } from '../../support/manualClock.ts'
 
 const shard = shardKey(asPoolName('drafter'), asFailureDomain('Abdali'))
 const home = { host: asHostId('home'), address: 'http://home', place: asFailureDomain('Abdali'), status: 'alive' as const, incarnation: 1, since: 0 }
@@ -78,4 +80,43 @@
     expect(released).to.deep.equal([asked?.grant])
     client.dispose()
   })
+
+  it('asks the next home at once if the home refuses the connection', async () => {
+    // Guards against requests that wait for probes of a killed home although its refused connection shows that it has ended.
+    const changed = new Emitter<void>()
+    const next = { ...home, host: asHostId('next'), address: 'http://next' }
+    let current = home
+    const services = {
+      membership: {
+        self: { ...home, host: asHostId('here') },
+        onChange: changed.event,
+        pressureOf: () => undefined,
+        probeNow: () => undefined,
+        reportProcessEnded: (host: string) => {
+          if (host !== current.host) return
+          current = next
+          changed.fire()
+        }
+      },
+      directory: { shardsOf: () => [shard] },
+      homes: { homeOfShard: () => current },
+      localAdmission: {},
+      peers: {
+        call: async (address: string, method: string, parameters: { request: AcquireRequest }) => {
+          if (address === home.address) return failure('targetUnreachable', 'refused')
+          return success(method === 'admission.acquire' ? granted(parameters.request) : null)
+        }
+      },
+      handlers: { handle: () => undefined },
+      clock: new ManualClock(),
+      chance: new NodeRandomSource(1),
+      metrics: { count: () => undefined, gauge: () => undefined, timing: () => undefined }
+    }
+    const client = new GrantClient(services as unknown as GrantClientServices, 1000)
+    let answer: Awaited<ReturnType<GrantClient['acquire']>> | undefined
+    client.acquire(slotRequest).then((value) => { answer = value }, () => undefined)
+    await new Promise((resolve) => setTimeout(resolve, 5))
+    expect(answer?.ok).to.equal(true)
+    client.dispose()
+  })
 })
