Time limits that pass while this process stands still end after what arrived meanwhile is read

Callers: a step whose host was suspended for 800 ms began or resumed all its running items at other engines, and steps were late by the resumptions. Found by the search for time limits that take a pause of the deciding host for the silence of another.

Cause: after a pause, timers run before the connections are read, so the limit between two events (500 ms) ended streams whose events were waiting in the socket.

Change: a timer of NodeClock that fires more than 50 ms late runs two turns of the event loop later; two, since a connection may still be about to ask for data (`readOnDemand`). All limits that use the clock gain: of items, streams, hedges, the store's answers. Limits of `AbortSignal.timeout` are not covered.

--- a/src/adapters/node/nodeClock.ts
+++ b/src/adapters/node/nodeClock.ts
@@ -7,6 +7,27 @@
 import { toDisposable } from '../../base/common/lifecycle.ts'
 import type { RandomSource, Clock } from '../../ports/common/clock.ts'
 
+/** A timer that fires later than this was delayed by a pause of this process, in milliseconds. */
+const MAX_TIMER_DELAY_MS = 50
+
+/**
+ * Runs a task after a delay. After a pause of this process, timers would fire before the data that arrived meanwhile has been
+ * read, so a time limit would end a stream that was never silent. A late task therefore runs after two further turns of the
+ * event loop: in one of them a connection may still be about to ask for data.
+ */
+function startTimer (delayMs: number, task: () => void): Disposable {
+  const dueAt = performance.now() + delayMs
+  let immediate: NodeJS.Immediate | undefined
+  const timer = setTimeout(() => {
+    if (performance.now() - dueAt <= MAX_TIMER_DELAY_MS) return task()
+    immediate = setImmediate(() => { immediate = setImmediate(task) })
+  }, delayMs)
+  return toDisposable(() => {
+    clearTimeout(timer)
+    clearImmediate(immediate)
+  })
+}
+
 export class NodeClock implements Clock {
   monotonic (): number {
     return performance.now()
@@ -17,8 +38,7 @@
   }
 
   after (delayMs: number, task: () => void): Disposable {
-    const timer = setTimeout(task, delayMs)
-    return toDisposable(() => { clearTimeout(timer) })
+    return startTimer(delayMs, task)
   }
 
   every (periodMs: number, task: () => void): Disposable {
