--- a/test/adapters/nodeClock.test.ts
+++ b/test/adapters/nodeClock.test.ts
@@ -21,7 +21,7 @@
     server = createServer((socket) => { sender = socket }).listen(0, '127.0.0.1')
     await once(server, 'listening')
     receiver = connect((server.address() as AddressInfo).port, '127.0.0.1')
-    await once(receiver, 'connect')
+    await Promise.all([once(server, 'connection'), once(receiver, 'connect')])
     receiver.on('data', () => { order.push('data') })
   })
   afterEach(() => {
