Spread callers over all hosts where an address answer cannot list them

Cause: the list of hosts ignored the requested failure domain and the hosts' sizes and loads, and was cut at 64.

Change: where more than 64 hosts accept callers, the answer lists those that the caller spread selects, and probes report the processor load if it exceeds the fraction of connections in use. With at most 64 hosts, or with the mechanism caller_spread disabled, answers and probes are as before. Counter directory.answers, gauge directory.listed.

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -18,6 +18,7 @@
   'claims.unknown': 'once-only calls whose outcome is unknown',
   'completions.whole': 'streams that were completed',
   'connections.dropped': 'connections refused because there are too many',
+  'directory.answers': 'answers to address queries of callers',
   'front.broken_requests': "requests at the callers' address that are not HTTP, too large or too slow",
   'groups.submitted': 'groups submitted by trainers',
   'held.trials': 'trials of held requests by this host',
@@ -91,6 +92,7 @@
 
 export const gauges = {
   'checkpoint.characters': 'characters of the newest checkpoint',
+  'directory.listed': 'hosts listed in the last answer to an address query',
   'duty.alone': "1 while this host certainly is the only holder of the steps' duty, otherwise 0",
   'duty.term': "term of the steps' duty known to this host",
   'front.requests': 'requests of callers in flight',
--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -20,7 +20,8 @@
   loads_at_once: 'engines load a version as soon as it is named; if disabled, while no item waits for a slot',
   held_requests: 'a request during which two targets ended is tried on one target at a time, twice, and rarely after that; if disabled, it is sent like any other',
   relays: 'a host that cannot reach the store calls it through another host; if disabled, it waits for the store',
-  small_host_delay: 'hosts with less than one core wait longer before they claim the duty; if disabled, all hosts claim alike'
+  small_host_delay: 'hosts with less than one core wait longer before they claim the duty; if disabled, all hosts claim alike',
+  caller_spread: 'if more hosts accept callers than an address answer lists, the listed ones are selected by failure domain, size and load, and change over time; if disabled, the first known ones are listed'
 } as const satisfies Readonly<Record<string, string>>
 
 export type Mechanism = keyof typeof mechanismDescriptions
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -4,18 +4,19 @@
 import { createServer } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
+import { MAX_LISTED_HOSTS } from '../../../core/common/routes/callerSpread.ts'
+import type { Metrics } from '../../../ports/common/observation.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
 import { listenAt } from '../listenAt.ts'
 
 export interface DirectoryServerServices {
   readonly protocol: FrontProtocol
+  readonly metrics: Pick<Metrics, 'count' | 'gauge'>
   readonly isReady: () => boolean
-  /** Returns the addresses for callers of hosts that accept requests, those in a given failure domain first. */
+  /** Returns the addresses for callers of hosts that accept requests, for a query from a failure domain. */
   readonly addresses: (place: string | undefined) => readonly string[]
 }
 
-const MAX_ADDRESSES = 64
-
 export class DirectoryServer implements Disposable {
   private readonly server: Server
 
@@ -34,11 +35,13 @@
 
   private answer (request: IncomingMessage, response: ServerResponse): void {
     const url = new URL(request.url ?? '/', 'http://host')
-    const { protocol, isReady, addresses } = this.services
+    const { protocol, metrics, isReady, addresses } = this.services
     const query = protocol.directoryRequest(request.method ?? '', url.pathname, url.searchParams)
     if (query === undefined) return sendResponse(response, 404, {}, JSON.stringify(failureBody(failure('notFound', `no route for path ${url.pathname}`))))
     if (query.type === 'readiness') return sendResponse(response, isReady() ? 200 : 503, {}, '')
-    const addressesFound = addresses(query.place).slice(0, MAX_ADDRESSES)
+    const addressesFound = addresses(query.place).slice(0, MAX_LISTED_HOSTS)
+    metrics.count('directory.answers')
+    metrics.gauge('directory.listed', addressesFound.length)
     if (addressesFound.length === 0) return sendResponse(response, 503, {}, JSON.stringify(failureBody(failure('noTarget', 'no host accepts requests at present'))))
     const { status, headers, body } = protocol.addresses(addressesFound, this.validForMs)
     sendResponse(response, status, headers, body)
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -1,6 +1,5 @@
 /** The servers of a host: for callers, for address and readiness queries, and for other hosts. */
 
-import type { Membership } from '../../../actors/common/membership/membership.ts'
 import { CallerAuthenticator } from '../../../actors/common/identity/callerAuthenticator.ts'
 import { EntryServer } from '../../../entry/node/entryServer.ts'
 import { Identities } from '../../../entry/common/identity.ts'
@@ -11,6 +10,7 @@
 import { PeerRoutes } from '../../../entry/node/routes/peerRoutes.ts'
 import { Router } from '../../../entry/node/router.ts'
 import { frontProtocol } from '../../../../platform/index.ts'
+import { CallerAddresses } from './callerAddresses.ts'
 import type { FollowedTopics } from './followedTopics.ts'
 import type { HostContext } from './hostContext.ts'
 import type { HostSteps } from './hostSteps.ts'
@@ -30,6 +30,7 @@
 
 export interface HostServers {
   readonly front: FrontServer
+  readonly callerAddresses: CallerAddresses
   readonly isReady: () => boolean
   listen (): Promise<void>
 }
@@ -48,22 +49,20 @@
     forward,
     steps: new StepRoutes(steps.submissionApi, frontProtocol)
   }, { listen: listen.callers, maximumConnections: limits.connections, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
-  const addresses = (): string[] => callerAddresses(context, others.membership, isReady)
-  const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ protocol: frontProtocol, isReady, addresses }, limits.valid_for))) as [DirectoryServer, DirectoryServer]
+  const callerAddresses = createCallerAddresses(context, others, isReady)
+  const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ protocol: frontProtocol, metrics: services.metrics, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for))) as [DirectoryServer, DirectoryServer]
   const peerServer = createPeerServer(context, others, isStopping)
   return {
     front,
+    callerAddresses,
     isReady,
     listen: async () => { await Promise.all([peerServer.listen(), front.listen(), directory.listen(listen.directory), readiness.listen(listen.readiness)]) }
   }
 }
 
-/** Lists the addresses at which callers may connect. All hosts of a deployment use the same ports, so a member's address for callers is its IP with this host's port. */
-function callerAddresses ({ settings, host }: HostContext, membership: Membership, isReady: () => boolean): string[] {
+function createCallerAddresses ({ settings, services, host }: HostContext, { membership }: OtherHosts, isReady: () => boolean): CallerAddresses {
   const { port } = new URL(`http://${settings.listen.callers}`)
-  return membership.available()
-    .filter((member) => member.host === host ? isReady() : (membership.loadOf(member.host) ?? 1) < 1)
-    .map((member) => `${new URL(member.address).hostname}:${port}`)
+  return new CallerAddresses({ ...services, membership, isReady }, { host, port, spread: settings.mechanisms.caller_spread })
 }
 
 function createPeerServer ({ settings, services, disposables }: HostContext, { handlers }: OtherHosts, isStopping: () => boolean): EntryServer {
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -9,6 +9,7 @@
 import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
 import type { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { ConnectionPools } from '../../adapters/node/connectionPools.ts'
+import { EventLoopLoad } from '../../adapters/node/eventLoopLoad.ts'
 import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
@@ -29,6 +30,7 @@
 import { createOtherHosts } from './routed/otherHosts.ts'
 import type { HostUsage } from './routed/hostUsage.ts'
 import { createHostUsage } from './routed/hostUsage.ts'
+import { probeLoad } from './routed/probeLoad.ts'
 import { createStoreAccess } from './routed/storeAccess.ts'
 import { SettingsReloader } from './settingsReloader.ts'
 
@@ -46,8 +48,6 @@
 const OUTPUT_DRAIN_TIMEOUT_MS = 200
 /** The settings file is polled because it may change without a signal. */
 const SETTINGS_POLL_INTERVAL_MS = 5000
-/** Highest load that a host reports while it accepts callers; 1 means that it accepts none. */
-const MAX_REPORTED_LOAD = 0.99
 
 /** Starts a host. Resolves once it is listening. */
 export async function startRoutedHost (settings: RoutedSettings, rereadSettings: () => Result<HostSettings>): Promise<RoutedHost> {
@@ -68,7 +68,14 @@
   let isStopping = false
   const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol })
   const servers = createHostServers(context, { others: otherHosts, topics, steps, forward, isStopping: () => isStopping })
-  const load = (): number => servers.isReady() ? Math.min(MAX_REPORTED_LOAD, servers.front.requests / settings.limits.connections) : 1
+  const eventLoopLoad = new EventLoopLoad(clock)
+  const load = (): number => probeLoad({
+    isReady: servers.isReady,
+    requests: () => servers.front.requests,
+    maximumConnections: settings.limits.connections,
+    isSpread: () => servers.callerAddresses.isSpread,
+    processorLoad: () => eventLoopLoad.fraction()
+  })
   otherHosts.membership.setProbePayload({ offset: () => topics.topic.position, load, reachesStore: () => storeAccess.reachability.isReachable, pressures: () => ({}) })
 
   if (settings.metrics?.listen !== undefined) {
--- a/src/ports/common/clock.ts
+++ b/src/ports/common/clock.ts
@@ -9,7 +9,7 @@
 export interface Clock {
   /** Returns milliseconds on a clock that never goes back. Values of different hosts are not comparable. */
   monotonic (): number
-  /** Returns milliseconds since the epoch; used only for timestamps in records. */
+  /** Returns milliseconds since the epoch; used only for timestamps in records and for time slices that all hosts share. */
   wall (): number
   /** Runs `task` once after `delayMs`. */
   after (delayMs: number, task: () => void): Disposable
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -18,7 +18,7 @@
   readonly offset: number
   /** Load pressure of the shards whose home is the sender. */
   readonly pressures: Readonly<Record<string, number>>
-  /** Requests in flight as a fraction of the sender's limit, 0 to 1. */
+  /** Load of the sender, 0 to 1, where 1 means that it accepts no callers: requests in flight as a fraction of its limit or, if larger, its processor load where callers are spread by it. */
   readonly load: number
   /** Whether the sender reaches the store directly, so that other hosts may relay store calls through it. */
   readonly reachesStore: boolean
