Decode the scaling of services and the announced end of spot targets

Cause: the configuration states bounds and prices of rented targets, and entries of reclaimed spot targets state when they end; both were dropped.

Change: a service has `scaling`, which is unreadable alone if it is invalid, so that the routes of its record stay in force. A target has its rental and the time at which it ends, counted from the earliest time at which the entry may have been written.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -227,7 +227,7 @@
   private updateOrCreate (known: KnownTarget | undefined, definition: TargetDefinition): KnownTarget {
     if (known === undefined) return new KnownTarget(definition, this.services.clock)
     if (!known.definition.draining && definition.draining) this.services.stateLog.changed('target drains', { target: definition.id, service: definition.service })
-    known.definition = definition
+    known.definition = { ...definition, leavesAtMs: earliest(known.definition.leavesAtMs, definition.leavesAtMs) }
     return known
   }
 
@@ -270,6 +270,11 @@
   }
 }
 
+/** Returns the earlier end: a later entry may be read again long after it was written, and its remaining time then ends too late. */
+function earliest (knownMs: number | undefined, newMs: number | undefined): number | undefined {
+  return knownMs === undefined || newMs === undefined ? newMs : Math.min(knownMs, newMs)
+}
+
 /** Numbers of targets for a log line: in total, draining, and by service. */
 function summarize (definitions: readonly TargetDefinition[]): { targets: number, draining: number, services: string } {
   const counts = new Map<string, number>()
--- a/src/actors/common/routes/targetTopic.ts
+++ b/src/actors/common/routes/targetTopic.ts
@@ -2,7 +2,7 @@
 
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
-import type { TargetDefinition } from '../../../core/common/routes/target.ts'
+import type { TargetRegistration } from '../../../core/common/routes/target.ts'
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
 import type { RegistryProtocol } from '../../../ports/common/protocols.ts'
 import type { TailServices, TailSettings } from '../store/keyedTail.ts'
@@ -14,11 +14,21 @@
   private readonly tail: KeyedTail
   private readonly unreadableKeys = new UnusableKeys()
   private readonly outdatedKeys = new UnusableKeys()
+  /** Monotonic time at which records were last received. */
+  private receivedAt = Number.NEGATIVE_INFINITY
+  /** Longest time that the records being applied may have been in the store. */
+  private recordAgeMs = 0
 
-  constructor (private readonly services: TailServices, settings: TailSettings, private readonly protocol: RegistryProtocol, private readonly table: TargetTable) {
+  constructor (private readonly services: TailServices, private readonly settings: TailSettings, private readonly protocol: RegistryProtocol, private readonly table: TargetTable) {
     this.tail = new KeyedTail(services, settings, {
-      reset: (entries) => { this.replaceAll(entries) },
-      apply: (entries) => { for (const entry of entries) this.applyEntry(entry) }
+      reset: (entries) => {
+        this.noteReception()
+        this.replaceAll(entries)
+      },
+      apply: (entries) => {
+        this.noteReception()
+        for (const entry of entries) this.applyEntry(entry)
+      }
     })
   }
 
@@ -26,6 +36,11 @@
     return this.tail.loaded
   }
 
+  /** Whether the newest registrations are known: they have been loaded, and the last read succeeded. */
+  get isCurrent (): boolean {
+    return this.tail.loaded && !this.tail.isLost
+  }
+
   start (): void {
     this.tail.start()
   }
@@ -38,6 +53,13 @@
     this.tail.dispose()
   }
 
+  /** A read waits for records except during the pause after records, so a record waits in the store for that pause at most. */
+  private noteReception (): void {
+    const now = this.services.clock.monotonic()
+    this.recordAgeMs = Math.min(now - this.receivedAt, this.settings.pauseMs())
+    this.receivedAt = now
+  }
+
   private replaceAll (entries: readonly KeyedEntry[]): void {
     this.table.reload(() => {
       for (const entry of entries) this.applyEntry(entry)
@@ -56,10 +78,14 @@
     else this.outdatedKeys.delete(entry.key)
   }
 
-  private recordOf ({ key }: KeyedEntry, read: Result<TargetDefinition> | undefined): TargetRecord {
+  private recordOf ({ key }: KeyedEntry, read: Result<TargetRegistration> | undefined): TargetRecord {
     const id = this.protocol.targetId(key)
     if (read === undefined) return { type: 'gone', id }
-    return read.ok ? { type: 'entry', definition: read.value } : { type: 'unreadable', id }
+    if (!read.ok) return { type: 'unreadable', id }
+    const { leavesInMs, ...definition } = read.value
+    // Counted from the earliest time at which the entry may have been written: an item that is moved too late loses its run.
+    const writtenAt = this.receivedAt - this.recordAgeMs
+    return { type: 'entry', definition: { ...definition, leavesAtMs: leavesInMs === undefined ? undefined : writtenAt + leavesInMs } }
   }
 
   private reportUnreadable ({ key, offset }: KeyedEntry, error: string): void {
--- a/src/core/common/routes/routeConfiguration.ts
+++ b/src/core/common/routes/routeConfiguration.ts
@@ -47,11 +47,32 @@
   readonly models: readonly string[]
 }
 
+/** Limits and prices of the targets that may be ordered for a service. */
+export interface FleetBounds {
+  /** Least number of targets in each failure domain, of both kinds together. */
+  readonly minimum: number
+  /** Largest number of targets in each failure domain, of both kinds together. */
+  readonly maximum: number
+  /** Time from an order until the target serves, in milliseconds. */
+  readonly bootMs: number
+  /** Price of a spot target as a fraction of the price of a regular one. */
+  readonly spotPrice: number
+  /** Price of a regular target per second, by failure domain. Targets are ordered only in these failure domains. */
+  readonly prices: ReadonlyMap<string, number>
+}
+
+/** Whether targets may be ordered for a service; `unreadable` if the configuration states invalid bounds or prices. */
+export type ServiceScaling =
+  | { readonly type: 'bounded', readonly bounds: FleetBounds }
+  | { readonly type: 'unreadable', readonly error: string }
+
 export interface ServiceDefinition {
   readonly name: string
   readonly maximumConnections: number
   /** Present where the service's targets are model engines. */
   readonly engine: EngineDefinition | undefined
+  /** Present where the configuration allows targets of the service to be ordered. */
+  readonly scaling?: ServiceScaling
 }
 
 /** Limits on the requests that callers may send. */
--- a/test/support/routes.ts
+++ b/test/support/routes.ts
@@ -24,5 +24,5 @@
 }
 
 export function newTargetDefinition (details: Partial<TargetDefinition> = {}): TargetDefinition {
-  return { id: 't', incarnation: undefined, service: 's', address: '127.0.0.1:1', place: 'here', slots: 6, draining: false, coldMs: 0, models: [], ...details }
+  return { id: 't', incarnation: undefined, service: 's', address: '127.0.0.1:1', place: 'here', slots: 6, draining: false, rental: 'regular', leavesAtMs: undefined, coldMs: 0, models: [], ...details }
 }
