--- a/src/adapters/node/httpPlatformDuties.ts
+++ b/src/adapters/node/httpPlatformDuties.ts
@@ -1,6 +1,6 @@
 /** Accesses the platform's duty interface over HTTP. */
 
-import type { DutyHolder, DutyVerdict, PlatformDuties } from '../../ports/common/platformDuties.ts'
+import type { DutyHolder, DutyVerdict, PlatformDuties, ScaleOrder, ScaleVerdict } from '../../ports/common/platformDuties.ts'
 import type { DutyCall, DutyProtocol } from '../../ports/common/protocols.ts'
 import type { SealedWindow } from '../../core/common/usage/usageFold.ts'
 import type { ConnectionPools } from './connectionPools.ts'
@@ -14,15 +14,19 @@
   constructor (private readonly connections: ConnectionPools, private readonly protocol: DutyProtocol, private readonly address: string) {}
 
   async reportUsage (report: SealedWindow, holder: DutyHolder): Promise<DutyVerdict> {
-    return await this.send(this.protocol.usageReport(report, holder))
+    return await this.send(this.protocol.usageReport(report, holder), (status) => this.protocol.dutyVerdict(status))
   }
 
-  private async send ({ path, headers, body }: DutyCall): Promise<DutyVerdict> {
+  async scaleService (order: ScaleOrder, holder: DutyHolder): Promise<ScaleVerdict> {
+    return await this.send(this.protocol.scaleOrder(order, holder), (status) => this.protocol.scaleVerdict(status))
+  }
+
+  private async send<Verdict> ({ path, headers, body }: DutyCall, verdictOf: (status: number) => Verdict): Promise<Verdict | 'no-answer'> {
     const pool = this.connections.poolFor(this.address)
     try {
       const response = await pool.request({ method: 'POST', path, headers: [...headers], body, signal: AbortSignal.timeout(RESPONSE_TIMEOUT_MS) })
       await response.body.bytes()
-      return this.protocol.dutyVerdict(response.statusCode)
+      return verdictOf(response.statusCode)
     } catch (error) {
       if (isTimeoutError(error)) this.connections.retire(this.address, pool)
       return 'no-answer'
--- a/src/base/common/resultCode.ts
+++ b/src/base/common/resultCode.ts
@@ -45,6 +45,7 @@
   methodNotAllowed: { number: 3006, status: 405, effect: 'rejected', meaning: 'The address exists but does not support this method.' },
   tooSlow: { number: 3007, status: 408, effect: 'rejected', meaning: 'The request was not received completely within the time that the settings allow.' },
   headTooLarge: { number: 3008, status: 431, effect: 'rejected', meaning: 'The head of the request is larger than the configuration allows.' },
+  scalingUnreadable: { number: 3009, status: 400, effect: 'rejected', meaning: 'The scaling of a service in the configuration is invalid; no targets are ordered for the service, and the routes of the configuration are in force.' },
 
   revisionConflict: { number: 4001, status: 409, effect: 'rejected', meaning: 'The object has changed since the revision given in the command.' },
   alreadyExists: { number: 4002, status: 409, effect: 'rejected', meaning: 'An object of this kind and name already exists.' },
--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -20,6 +20,7 @@
   loads_at_once: 'engines load a version as soon as it is named; if disabled, while no item waits for a slot',
   held_requests: 'a request during which two targets ended is tried on one target at a time, twice, and rarely after that; if disabled, it is sent like any other',
   relays: 'a host that cannot reach the store calls it through another host; if disabled, it waits for the store',
+  rented_targets: 'targets are ordered as the open steps need them, and items leave targets whose end is announced; if disabled, no targets are ordered, and items stay until their target ends',
   small_host_delay: 'hosts with less than one core wait longer before they claim the duty; if disabled, all hosts claim alike'
 } as const satisfies Readonly<Record<string, string>>
 
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -9,9 +9,9 @@
 import type { RouteConfiguration } from '../../core/common/routes/routeConfiguration.ts'
 import type { ItemPayload, SampleResult, TrainerSubmission } from '../../core/common/steps/step.ts'
 import type { SealedWindow } from '../../core/common/usage/usageFold.ts'
-import type { DutyHolder, DutyVerdict } from './platformDuties.ts'
+import type { DutyHolder, DutyVerdict, ScaleOrder, ScaleVerdict } from './platformDuties.ts'
 import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
-import type { LoadReport, ModelVersion, TargetDefinition } from '../../core/common/routes/target.ts'
+import type { LoadReport, ModelVersion, TargetRegistration } from '../../core/common/routes/target.ts'
 
 /** An encoded request to the store. */
 export interface StoreCall {
@@ -60,7 +60,7 @@
   /** Returns the id of the target that a record key belongs to. */
   targetId (key: string): string
   /** Decodes the registration of a target. */
-  target (record: KeyedRecord): Result<TargetDefinition>
+  target (record: KeyedRecord): Result<TargetRegistration>
 }
 
 /** Raw headers: names and values alternate. */
@@ -166,6 +166,10 @@
 export interface DutyProtocol {
   usageReport (report: SealedWindow, holder: DutyHolder): DutyCall
   dutyVerdict (status: number): DutyVerdict
+  /** Whether the platform accepts orders of targets, by its list of duties. */
+  acceptsScaling (duties: readonly string[]): boolean
+  scaleOrder (order: ScaleOrder, holder: DutyHolder): DutyCall
+  scaleVerdict (status: number): ScaleVerdict
 }
 
 export interface TargetProtocol {
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -76,6 +76,11 @@
   due_seconds: z.number().positive().describe('time between the end of a window and the due time of its report, in seconds')
 }).describe('usage reports; without this table, usage is neither counted nor reported')
 
+const fleetSchema = z.strictObject({
+  address: origin.describe('address of the platform interface that accepts orders of targets'),
+  duties: z.array(z.string()).default([]).describe('duties that the platform accepts; targets are ordered only if the list contains the one for such orders')
+}).describe('orders of rented targets, for services whose configuration has scaling; without this table, no targets are ordered')
+
 const metricsSchema = z.strictObject({
   listen: endpoint.optional().describe('address at which metrics are served as text, under /metrics'),
   collector: endpoint.optional().describe('address of a StatsD collector')
@@ -94,6 +99,7 @@
   steps: stepsSchema.prefault({}),
   identity: identitySchema.prefault({}),
   usage: usageSchema.optional(),
+  fleet: fleetSchema.optional(),
   metrics: metricsSchema.optional(),
   mechanisms: z.strictObject(mechanismSwitches).prefault({}).describe('mechanisms that an experiment can disable to determine their effect; each disabled one is logged at start')
 })
--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { frontProtocol, unkeyedLogProtocol, registryProtocol, storeProtocol, targetProtocol } from '../../platform/index.ts'
+import { dutyProtocol, frontProtocol, unkeyedLogProtocol, registryProtocol, storeProtocol, targetProtocol } from '../../platform/index.ts'
 import { configuration } from './support/fleet.ts'
 
 const json = (value: unknown): Uint8Array => Buffer.from(JSON.stringify(value))
@@ -89,6 +89,69 @@
     const entry = { service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'draining', cold_left_ms: 5, stage: 'both', models: [{ name: 'm', version: 2, adapters: [] }], seq: 3 }
     expect(registryProtocol.target({ key: 'i-1', value: JSON.stringify(entry) })).toMatchSnapshot()
   })
+
+  it('reads the announced end of a spot target that drains, and of no other', () => {
+    // Guards against a target that is used no longer because of an end that it does not announce, or that registers no more because its end is unreadable.
+    const entry = { service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'draining', cold_left_ms: 0, seq: 3 }
+    const read = (details: object): unknown => {
+      const target = registryProtocol.target({ key: 'i-1', value: JSON.stringify({ ...entry, ...details }) })
+      return target.ok && [target.value.rental, target.value.leavesInMs]
+    }
+    expect(read({ spot: true, leaves_ms: 2500 })).to.deep.equal(['spot', 2500])
+    expect(read({ spot: true, leaves_ms: -3 })).to.deep.equal(['spot', 0])
+    expect(read({ spot: false, leaves_ms: 2500, state: 'ready' })).to.deep.equal(['regular', undefined])
+    expect(read({ spot: 'no', leaves_ms: 'soon' })).to.deep.equal(['regular', undefined])
+    expect(read({ spot: null, leaves_ms: null })).to.deep.equal(['regular', undefined])
+  })
+})
+
+describe('the scaling of a service', () => {
+  const scaling = { min: 1, max: 4, boot_s: 1.5, spot_price: 0.3, zone_prices: { a: 1, b: 1.2 } }
+  const services = (stated: unknown): unknown => {
+    const configuration = { version: 1, routes: [{ name: 'r', host: 'h', path_prefix: '/', route_type: 'idempotent', service: 's' }], services: [{ name: 's', scaling: stated }] }
+    const record = registryProtocol.operatorRecord({ key: 'op/config', value: JSON.stringify(configuration) })
+    return record.ok && record.value.type === 'configuration' && record.value.configuration.routes.length === 1 && record.value.configuration.services
+  }
+
+  it('is read with its prices', () => {
+    expect(services(scaling)).to.deep.equal([{ name: 's', maximumConnections: 64, engine: undefined, scaling: { type: 'bounded', bounds: { minimum: 1, maximum: 4, bootMs: 1500, spotPrice: 0.3, prices: new Map([['a', 1], ['b', 1.2]]) } } }])
+  })
+
+  it('is absent where the configuration states none', () => {
+    for (const stated of [undefined, null]) expect(services(stated)).to.deep.equal([{ name: 's', maximumConnections: 64, engine: undefined }])
+  })
+
+  it('is unreadable alone: the routes of the record remain in force', () => {
+    // Guards against a configuration that is rejected as a whole because of its scaling.
+    const invalid = [{ min: 5 }, { min: -1 }, { max: 1.5 }, { boot_s: -1 }, { spot_price: -0.1 }, { zone_prices: {} }, { zone_prices: { a: -1 } }, { zone_prices: { '': 1 } }, { zone_prices: undefined }, { max: 'many' }]
+    for (const stated of [...invalid.map((details) => ({ ...scaling, ...details })), 'on', 3, []]) {
+      const [service] = services(stated) as [{ scaling: { type: string } }]
+      expect(service.scaling.type, JSON.stringify(stated)).to.equal('unreadable')
+    }
+  })
+})
+
+describe('the protocol of duties', () => {
+  it('orders a number of targets of one kind in one failure domain', () => {
+    const holder = { name: 'n-1', term: 7 }
+    const headers = ['content-type', 'application/json', 'Bulrushvalve-Duty-Holder', 'n-1', 'Bulrushvalve-Fence-Token', '7']
+    const order = (rental: 'regular' | 'spot'): unknown => {
+      const { path, headers: sent, body } = dutyProtocol.scaleOrder({ service: 's', place: 'a', rental, count: 3 }, holder)
+      return { path, headers: sent.map((value, index) => index > 1 && index % 2 === 0 ? value.toLowerCase() : value), body }
+    }
+    const expected = headers.map((value, index) => index > 1 && index % 2 === 0 ? value.toLowerCase() : value)
+    expect(order('regular')).to.deep.equal({ path: '/scale', headers: expected, body: '{"service":"s","zone":"a","group_count":3}' })
+    expect(order('spot')).to.deep.equal({ path: '/scale', headers: expected, body: '{"service":"s","zone":"a","group_count":3,"spot":true}' })
+  })
+
+  it('distinguishes missing targets from limits and rejections', () => {
+    // Guards against a 409 that is repeated at once, and against a limit that excludes a failure domain.
+    expect([200, 202, 409, 429, 503, 408, 412, 400, 404].map((status) => dutyProtocol.scaleVerdict(status))).to.deep.equal(['accepted', 'accepted', 'unavailable', 'later', 'later', 'later', 'later', 'rejected', 'rejected'])
+  })
+
+  it('accepts such orders only where the platform lists the duty', () => {
+    expect([[], ['usage'], ['usage', 'autoscale']].map((duties) => dutyProtocol.acceptsScaling(duties))).to.deep.equal([false, false, true])
+  })
 })
 
 describe('the protocol of callers', () => {
