Move items off engines that leave before they would be finished

Cause: an item on a reclaimed engine ran until its connection broke, and resumed only after that was noticed.

Items that end in time stay. Also computes the slots that open steps need, by service.

--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -35,6 +35,13 @@
     return { candidate: chooseEngine(eligible, minimumVersion, 'long'), slots: eligible.reduce((sum, { slots }) => sum + slots, 0) }
   }
 
+  /** Returns the engines that accept items of this step now, the fastest first. Engines that leave are not among them. */
+  freeEngines (work: StepWork, route: Route): EngineCandidate[] {
+    return this.candidates(work, route, undefined)
+      .filter((engine) => chooseEngine([engine], work.step.submission.minimumVersion, 'long') !== undefined)
+      .sort((a, b) => a.slowness - b.slowness)
+  }
+
   /** Returns a run of this step that should move to a faster engine with a free slot, if it should have at the previous check too. No run moves while items wait for a slot. */
   nextMove (work: StepWork, route: Route, nowMs: number): PlannedMove | undefined {
     if (!this.services.mechanisms.moves) return undefined
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -31,10 +31,12 @@
 import { ItemGate } from './itemGate.ts'
 import type { ItemRunServices, RunOutcome } from './itemRun.ts'
 import { runItem } from './itemRun.ts'
+import { LeavingEngines } from './leavingEngines.ts'
 import { ModelDemands } from './modelDemand.ts'
 import type { ProgressStore } from './progressStore.ts'
 import { ResultWriter } from './resultWriter.ts'
 import type { SampleScorer } from './sampleScorer.ts'
+import { slotDemands } from './slotDemands.ts'
 import { inStartOrder } from './startQueue.ts'
 import type { StepContents } from './stepContents.ts'
 import { textReferenceOf } from './stepContents.ts'
@@ -57,6 +59,8 @@
   /** Model that an engine is assigned to; the engine is preferred for items of that model. */
   readonly assignedModel: (engine: string) => string | undefined
   readonly mechanisms: Mechanisms
+  /** Whether targets of a service are rented. */
+  readonly isRented: (service: string) => boolean
   readonly held: RequestQuarantine
 }
 
@@ -78,6 +82,7 @@
   private readonly placement: ItemPlacement
   private readonly gate: ItemGate
   private readonly headStarts: HeadStarts
+  private readonly leavingEngines: LeavingEngines
   private readonly lengths = new ItemLengthEstimator()
   private readonly resultWriter: ResultWriter
   private stopping = false
@@ -89,6 +94,7 @@
     this.placement = new ItemPlacement(services)
     this.gate = new ItemGate({ ...services, onAdmitted: () => { this.schedule() } })
     this.resultWriter = new ResultWriter(services)
+    this.leavingEngines = new LeavingEngines({ ...services, placement: this.placement, lengths: this.lengths })
     this.modelDemands = new ModelDemands({ ...services, routeOf: (step) => this.routeOf(step) })
     this.unfinishedTexts = new UnfinishedTexts({ ...services, nonce: () => services.contents.nonce() })
     this.headStarts = new HeadStarts({ ...services, placement: this.placement, gate: this.gate, createText: () => this.unfinishedTexts.createText(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
@@ -117,6 +123,11 @@
     return this.modelDemands.all([...this.works.values()])
   }
 
+  /** Returns the slots that the open steps need, by service. */
+  slotDemands (): ReadonlyMap<string, number | undefined> {
+    return slotDemands(this.works.values(), { clock: this.services.clock, lengths: this.lengths, routeOf: (step) => this.routeOf(step) })
+  }
+
   /** Starts all items and head starts that can run now. */
   schedule (): void {
     if (!this.services.duty.holds || this.stopping) return
@@ -381,6 +392,7 @@
     for (const work of [...this.works.values()]) {
       const route = this.routeOf(work.step)
       if (route !== undefined && now - work.step.submittedAt > route.retentionMs) this.expireStep(work)
+      if (route !== undefined) this.leavingEngines.moveItems(work, route)
       if (route !== undefined) this.moveToFasterEngine(work, route)
     }
     this.schedule()
--- a/src/core/common/steps/itemLengthEstimator.ts
+++ b/src/core/common/steps/itemLengthEstimator.ts
@@ -17,6 +17,11 @@
     return this.tokensPerEvent !== undefined
   }
 
+  /** Whether it is known how long an event takes. */
+  get knowsDurations (): boolean {
+    return this.eventMs !== undefined
+  }
+
   /** Records a completed item; `durationMs` is the duration of a single run that generated all its events, if there was one. */
   recordItem (expectedTokens: number, events: number, durationMs: number | undefined): void {
     if (events === 0) return
--- a/test/actors/routes/targetRestarts.test.ts
+++ b/test/actors/routes/targetRestarts.test.ts
@@ -13,7 +13,7 @@
 import { MemoryKeyedLog } from '../../support/memoryKeyedLog.ts'
 
 /** A value written for one target: raw text that is no entry, fields of an entry, or its removal. */
-type WrittenValue = string | { born?: number, state?: string, addr?: string, service?: string } | 'gone'
+type WrittenValue = string | { born?: number, state?: string, addr?: string, service?: string, leaves_ms?: number } | 'gone'
 
 const entry = (details: object): string => JSON.stringify({ service: 's', addr: '10.0.0.1:80', zone: 'here', version: 'v1', slots: 8, state: 'ready', cold_left_ms: 0, seq: 1, ...details })
 const valueOf = (written: WrittenValue): string | undefined => written === 'gone' ? undefined : typeof written === 'string' ? written : entry(written)
@@ -192,3 +192,25 @@
     here.topic.dispose()
   })
 })
+
+describe('the announced end of a target', () => {
+  it('is counted from the time at which its entry was read', async () => {
+    const fixture = await startFixture(['t', {}])
+    const before = fixture.clock.monotonic()
+    await fixture.write(['t', { state: 'draining', leaves_ms: 2500 }])
+    expect((fixture.table.get('t')?.definition.leavesAtMs ?? 0) - before).to.be.within(2500, 2650)
+    fixture.topic.dispose()
+  })
+
+  it('is not put off by reading the entry again, and is forgotten with its incarnation', async () => {
+    // Guards against items that stay at a target because its end moves on with each reading of the topic.
+    const fixture = await startFixture(['t', { born: 1 }])
+    await fixture.write(['t', { born: 1, state: 'draining', leaves_ms: 2500 }])
+    const leavesAtMs = fixture.table.get('t')?.definition.leavesAtMs
+    await fixture.reload()
+    expect([typeof leavesAtMs, fixture.table.get('t')?.definition.leavesAtMs]).to.deep.equal(['number', leavesAtMs])
+    await fixture.write(['t', { born: 2 }])
+    expect(fixture.table.get('t')?.definition.leavesAtMs).to.equal(undefined)
+    fixture.topic.dispose()
+  })
+})
