Wire up orders of rented targets

Cause: the controller and the settings table `fleet` were not connected.

Change: a host orders targets while it holds the duty if its settings have `fleet`, its duties include the one for such orders, and the mechanism rented_targets is on. Items leave engines early only there, and only for services with scaling.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -129,6 +129,11 @@
     return { known: this.targets.size, suspect: [...this.targets.values()].filter(({ suspect }) => suspect).length }
   }
 
+  /** Failure domains of all targets. */
+  places (): Set<string> {
+    return new Set([...this.targets.values()].map(({ definition }) => definition.place))
+  }
+
   /** Targets of a service that accept new work. */
   available (service: string): KnownTarget[] {
     this.dropExpiredMissing()
--- a/src/host/node/routed/hostSteps.ts
+++ b/src/host/node/routed/hostSteps.ts
@@ -22,6 +22,7 @@
 import type { CallGuards } from './callGuards.ts'
 import type { FollowedTopics } from './followedTopics.ts'
 import type { HostContext } from './hostContext.ts'
+import { ordersTargets } from './hostFleet.ts'
 import type { OtherHosts } from './otherHosts.ts'
 import { STEPS_DUTY } from './otherHosts.ts'
 import type { StoreAccess } from './storeAccess.ts'
@@ -68,6 +69,7 @@
     progress: new ProgressStore({ ...services, history: storeAccess.progress }, { saveIntervalMs: steps.progress, maxRecordBytes: store.record_bytes, enabled: mechanisms.progress }),
     routes,
     version: (model) => operator.version(model),
+    isRented: (service) => ordersTargets(context.settings) && operator.routes?.service(service)?.scaling !== undefined,
     assignedModel: (engine) => orders.assignedModel(engine)
   }, { firstEventTimeoutMs: steps.first_event, silenceTimeoutMs: steps.silence }))
   const orders: WeightLoadController = disposables.add(new WeightLoadController({
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -21,6 +21,7 @@
 import { createFollowedTopics } from './routed/followedTopics.ts'
 import type { HostContext } from './routed/hostContext.ts'
 import { createHostContext } from './routed/hostContext.ts'
+import { startHostFleet } from './routed/hostFleet.ts'
 import type { HostServers } from './routed/hostServers.ts'
 import { createHostServers } from './routed/hostServers.ts'
 import type { HostSteps } from './routed/hostSteps.ts'
@@ -64,6 +65,7 @@
   const calls = new RouteCalls(callServices)
   const steps: HostSteps = createHostSteps(context, { others: otherHosts, storeAccess, topics, client, guards, calls })
 
+  startHostFleet(context, otherHosts, topics, steps)
   const reporter = usage?.startReporting(steps.duty)
   let isStopping = false
   const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol })
