--- a/test/platform/support/dutyStandIn.ts
+++ b/test/platform/support/dutyStandIn.ts
@@ -19,13 +19,28 @@
   readonly at: number
 }
 
+/** An order of targets, with the answer's status. */
+export interface ReceivedScaleOrder {
+  readonly service: string
+  readonly place: string
+  readonly count: number
+  readonly spot: boolean
+  readonly holder: string
+  readonly fence: number
+  readonly at: number
+  readonly status: number
+}
+
 /** Holders that alternate within this time count as acting concurrently. */
 const LEASE_MS = 3000
 const MAX_CALLS_PER_SECOND = 50
 
 export class DutyStandIn {
   readonly reports: UsageReport[] = []
+  readonly scaleOrders: ReceivedScaleOrder[] = []
   readonly violations: string[] = []
+  /** Executes an order of targets and returns the status of the answer. */
+  onScale: (order: Omit<ReceivedScaleOrder, 'status'>) => number = () => 409
   fault: DutyFault = 'none'
   address = ''
   private readonly callTimes: number[] = []
@@ -62,12 +77,23 @@
     if (this.fault === 'silent') return undefined
     if (this.fault === 'down') return 503
     if (this.fault === 'many' || this.exceedsRateLimit()) return 429
+    if (path === '/scale') return this.scale(headers, body)
     if (path !== '/usage') return 404
     const { window_id: window, counts } = JSON.parse(body) as { window_id: number, counts: Record<string, number> }
     this.checkReport({ window, counts, holder: String(headers['bulrushvalve-duty-holder']), fence: Number(headers['bulrushvalve-fence-token']), at: Date.now() })
     return this.fault === 'unanswered' ? undefined : 200
   }
 
+  private scale (headers: Readonly<Record<string, string | string[] | undefined>>, body: string): number {
+    const { service, zone, group_count: count, spot = false } = JSON.parse(body) as { service: string, zone: string, group_count: number, spot?: boolean }
+    const order = { service, place: zone, count, spot, holder: String(headers['bulrushvalve-duty-holder']), fence: Number(headers['bulrushvalve-fence-token']), at: Date.now() }
+    const previous = this.scaleOrders.at(-1)
+    if (previous !== undefined && (order.fence < previous.fence || (order.fence === previous.fence && order.holder !== previous.holder))) this.violations.push(`${order.holder} ordered targets with fencing token ${order.fence} after ${previous.holder} had used ${previous.fence}`)
+    const status = this.onScale(order)
+    this.scaleOrders.push({ ...order, status })
+    return status
+  }
+
   private exceedsRateLimit (): boolean {
     const now = Date.now()
     while ((this.callTimes[0] ?? now) < now - 1000) this.callTimes.shift()
--- a/test/platform/support/targetStandIn.ts
+++ b/test/platform/support/targetStandIn.ts
@@ -69,6 +69,8 @@
 }
 
 export interface TargetOptions {
+  /** Whether the target may be reclaimed; absent if the platform does not rent targets. */
+  readonly spot?: boolean
   readonly id: string
   readonly service: string
   readonly place: string
@@ -98,6 +100,7 @@
   /** Number of further requests into which the fault is injected. */
   faults = Number.POSITIVE_INFINITY
   draining = false
+  private leavesMs: number | undefined
   private loading: string | undefined
   private server: Server | undefined
   /** Servers of former incarnations, whose connections stay open without sending data. */
@@ -141,13 +144,16 @@
 
   register (): void {
     if (this.isKilled) return
-    const { id, service, place, slots = 4 } = this.options
+    const { id, service, place, slots = 4, spot } = this.options
+    const rental = { ...(spot === undefined ? {} : { spot }), ...(this.leavesMs === undefined ? {} : { leaves_ms: this.leavesMs }) }
     const models = [...this.versions].map(([name, version]) => ({ name, version, adapters: [] }))
-    this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...this.reportedStart, ...(models.length > 0 ? { stage: 'both', models } : {}) })
+    this.store.put('keyed.servers', id, { service, addr: this.address, zone: place, version: 'v1', slots, state: this.draining ? 'draining' : 'ready', cold_left_ms: 0, seq: 1, ...rental, ...this.reportedStart, ...(models.length > 0 ? { stage: 'both', models } : {}) })
   }
 
-  drain (): void {
+  /** @param leavesMs time until the target ends, if it is announced */
+  drain (leavesMs?: number): void {
     this.draining = true
+    this.leavesMs = leavesMs
     this.register()
   }
 
