Demand of steps without outliers; orders that took effect no longer count

Cause: one item that takes nearly all the time left made the demand a slot for each of the other items. An order that had taken effect counted again as one to come when its targets were reclaimed within the boot time and 3 s.

Change: some of the longest items may have slots of their own, and a second of the time left is reserved for loads and scoring. Orders are forgotten once the registered targets show their effect. A check plans once instead of twice.

--- a/src/actors/common/fleet/fleetController.ts
+++ b/src/actors/common/fleet/fleetController.ts
@@ -10,7 +10,7 @@
 import type { FleetCounts } from '../../../core/common/fleet/cheapestFleet.ts'
 import { FleetDemand } from '../../../core/common/fleet/fleetDemand.ts'
 import type { FleetOrder, FleetPlan, OutstandingOrder } from '../../../core/common/fleet/fleetPlan.ts'
-import { ORDER_EFFECT_MARGIN_MS, planFleet } from '../../../core/common/fleet/fleetPlan.ts'
+import { isSettled, ORDER_EFFECT_MARGIN_MS, planFleet } from '../../../core/common/fleet/fleetPlan.ts'
 import type { EngineDefinition, FleetBounds, RouteTable, ServiceScaling } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Rental, TargetDefinition } from '../../../core/common/routes/target.ts'
 import type { Clock, RandomSource } from '../../../ports/common/clock.ts'
@@ -183,6 +183,8 @@
       fleet.surplusSinceMs = new Map()
       return undefined
     }
+    const present = countTargets(this.services.targets(name))
+    for (const [key, order] of fleet.outstanding) if (isSettled(order, present)) fleet.outstanding.delete(key)
     const plan = planFleet({
       nowMs: now,
       bounds,
@@ -190,7 +192,7 @@
       models: engine.models.length,
       demand: fleet.demand.current(now),
       largestDemand: fleet.demand.largest(now),
-      present: countTargets(this.services.targets(name)),
+      present,
       outstanding: [...fleet.outstanding.values()],
       unavailable: [...fleet.exclusions.values()],
       surplusSinceMs: fleet.surplusSinceMs,
@@ -209,7 +211,8 @@
     for (const service of services) {
       const fleet = this.fleetOf(service.name)
       while (sent < MAX_ORDERS_PER_CHECK && this.mayOrder() && this.fleets.get(service.name) === fleet) {
-        const order = this.updatePlan(service)?.orders[0]
+        // The check has just planned with the same knowledge; it changes with the first order.
+        const order = (sent === 0 ? fleet.plan : this.updatePlan(service))?.orders[0]
         if (order === undefined) break
         await this.send(service.name, fleet, order)
         sent++
--- a/src/core/common/fleet/fleetDemand.ts
+++ b/src/core/common/fleet/fleetDemand.ts
@@ -11,16 +11,23 @@
   readonly timeLeftMs: number
 }
 
+/** Part of the time left in which items do not run: engines load weights for 0.85 s after a version is named, and texts are scored and written at the end. */
+const RESERVED_MS = 1000
+
 /**
- * Returns the number of slots with which the items are finished in time, in whatever order they start: items that start as
- * soon as a slot is free end within the total work divided by the slots, plus the longest item.
+ * Returns a number of slots with which the items are finished in time. Items that start as soon as a slot is free end within
+ * the total work divided by the slots, plus the longest item. Some of the longest items may be given slots of their own, as one
+ * item that takes nearly all the time would otherwise demand a slot for each of the others; the best such number is used.
  */
 export function slotsNeeded ({ remainingMs, timeLeftMs }: OpenWork): number {
-  const items = remainingMs.length
-  const longestMs = remainingMs.reduce((longest, ms) => Math.max(longest, ms), 0)
-  const totalMs = remainingMs.reduce((sum, ms) => sum + ms, 0)
-  if (timeLeftMs <= longestMs) return items
-  return Math.min(items, Math.ceil(totalMs / (timeLeftMs - longestMs)))
+  const usableMs = timeLeftMs - RESERVED_MS
+  const longestFirst = [...remainingMs].sort((a, b) => b - a)
+  let restMs = longestFirst.reduce((sum, ms) => sum + ms, 0)
+  return longestFirst.reduce((least, longestMs, ownSlots) => {
+    const slots = longestMs < usableMs ? ownSlots + Math.ceil(restMs / (usableMs - longestMs)) : least
+    restMs -= longestMs
+    return Math.min(least, slots)
+  }, longestFirst.length)
 }
 
 interface DemandSample {
--- a/src/core/common/fleet/fleetPlan.ts
+++ b/src/core/common/fleet/fleetPlan.ts
@@ -111,13 +111,16 @@
 }
 
 /**
- * Whether an order may still change the number of targets. If targets went away after an order for more, its number
- * no longer stands for targets that are about to come.
+ * Whether the registered targets show that no further effect of an order is to be expected: it took effect, or targets went away
+ * after an order for more, whose number no longer stands for targets that are about to come.
  */
-function mayTakeEffect ({ place, rental, count, countBefore, sentAtMs }: OutstandingOrder, { nowMs, bounds, present }: FleetInput): boolean {
-  if (nowMs - sentAtMs >= bounds.bootMs + ORDER_EFFECT_MARGIN_MS) return false
+export function isSettled ({ place, rental, count, countBefore }: OutstandingOrder, present: ReadonlyMap<string, FleetCounts>): boolean {
   const registered = (present.get(place) ?? NO_TARGETS)[rental]
-  return count > countBefore ? registered >= countBefore && registered < count : registered > count
+  return count > countBefore ? registered < countBefore || registered >= count : registered <= count
+}
+
+function mayTakeEffect (order: OutstandingOrder, { nowMs, bounds, present }: FleetInput): boolean {
+  return nowMs - order.sentAtMs < bounds.bootMs + ORDER_EFFECT_MARGIN_MS && !isSettled(order, present)
 }
 
 /** Returns the numbers of targets once these orders have taken effect. */
--- a/test/actors/fleet/fleetController.test.ts
+++ b/test/actors/fleet/fleetController.test.ts
@@ -291,6 +291,21 @@
     expect(scene.total).to.equal(2)
   })
 
+  it('replaces targets at once that are reclaimed right after they came', async () => {
+    // Guards against an order that took effect and is then taken for targets that are still to come.
+    duty.set(true, 1)
+    scene.demand = 36
+    await scene.clock.advance(1900)
+    const [place = ''] = scene.platform.targets.flatMap(({ definition }) => definition.rental === 'spot' ? [definition.place] : [])
+    await scene.clock.advance(250)
+    const sent = scene.platform.received.length
+    expect(scene.platform.reclaim(place)).to.be.greaterThan(0)
+    await scene.clock.advance(500)
+    expect(scene.platform.received.length).to.be.greaterThan(sent)
+    await scene.clock.advance(2000)
+    for (const lost of ['a', 'b', 'c']) expect(scene.platform.slotsWithout(lost)).to.be.at.least(36)
+  })
+
   it('is continued by the next holder from the registered targets, without reductions until former orders have taken effect', async () => {
     // Guards against a new holder that undoes an order of the former one whose targets are about to come.
     const next = scene.join('n-2')
--- a/test/actors/steps/leavingEngines.test.ts
+++ b/test/actors/steps/leavingEngines.test.ts
@@ -129,7 +129,7 @@
 describe('the slots that open steps need', () => {
   it('follow from the expected times and the due time', () => {
     const scene = new Fixture(Array(60).fill(250))
-    expect(scene.demand().get('engines')).to.equal(Math.ceil(60 * 2500 / (DUE_MS - 2500)))
+    expect(scene.demand().get('engines')).to.equal(Math.ceil(60 * 2500 / (DUE_MS - 1000 - 2500)))
     scene.clock.freeze(6000)
     expect(scene.demand().get('engines')).to.equal(60)
   })
@@ -142,6 +142,6 @@
 
   it('are shared by the destinations of a route', () => {
     const scene = new Fixture(Array(60).fill(250), { details: { destinations: [{ service: 'engines', weight: 1 }, { service: 'others', weight: 3 }, { service: 'unused', weight: 0 }] } })
-    expect([...scene.demand()]).to.deep.equal([['engines', 7.5], ['others', 22.5]])
+    expect([...scene.demand()]).to.deep.equal([['engines', 38 / 4], ['others', 38 * 3 / 4]])
   })
 })
--- a/test/core/fleet/fleetPlan.test.ts
+++ b/test/core/fleet/fleetPlan.test.ts
@@ -135,14 +135,34 @@
 })
 
 describe('the demand of steps', () => {
-  it('is what finishes the items in time in whatever order they start', () => {
-    expect(slotsNeeded({ remainingMs: Array(100).fill(1000), timeLeftMs: 6000 })).to.equal(20)
+  it('finishes the items a second before they are due', () => {
+    expect(slotsNeeded({ remainingMs: Array(100).fill(1000), timeLeftMs: 7000 })).to.equal(20)
     expect(slotsNeeded({ remainingMs: [1000, 1000], timeLeftMs: 20_000 })).to.equal(1)
     expect(slotsNeeded({ remainingMs: [], timeLeftMs: -1 })).to.equal(0)
   })
 
   it('is a slot for each item once the time is short', () => {
-    for (const timeLeftMs of [-500, 0, 1000, 1001]) expect(slotsNeeded({ remainingMs: [1000, 800, 900], timeLeftMs })).to.equal(3)
+    for (const timeLeftMs of [-500, 0, 1000, 2000, 2001]) expect(slotsNeeded({ remainingMs: [1000, 800, 900], timeLeftMs })).to.equal(3)
+  })
+
+  it('does not grow much for one item that takes nearly all the time', () => {
+    // Guards against a fleet that is ordered because of a straggler, which already has its slot.
+    expect(slotsNeeded({ remainingMs: [...Array<number>(50).fill(500), 3900], timeLeftMs: 5000 })).to.equal(1 + Math.ceil(50 * 500 / 3500))
+    expect(slotsNeeded({ remainingMs: [...Array<number>(50).fill(500), 9000], timeLeftMs: 5000 })).to.equal(1 + Math.ceil(50 * 500 / 3500))
+  })
+
+  it('suffices for random items, the longest of which start first', () => {
+    const chance = newSeededChance(3)
+    for (let run = 0; run < 300; run++) {
+      const remainingMs = Array.from({ length: 1 + Math.floor(chance.next() * 60) }, () => 50 + 3000 * chance.next() ** 3).sort((a, b) => b - a)
+      const timeLeftMs = 2000 + 6000 * chance.next()
+      const ends: number[] = Array<number>(slotsNeeded({ remainingMs, timeLeftMs })).fill(0)
+      for (const ms of remainingMs) {
+        const slot = ends.indexOf(Math.min(...ends))
+        ends[slot] = (ends[slot] ?? 0) + ms
+      }
+      expect(Math.max(...ends)).to.be.at.most(Math.max(timeLeftMs - 1000, remainingMs[0] ?? 0) + 1e-6)
+    }
   })
 
   it('fades within ten seconds, and its maximum is kept for a minute', () => {
