Targets are given up a minute after the demand fell, not two

Cause: the duration of a surplus was counted only once the largest demand of 60 s was known, so both minutes added up.

Change: what is beyond the largest demand of 60 s has been a surplus for all of that time if no target was added anywhere, so the time of the last growth replaces the duration by failure domain. Random sequences of failures and takeovers end with the need met and no further orders.

--- a/src/actors/common/fleet/fleetController.ts
+++ b/src/actors/common/fleet/fleetController.ts
@@ -64,7 +64,9 @@
   readonly demand: FleetDemand
   readonly outstanding: Map<string, OutstandingOrder>
   readonly exclusions: Map<string, Exclusion>
-  surplusSinceMs: ReadonlyMap<string, number>
+  /** Registered targets at the last check, and the time at which their number last grew. */
+  present: ReadonlyMap<string, FleetCounts>
+  grownAtMs: number
   readonly reducedAtMs: Map<string, number>
   shortageLoggedAtMs: number
   plan: FleetPlan | undefined
@@ -77,7 +79,7 @@
 }
 
 function newFleetState (): FleetState {
-  return { demand: new FleetDemand(), outstanding: new Map(), exclusions: new Map(), surplusSinceMs: new Map(), reducedAtMs: new Map(), shortageLoggedAtMs: Number.NEGATIVE_INFINITY, plan: undefined }
+  return { demand: new FleetDemand(), outstanding: new Map(), exclusions: new Map(), present: new Map(), grownAtMs: Number.NEGATIVE_INFINITY, reducedAtMs: new Map(), shortageLoggedAtMs: Number.NEGATIVE_INFINITY, plan: undefined }
 }
 
 function pairKey ({ place, rental }: { readonly place: string, readonly rental: Rental }): string {
@@ -180,10 +182,12 @@
     const now = this.services.clock.monotonic()
     if (!this.services.isRegistryCurrent()) {
       // A surplus must be seen to last.
-      fleet.surplusSinceMs = new Map()
+      fleet.grownAtMs = now
       return undefined
     }
     const present = countTargets(this.services.targets(name))
+    if (hasGrown(fleet.present, present)) fleet.grownAtMs = now
+    fleet.present = present
     for (const [key, order] of fleet.outstanding) if (isSettled(order, present)) fleet.outstanding.delete(key)
     const plan = planFleet({
       nowMs: now,
@@ -195,11 +199,10 @@
       present,
       outstanding: [...fleet.outstanding.values()],
       unavailable: [...fleet.exclusions.values()],
-      surplusSinceMs: fleet.surplusSinceMs,
+      grownAtMs: fleet.grownAtMs,
       reducedAtMs: fleet.reducedAtMs,
       reductionsFromMs: this.heldSinceMs + bounds.bootMs + ORDER_EFFECT_MARGIN_MS
     })
-    fleet.surplusSinceMs = new Map([...plan.surplus].map((place) => [place, fleet.surplusSinceMs.get(place) ?? now]))
     fleet.plan = plan
     this.logShortage(name, fleet, plan)
     return plan
@@ -303,3 +306,7 @@
   }
   return counts
 }
+
+function hasGrown (former: ReadonlyMap<string, FleetCounts>, present: ReadonlyMap<string, FleetCounts>): boolean {
+  return [...present].some(([place, { regular, spot }]) => regular > (former.get(place)?.regular ?? 0) || spot > (former.get(place)?.spot ?? 0))
+}
--- a/src/core/common/fleet/fleetPlan.ts
+++ b/src/core/common/fleet/fleetPlan.ts
@@ -53,8 +53,8 @@
   readonly present: ReadonlyMap<string, FleetCounts>
   readonly outstanding: readonly OutstandingOrder[]
   readonly unavailable: readonly UnavailableTargets[]
-  /** Time since which a failure domain has had more targets than needed. */
-  readonly surplusSinceMs: ReadonlyMap<string, number>
+  /** Time at which the number of registered targets last grew anywhere. What suffices for the largest demand since then has been a surplus since then. */
+  readonly grownAtMs: number
   /** Time of the last reduction in each failure domain. */
   readonly reducedAtMs: ReadonlyMap<string, number>
   /** Time before which no targets are given up. */
@@ -81,8 +81,6 @@
   readonly present: number
   /** Whether the need cannot be met at present. */
   readonly isShort: boolean
-  /** Failure domains that have more targets than needed. */
-  readonly surplus: ReadonlySet<string>
 }
 
 const NO_TARGETS: FleetCounts = { regular: 0, spot: 0 }
@@ -95,14 +93,12 @@
   const target = cheapestFleet(growthLimits(input, expected), requirementFor(input, input.demand ?? 0))
   const increases = [...repeatedOrders(input, effective), ...increasesTo(target, expected, input)]
   const isShort = target.missing > 0
-  const surplus = increases.length > 0 || isShort ? undefined : surplusCounts(input, effective, expected)
-  const reductions = surplus === undefined ? [] : reductionsTo(surplus, effective, expected, input)
+  const reductions = increases.length > 0 || isShort ? [] : plannedReductions(input, effective, expected)
   return {
     orders: [...increases, ...reductions],
     needed: target.needed,
     present: [...present.values()].reduce((sum, { regular, spot }) => sum + regular + spot, 0),
-    isShort,
-    surplus: new Set(surplus?.keys())
+    isShort
   }
 }
 
@@ -178,31 +174,23 @@
   return unanswered.map(({ place, rental, count }) => ({ place, rental, count, former: (input.present.get(place) ?? NO_TARGETS)[rental], why: 'again' }))
 }
 
-/** Returns, for each failure domain with a surplus, the numbers that suffice for the largest recent demand; `undefined` if no target may be given up. */
-function surplusCounts (input: FleetInput, effective: readonly OutstandingOrder[], expected: ReadonlyMap<string, FleetCounts>): ReadonlyMap<string, FleetCounts> | undefined {
-  const { largestDemand, present } = input
-  if (largestDemand === undefined || effective.some(({ confirmed }) => !confirmed)) return undefined
+/** Gives up one target in each failure domain that has more than suffice for the largest recent demand. */
+function plannedReductions (input: FleetInput, effective: readonly OutstandingOrder[], expected: ReadonlyMap<string, FleetCounts>): FleetOrder[] {
+  const { nowMs, largestDemand, demand, present, grownAtMs, reducedAtMs, reductionsFromMs } = input
+  if (largestDemand === undefined || nowMs < reductionsFromMs || nowMs - grownAtMs < SURPLUS_MS || effective.some(({ confirmed }) => !confirmed)) return []
   const counts = new Map([...expected].map(([place, { regular, spot }]) => {
     const registered = present.get(place) ?? NO_TARGETS
     return [place, { regular: Math.min(regular, registered.regular), spot: Math.min(spot, registered.spot) }]
   }))
-  const sufficient = cheapestFleet(reductionLimits(input, counts), requirementFor(input, Math.max(largestDemand, input.demand ?? 0)))
-  if (sufficient.missing > 0) return undefined
-  return new Map([...sufficient.counts].filter(([place, { regular, spot }]) => {
-    const registered = counts.get(place) ?? NO_TARGETS
-    return regular < registered.regular || spot < registered.spot
-  }))
-}
-
-/** Gives up one target in each failure domain whose surplus has lasted long enough. */
-function reductionsTo (surplus: ReadonlyMap<string, FleetCounts>, effective: readonly OutstandingOrder[], expected: ReadonlyMap<string, FleetCounts>, { nowMs, surplusSinceMs, reducedAtMs, reductionsFromMs }: FleetInput): FleetOrder[] {
-  if (nowMs < reductionsFromMs) return []
-  return [...surplus].flatMap(([place, sufficient]): FleetOrder[] => {
-    const hasLasted = nowMs - (surplusSinceMs.get(place) ?? nowMs) >= SURPLUS_MS
+  const sufficient = cheapestFleet(reductionLimits(input, counts), requirementFor(input, Math.max(largestDemand, demand ?? 0)))
+  if (sufficient.missing > 0) return []
+  return [...sufficient.counts].flatMap(([place, planned]): FleetOrder[] => {
+    const { regular, spot } = counts.get(place) ?? NO_TARGETS
+    const hasSurplus = regular > planned.regular || spot > planned.spot
     const isPaused = nowMs - (reducedAtMs.get(place) ?? Number.NEGATIVE_INFINITY) < REDUCTION_INTERVAL_MS
-    if (!hasLasted || isPaused || effective.some((order) => order.place === place)) return []
-    const counts = expected.get(place) ?? NO_TARGETS
-    const rental = counts.regular > sufficient.regular ? 'regular' : 'spot'
-    return [{ place, rental, count: counts[rental] - 1, former: counts[rental], why: 'surplus' }]
+    if (!hasSurplus || isPaused || effective.some((order) => order.place === place)) return []
+    const rental = regular > planned.regular ? 'regular' : 'spot'
+    const former = rental === 'regular' ? regular : spot
+    return [{ place, rental, count: former - 1, former, why: 'surplus' }]
   })
 }
