Measure what one host among many costs without callers

Cause: the cost of a host was known only from large deployments, in which callers, steps and their engines hide it.

--- a/test/platform/support/storeStandIn.ts
+++ b/test/platform/support/storeStandIn.ts
@@ -39,6 +39,10 @@
   private readonly topics = new Map<string, Topic>()
   private readonly servers: Server[] = []
   readonly calls: string[] = []
+  /** Path and topic of each call, in the order in which the calls arrived. */
+  readonly callTopics: string[] = []
+  /** Number of records in the responses to reads. */
+  recordsRead = 0
 
   /** Opens an endpoint; closing the store closes all endpoints. */
   async openEndpoint (): Promise<StoreEndpoint> {
@@ -119,6 +123,7 @@
     const chunks: Buffer[] = []
     for await (const chunk of request as AsyncIterable<Buffer>) chunks.push(chunk)
     this.calls.push(`${request.method ?? ''} ${url.pathname}`)
+    this.callTopics.push(`${url.pathname} ${url.searchParams.get('topic') ?? ''}`)
     switch (endpoint.fault) {
       case 'busy': return sendJson(response, 503, {})
       case 'many': return sendJson(response, 429, {})
@@ -182,6 +187,7 @@
       length.writeUInt32BE(content.length)
       records.push(Buffer.concat([length, content]))
     }
+    this.recordsRead += records.length
     response.writeHead(200).end(Buffer.concat([header, ...records]))
   }
 
