Read followed topics at intervals where nothing on the host waits for them

Cause: a renewal of the steps' duty, every 250 ms, completed the pending long poll of every host, and the pause between two reads of a topic fell with the number of hosts below 200. Most calls to the store brought only renewals and heartbeat counters. Change: above 12 hosts, a host that is neither a candidate for the duty nor active reads the steps every 1 s and the targets every 1.5 s, without waiting for records, independently of the number of hosts; the operator's topic is read by long polls of 2 s instead of 1 s. The claim of the duty ends the pause of the targets' topic. A request for an item's body reads the steps to their end first, as another host may have confirmed the end of the step. An outage that falls into an interval counts as one for the entries that expired in it. The test of followPauseMs is replaced by one of the paces; the bounds on the reads of 60 and 195 hosts are lowered from 5 and 1.5 to 1.3 and 1.1 a second and host.

--- a/src/actors/common/routes/targetTopic.ts
+++ b/src/actors/common/routes/targetTopic.ts
@@ -34,6 +34,11 @@
     return await this.tail.whenLoaded(limitMs)
   }
 
+  /** Reads at once if this host currently pauses between two reads. */
+  endPause (): void {
+    this.tail.endPause()
+  }
+
   dispose (): void {
     this.tail.dispose()
   }
--- a/src/actors/common/steps/stepRequestHandler.ts
+++ b/src/actors/common/steps/stepRequestHandler.ts
@@ -160,6 +160,8 @@
   /** Returns the body of an item in base64, as long as the item is not listed and its step has not ended. */
   async itemBody (requested: RequestedStep, item: string): Promise<Result<string>> {
     const { id } = requested
+    // A host that reads the steps at intervals may not know yet that another host has confirmed the end of this step.
+    if (!this.services.topic.isLost) await this.services.topic.catchUp()
     const found = await this.requireStep(requested)
     if (!found.ok) return found
     const openItem = found.value.items.get(item)
--- a/src/actors/common/store/keyedTail.ts
+++ b/src/actors/common/store/keyedTail.ts
@@ -1,6 +1,6 @@
 /**
  * Follows a keyed topic: loads the newest record of every key, then reads the records after them
- * with long polls. It reloads if the topic no longer holds the next offset, after this host was
+ * with long polls, or at intervals where nothing on this host waits for them. It reloads if the topic no longer holds the next offset, after this host was
  * frozen or when the topic's history was dropped. The listener receives every record once, in the
  * order of the topic.
  */
@@ -12,6 +12,7 @@
 import { currentInstant } from '../../../ports/common/clock.ts'
 import type { KeyedEntry, KeyedLog } from '../../../ports/common/keyedLog.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { FollowPace } from '../../../core/common/steps/followPace.ts'
 import { loadNewest } from './newestRecords.ts'
 
 export interface TailListener {
@@ -32,10 +33,8 @@
 
 export interface TailSettings {
   readonly name: string
-  /** How long a read may wait for records. It also bounds how late a silent connection is detected. */
-  readonly longPollMs: number
-  /** Returns the current pause after a read that returned records. Records written during the pause are read in one call, which saves calls when many hosts write often. */
-  readonly pauseMs: () => number
+  /** Returns how the topic is to be followed at present. */
+  readonly pace: () => FollowPace
 }
 
 /** Key that sorts after all others. The page of newest records after it is empty, which makes it the cheapest call. */
@@ -55,13 +54,15 @@
   private lastContactAt = Number.NEGATIVE_INFINITY
   private lastCompleteReadSentAt: Instant | undefined
   private lost = false
-  /** Whether records may be missing because loading took several pages. The next read then returns them without waiting for new ones. */
+  /** Whether records may be missing because loading took several pages or the last page did not reach the end. The next read then follows at once and does not wait for new ones. */
   private mayHaveGap = false
   private regainedAtMs = Number.NEGATIVE_INFINITY
   private stopped = false
   private consecutiveFailures = 0
   private skipsPauseWhile: (() => boolean) | undefined
   private endCurrentPause: (() => void) | undefined
+  /** Whether the current pause is the interval between two reads, and not a pause after a failure. */
+  private isBetweenReads = false
 
   private readonly loadEmitter = new Emitter<void>()
   private readAbort = new AbortController()
@@ -71,6 +72,8 @@
     this.subscription = services.onRegained(() => {
       // The read that is aborted here also fails, which does not mean that the outage continues.
       this.consecutiveFailures = 0
+      // An outage that began and ended during the interval caused no failed read here, but records may have expired in it.
+      if (this.isBetweenReads) this.regainedAtMs = services.clock.monotonic()
       this.readAbort.abort()
       this.endPause()
     })
@@ -105,7 +108,7 @@
     return this.offset ?? 0
   }
 
-  /** Monotonic time at which calls last succeeded again after a failure. */
+  /** Monotonic time at which calls last succeeded again after a failure, or at which the store answered again while this topic was not being read. */
   get regainedAt (): number {
     return this.regainedAtMs
   }
@@ -120,7 +123,7 @@
     this.follow().catch((error: unknown) => { this.services.stateLog.alarm('a topic is no longer followed', { topic: this.settings.name, error: String(error) }) })
   }
 
-  /** Skips the pauses between reads while the condition returns true. */
+  /** Reads with long polls and without pauses while the condition returns true. */
   readWithoutPauseWhile (condition: () => boolean): void {
     this.skipsPauseWhile = condition
   }
@@ -155,15 +158,33 @@
     while (!this.stopped) {
       const startedAt = this.services.clock.monotonic()
       const from = this.offset
-      const answered = from === undefined ? await this.load() : await this.readNext(from)
+      const pace = this.currentPace()
+      const answered = from === undefined ? await this.load() : await this.readNext(from, pace)
       if (this.stopped) return
       this.noteOutcome(answered, startedAt)
       this.consecutiveFailures = answered ? 0 : this.consecutiveFailures + 1
       if (this.consecutiveFailures > 0) await this.pause(Math.min(MAX_RETRY_DELAY_MS, INITIAL_RETRY_DELAY_MS * 2 ** (this.consecutiveFailures - 1)))
-      else if (this.position !== from && this.skipsPauseWhile?.() !== true) await this.pause(this.settings.pauseMs())
+      else if (this.offset !== undefined && !this.mayHaveGap) await this.pauseBetweenReads(this.position !== from)
     }
   }
 
+  private currentPace (): FollowPace {
+    const pace = this.settings.pace()
+    if (this.skipsPauseWhile?.() !== true) return pace
+    return { type: 'long-polls', waitMs: pace.waitMs, pauseMs: 0 }
+  }
+
+  private async pauseBetweenReads (foundRecords: boolean): Promise<void> {
+    const pace = this.currentPace()
+    switch (pace.type) {
+      case 'long-polls': return await this.pause(foundRecords ? pace.pauseMs : 0)
+      case 'at-intervals': break
+    }
+    this.isBetweenReads = true
+    await this.pause(pace.intervalMs)
+    this.isBetweenReads = false
+  }
+
   private async load (): Promise<boolean> {
     const sentAt = currentInstant(this.services.clock)
     const newest = await loadNewest(this.services.log)
@@ -178,10 +199,10 @@
     return true
   }
 
-  private async readNext (from: number): Promise<boolean> {
+  private async readNext (from: number, pace: FollowPace): Promise<boolean> {
     this.readAbort = new AbortController()
     const sentAt = currentInstant(this.services.clock)
-    const page = await this.services.log.read(from, this.mayHaveGap ? 0 : this.settings.longPollMs, this.readAbort.signal)
+    const page = await this.services.log.read(from, this.mayHaveGap || pace.type === 'at-intervals' ? 0 : pace.waitMs, this.readAbort.signal)
     if (!page.ok) return false
     if (page.value.type === 'forgotten') {
       this.services.stateLog.changed('topic has forgotten its history', { topic: this.settings.name, offset: from })
@@ -190,8 +211,8 @@
       return true
     }
     this.applyNew(page.value.entries, from)
-    this.mayHaveGap = false
-    if (this.position >= page.value.end) this.noteCompleteRead(sentAt)
+    this.mayHaveGap = this.position < page.value.end
+    if (!this.mayHaveGap) this.noteCompleteRead(sentAt)
     return true
   }
 
--- a/src/actors/common/store/stepTopic.ts
+++ b/src/actors/common/store/stepTopic.ts
@@ -72,6 +72,11 @@
     return await this.tail.catchUp()
   }
 
+  /** Whether something on this host waits for the next record: a caller, or the steps that this host runs. */
+  get isReadWithoutPause (): boolean {
+    return this.waiting > 0
+  }
+
   /** Reads records without pauses until the returned object is disposed. */
   readWithoutPause (): Disposable {
     this.waiting++
--- a/src/host/node/routed/followedTopics.ts
+++ b/src/host/node/routed/followedTopics.ts
@@ -3,11 +3,9 @@
 import { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
 import { TargetTable } from '../../../actors/common/routes/targetTable.ts'
 import { TargetTopic } from '../../../actors/common/routes/targetTopic.ts'
-import type { TailSettings } from '../../../actors/common/store/keyedTail.ts'
 import { OutageLogDeduplicator } from '../../../actors/common/store/outageLogDeduplicator.ts'
 import { StepTopic } from '../../../actors/common/store/stepTopic.ts'
-import { isCandidate } from '../../../core/common/duties/dutyOrder.ts'
-import { followPauseMs } from '../../../core/common/steps/followPause.ts'
+import { operatorPace, stepsPace, targetsPace } from '../../../core/common/steps/followPace.ts'
 import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
 import { registryProtocol } from '../../../../platform/index.ts'
 import type { HostContext } from './hostContext.ts'
@@ -26,14 +24,13 @@
 
 export function createFollowedTopics ({ settings: { store }, services, disposables }: HostContext, { standing }: OtherHosts, { reachability: reach, keyedLog }: StoreAccess): FollowedTopics {
   const topicServices = { ...services, stateLog: new OutageLogDeduplicator(services.stateLog), onRegained: reach.onRegained }
-  const tailSettings = (name: string, pauseMs: () => number): TailSettings => ({ name, longPollMs: store.long_poll, pauseMs })
-  const followPause = (defaultPauseMs: number): number => followPauseMs(standing.current.hosts, defaultPauseMs)
+  const waitMs = store.long_poll
 
-  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, tailSettings(registryProtocol.operatorTopic, () => 0), registryProtocol))
+  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, { name: registryProtocol.operatorTopic, pace: () => operatorPace(standing.current, { waitMs, pauseMs: 0 }) }, registryProtocol))
   const targets = new TargetTable(services)
-  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...topicServices }, tailSettings(registryProtocol.targetTopic, () => followPause(store.registry_pause)), registryProtocol, targets))
+  const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...topicServices }, { name: registryProtocol.targetTopic, pace: () => targetsPace(standing.current, topic.isReadWithoutPause, { waitMs, pauseMs: store.registry_pause }) }, registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
-  const topic = disposables.add(new StepTopic({ log: stepLog, ...topicServices }, tailSettings(store.topic, () => isCandidate(standing.current) ? store.read_pause : followPause(store.read_pause))))
+  const topic: StepTopic = disposables.add(new StepTopic({ log: stepLog, ...topicServices }, { name: store.topic, pace: () => stepsPace(standing.current, { waitMs, pauseMs: store.read_pause }) }))
   return {
     operator,
     targets,
--- a/src/host/node/routed/hostSteps.ts
+++ b/src/host/node/routed/hostSteps.ts
@@ -55,6 +55,8 @@
   disposables.add(topic.onChange((change) => { if (change.type === 'forgotten') contents.evict(change.step) }))
   const appender = new GroupAppender({ ...services, log: stepLog }, { maxCallCharacters: callCharacters })
   const duty = createDuty(context, others, topics)
+  // The holder decides by the present entries of the targets, not by those of the last interval.
+  disposables.add(duty.onClaim(() => { topics.targetTopic.endPause() }))
   disposables.add(logResults({ topic, duty, clock, metrics, stateLog, routes, phasesOf: (step, item) => home.phasesOf(step, item) }))
   const board = new EngineRegistry(topics.targets, clock, routes)
   const scorer = disposables.add(new SampleScorer({ calls, protocol: targetProtocol, clock, stateLog, routes }))
--- a/src/host/node/routed/storeAccess.ts
+++ b/src/host/node/routed/storeAccess.ts
@@ -8,6 +8,7 @@
 import { UnkeyedLogClient } from '../../../adapters/node/unkeyedLogClient.ts'
 import { KeyedLogClient } from '../../../adapters/node/keyedLogClient.ts'
 import { StoreClient } from '../../../adapters/node/storeClient.ts'
+import { OPERATOR_WAIT_FACTOR } from '../../../core/common/steps/followPace.ts'
 import type { UnkeyedLog } from '../../../ports/common/unkeyedLog.ts'
 import type { KeyedLog } from '../../../ports/common/keyedLog.ts'
 import { unkeyedLogProtocol, storeProtocol } from '../../../../platform/index.ts'
@@ -30,7 +31,7 @@
 export function createStoreAccess ({ settings, services, disposables }: HostContext, { peers, handlers, membership }: OtherHosts): StoreAccess {
   const { store, limits, mechanisms } = settings
   const { clock, metrics } = services
-  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_STORE_CONNECTIONS, inactivityTimeoutMs: store.timeout + store.long_poll }))
+  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_STORE_CONNECTIONS, inactivityTimeoutMs: store.timeout + store.long_poll * OPERATOR_WAIT_FACTOR }))
   const probeClient = new KeyedLogClient(new StoreClient(connections, metrics, store.address, STORE_PROBE_TIMEOUT_MS), storeProtocol, store.topic)
   const reachability = disposables.add(new StoreReachability(clock, async () => (await probeClient.newest(LAST_KEY)).ok))
   const caller = new StoreClient(connections, metrics, store.address, store.timeout)
--- a/test/actors/duties/claimContention.test.ts
+++ b/test/actors/duties/claimContention.test.ts
@@ -5,8 +5,8 @@
 import { StepTopic } from '../../../src/actors/common/store/stepTopic.ts'
 import { toDisposable } from '../../../src/base/common/lifecycle.ts'
 import type { HostRanking } from '../../../src/core/common/duties/dutyOrder.ts'
-import { CANDIDATE_COUNT, isCandidate } from '../../../src/core/common/duties/dutyOrder.ts'
-import { followPauseMs } from '../../../src/core/common/steps/followPause.ts'
+import { CANDIDATE_COUNT } from '../../../src/core/common/duties/dutyOrder.ts'
+import { stepsPace } from '../../../src/core/common/steps/followPace.ts'
 import type { KeyedLog } from '../../../src/ports/common/keyedLog.ts'
 import { noopStateLog, noopMetrics } from '../../support/fakeHost.ts'
 import { ManualClock, newSeededChance } from '../../support/manualClock.ts'
@@ -43,8 +43,7 @@
   private add (rank: number, standing: HostRanking): void {
     const { clock } = this
     const log = this.createLog(rank)
-    const pauseMs = (): number => isCandidate(standing) ? USUAL_PAUSE_MS : followPauseMs(standing.hosts, USUAL_PAUSE_MS)
-    const topic = new StepTopic({ log, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: () => toDisposable(() => undefined) }, { name: 't', longPollMs: 1000, pauseMs })
+    const topic = new StepTopic({ log, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: () => toDisposable(() => undefined) }, { name: 't', pace: () => stepsPace(standing, { waitMs: 1000, pauseMs: USUAL_PAUSE_MS }) })
     const lease = new DutyLeaseManager({ source: topic, log, clock, chance: this.chance, stateLog: noopStateLog, doubt: () => { this.doubts++ }, isLost: () => false, candidacy: () => standing }, { duty: 'd', machine: `m${rank}`, holder: `m${rank}/1`, renewIntervalMs: 250, probeAfterMs: 600, leaseDurationMs: 1200, takeoverDelayMs: 3200 })
     lease.onClaim(() => { this.claims++ })
     this.topics.push(topic)
@@ -102,8 +101,8 @@
       deployment.claims = 0
       deployment.reads = 0
       await clock.advance(8000)
-      expect(deployment.reads / 8, 'reads per second').to.be.at.most(Math.max(250, hosts * 4) + CANDIDATE_COUNT * 5)
-      expect(deployment.reads / 8 / hosts, 'reads per second and host').to.be.at.most(hosts > 100 ? 1.5 : 5)
+      expect(deployment.reads / 8, 'reads per second').to.be.at.most(hosts <= 12 ? hosts * 5 : hosts + CANDIDATE_COUNT * 5)
+      expect(deployment.reads / 8 / hosts, 'reads per second and host').to.be.at.most(hosts > 100 ? 1.1 : hosts > 12 ? 1.3 : 5)
       deployment.doubts = 0
       deployment.unresponsive.add(0)
       await clock.advance(2000)
--- a/test/actors/duties/dutyLeaseManager.test.ts
+++ b/test/actors/duties/dutyLeaseManager.test.ts
@@ -34,7 +34,7 @@
         return this.cut ? failure('logUnavailable', 'cut') : await log.read(from)
       }
     }
-    this.topic = new StepTopic({ log: hostLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: () => toDisposable(() => undefined) }, { name: 't', longPollMs: 1000, pauseMs: () => 0 })
+    this.topic = new StepTopic({ log: hostLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: () => toDisposable(() => undefined) }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 1000, pauseMs: 0 }) })
     this.lease = new DutyLeaseManager({ source: this.topic, log: hostLog, clock, chance: newSeededChance(seed), stateLog: noopStateLog, doubt: () => undefined, isLost: (holder) => lost.has(holder), candidacy: () => this.standing }, { ...settings, machine: name, holder: `${name}/${life}` })
     this.topic.start()
   }
--- a/test/actors/routes/targetRestarts.test.ts
+++ b/test/actors/routes/targetRestarts.test.ts
@@ -45,7 +45,7 @@
     metrics: noopMetrics,
     stateLog: this.stateLog,
     onRegained: this.regained.event
-  }, { name: 't', longPollMs: 20, pauseMs: () => 0 }, registryProtocol, this.table)
+  }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 20, pauseMs: 0 }) }, registryProtocol, this.table)
 
   async write (...written: readonly (readonly [string, WrittenValue])[]): Promise<void> {
     for (const [id, value] of written) this.log.write([{ key: id, value: valueOf(value) }])
--- a/test/actors/steps/resultLogging.test.ts
+++ b/test/actors/steps/resultLogging.test.ts
@@ -40,7 +40,7 @@
         return await store.read(from)
       }
     }
-    topic = new StepTopic({ log: polled, clock, metrics: noopMetrics, stateLog: log, onRegained: () => toDisposable(() => undefined) }, { name: 't', longPollMs: 1000, pauseMs: () => 0 })
+    topic = new StepTopic({ log: polled, clock, metrics: noopMetrics, stateLog: log, onRegained: () => toDisposable(() => undefined) }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 1000, pauseMs: 0 }) })
     topic.start()
     await clock.advance(50)
   })
--- a/test/actors/steps/stepRequestHandler.test.ts
+++ b/test/actors/steps/stepRequestHandler.test.ts
@@ -3,7 +3,7 @@
 import { expect } from 'chai'
 import { StepRequestHandler } from '../../../src/actors/common/steps/stepRequestHandler.ts'
 import { StepFold } from '../../../src/core/common/steps/stepFold.ts'
-import { resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
+import { endRecord, resultRecord, submissionRecords } from '../../../src/core/common/steps/stepRecords.ts'
 import { noopStateLog, noopMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
 import { newItem, newSubmission } from '../../support/steps.ts'
@@ -45,4 +45,23 @@
     const page = await desk.results({ id: 's', workspace: undefined }, 0, 0, new AbortController().signal)
     expect(page.ok && page.value.results.map(({ item: id }) => id)).to.deep.equal(['a'])
   })
+
+  it('returns no body of an item after another host has confirmed the end of its step', async () => {
+    // Guards against a body that a caller receives from a host that reads the steps at intervals, after another host has
+    // confirmed to the caller that the step has ended.
+    const fold = new StepFold()
+    const { outline } = submissionRecords(newSubmission('s', [newItem('a', 'g')]), 1, 'n')
+    fold.apply(outline.map((record, offset) => ({ ...record, offset })))
+    const topic = {
+      step: (id: string) => fold.step(id),
+      isLost: false,
+      catchUp: async () => {
+        fold.apply([{ ...endRecord('s'), offset: 9 }])
+        return true
+      }
+    }
+    const contents = { payloads: async () => new Map([['a', { body: 'body' }]]) }
+    const desk = new StepRequestHandler({ topic: topic as never, appender: {} as never, contents: contents as never, clock: new ManualClock(), metrics: noopMetrics, stateLog: noopStateLog }, { acceptTimeoutMs: 1, endTimeoutMs: 1, maxWaitMs: 1, maxSubmissionCharacters: 1 })
+    expect(await desk.itemBody({ id: 's', workspace: undefined }, 'a')).to.include({ ok: false, code: 'notFound' })
+  })
 })
--- a/test/actors/store/store.test.ts
+++ b/test/actors/store/store.test.ts
@@ -39,7 +39,7 @@
     log = new MemoryKeyedLog()
     receivedKeys = []
     const take = (entries: readonly KeyedEntry[]): void => { receivedKeys.push(...entries.map(({ key }) => key)) }
-    tail = new KeyedTail({ log: delayedReads(), clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: noEvent }, { name: 't', longPollMs: 1000, pauseMs: () => 0 }, { reset: (entries) => { receivedKeys.push('reset'); take(entries) }, apply: take })
+    tail = new KeyedTail({ log: delayedReads(), clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: noEvent }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 1000, pauseMs: 0 }) }, { reset: (entries) => { receivedKeys.push('reset'); take(entries) }, apply: take })
   })
   afterEach(() => { tail.dispose() })
 
@@ -84,7 +84,7 @@
     const regains = new Emitter<void>()
     let reads = 0
     const countingLog: KeyedLog = { ...delayedReads(), read: async (from, waitMs) => { reads++; return log.down ? failure('logUnavailable', 'away') : await delayedReads().read(from, waitMs) } }
-    const followingTail = new KeyedTail({ log: countingLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: regains.event }, { name: 't', longPollMs: 1000, pauseMs: () => 0 }, { reset: () => undefined, apply: (entries) => { receivedKeys.push(...entries.map(({ key }) => key)) } })
+    const followingTail = new KeyedTail({ log: countingLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: regains.event }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 1000, pauseMs: 0 }) }, { reset: () => undefined, apply: (entries) => { receivedKeys.push(...entries.map(({ key }) => key)) } })
     followingTail.start()
     await clock.advance(50)
     log.down = true
@@ -124,7 +124,7 @@
         }
       }
     }
-    const followingTail = new KeyedTail({ log: failingLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: regains.event }, { name: 't', longPollMs: 100, pauseMs: () => 0 }, { reset: () => undefined, apply: () => undefined })
+    const followingTail = new KeyedTail({ log: failingLog, clock, metrics: noopMetrics, stateLog: noopStateLog, onRegained: regains.event }, { name: 't', pace: () => ({ type: 'long-polls', waitMs: 100, pauseMs: 0 }) }, { reset: () => undefined, apply: () => undefined })
     followingTail.start()
     await clock.advance(100)
     mode = 'fails'
--- a/test/core/duties/dutyOrder.test.ts
+++ b/test/core/duties/dutyOrder.test.ts
@@ -5,7 +5,7 @@
 import { asHostId, asFailureDomain } from '../../../src/base/common/ids.ts'
 import type { DutyHost, HostRanking } from '../../../src/core/common/duties/dutyOrder.ts'
 import { CANDIDATE_COUNT, claimDelayMs, rankHostsForDuty, isCandidate } from '../../../src/core/common/duties/dutyOrder.ts'
-import { followPauseMs } from '../../../src/core/common/steps/followPause.ts'
+import { operatorPace, stepsPace, targetsPace } from '../../../src/core/common/steps/followPace.ts'
 import { newSeededChance } from '../../support/manualClock.ts'
 
 const SIZES = [12, 60, 195, 340]
@@ -82,12 +82,32 @@
   })
 })
 
-describe('the read pause of topic followers', () => {
-  it('bounds the read rate of all hosts together and stays below a second', () => {
-    expect([3, 12, 50].map((hosts) => followPauseMs(hosts, 200))).to.deep.equal([200, 200, 200])
-    const calls = SIZES.map((hosts) => hosts * 1000 / followPauseMs(hosts, 200))
-    expect(calls[2]).to.be.at.most(250)
-    for (const hosts of SIZES) expect(followPauseMs(hosts, 200)).to.be.lessThan(1000)
-    expect(1 / followPauseMs(340, 200)).to.be.at.most(1 / followPauseMs(12, 200))
+describe('the pace at which topics are followed', () => {
+  const close = { waitMs: 1000, pauseMs: 200 }
+  const own = (hosts: number, rank: number, converged = true): HostRanking => ({ rank, hosts, converged, small: false })
+
+  it('is the same for a host among 30 and among 300, and slower than today', () => {
+    for (const hosts of [30, 90, 300]) {
+      expect(stepsPace(own(hosts, 20), close)).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 1000 })
+      expect(targetsPace(own(hosts, 20), false, { ...close, pauseMs: 500 })).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 })
+      expect(operatorPace(own(hosts, 20), { ...close, pauseMs: 0 })).to.deep.equal({ type: 'long-polls', waitMs: 2000, pauseMs: 0 })
+    }
+  })
+
+  it('is close on candidates, on hosts that have just started, on active hosts, and in small deployments', () => {
+    const closely = { type: 'long-polls', ...close }
+    for (const ranking of [own(300, 4), own(300, 20, false), own(12, 11)]) {
+      expect(stepsPace(ranking, close)).to.deep.equal(closely)
+      expect(targetsPace(ranking, false, close)).to.deep.equal(closely)
+    }
+    expect(targetsPace(own(300, 20), true, close)).to.deep.equal(closely)
+    expect(operatorPace(own(12, 11), close)).to.deep.equal(closely)
+  })
+
+  it('leaves a margin before a host that is not a candidate claims the duty', () => {
+    // Guards against claims of hosts that have merely not read the renewals of a live holder yet.
+    const LEASE_MS = 1200
+    const pace = stepsPace(own(300, 20), close)
+    expect(pace.type === 'at-intervals' ? pace.intervalMs : 0).to.be.lessThan((LEASE_MS + claimDelayMs(own(300, 20), 0)) / 2)
   })
 })
