Move the measurement of a host's cost beside the stand-ins of the platform

Cause: it writes entries in the platform's words, which tools/ may not contain (test/platform/boundary.test.ts). Change: test/platform/support/hostCost.ts, unchanged otherwise.

--- a/tools/bench/hostCost.ts
+++ b/test/platform/support/hostCost.ts
@@ -3,7 +3,7 @@
  * and host. It starts real host processes on loopback against the stand-in of the platform's store, with target entries in
  * which only the heartbeat counter changes, and one host that holds and renews the duty of the steps.
  *
- * Usage: tsx tools/bench/hostCost.ts [hosts] [seconds] [targets] [profile folder]. Prints one line of JSON. With a folder, one host
+ * Usage: tsx test/platform/support/hostCost.ts [hosts] [seconds] [targets] [profile folder]. Prints one line of JSON. With a folder, one host
  * that does not hold the duty runs with `--cpu-prof` and writes its profile there.
  */
 
@@ -11,9 +11,9 @@
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
-import { configuration } from '../../test/platform/support/fleet.ts'
-import { StoreStandIn } from '../../test/platform/support/storeStandIn.ts'
-import { HostProcess, PROGRAM, freePorts, waitUntil } from '../../test/support/hostProcess.ts'
+import { configuration } from './fleet.ts'
+import { StoreStandIn } from './storeStandIn.ts'
+import { HostProcess, PROGRAM, freePorts, waitUntil } from '../../support/hostProcess.ts'
 
 const ENTRY_PERIOD_MS = 1200
 /** Time for the hosts to know each other and for their start-up reads to end. */
