Log targets that register one after the other in few lines

Cause: at the start of a deployment, entries arrive one by one: 45 targets at 90 hosts were 4,050 lines. Change: after three lines of single targets, registrations that follow within 2.5 s are collected for one line (targets registered, with their ids). A pending one is logged before the next line about its target. Result: 44 targets that register within 5 s cause at most 8 lines on a host (test/actors/routes/targetEntries.test.ts); before, 44.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -12,7 +12,8 @@
 import type { TargetLoad } from '../../../core/common/routes/targetChoice.ts'
 import type { Incarnation } from '../../../base/common/ids.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
-import type { StateLog } from '../../../ports/common/observation.ts'
+import type { LogDetails, StateLog } from '../../../ports/common/observation.ts'
+import { TargetRegistrationLogger, summarizeTargets } from './targetRegistrationLogger.ts'
 
 /** Weight of the newest answer in the exponential moving average, which covers about the last five answers. */
 const ANSWER_TIME_SMOOTHING = 0.2
@@ -118,7 +119,11 @@
   /** Fires when a target's entry is gone or no longer defines a target. */
   readonly onGone: Event<KnownTarget> = this.removals.event
 
-  constructor (private readonly services: TargetTableServices) {}
+  private readonly registrationLogger: TargetRegistrationLogger
+
+  constructor (private readonly services: TargetTableServices) {
+    this.registrationLogger = new TargetRegistrationLogger(services)
+  }
 
   get (id: string): KnownTarget | undefined {
     return this.targets.get(id)
@@ -203,7 +208,7 @@
     this.logsEachTarget = !first
     read()
     this.logsEachTarget = true
-    if (first && this.targets.size > 0) this.services.stateLog.changed('targets known', summarize([...this.targets.values()].map(({ definition }) => definition)))
+    if (first && this.targets.size > 0) this.services.stateLog.changed('targets known', summarizeTargets([...this.targets.values()].map(({ definition }) => definition)))
   }
 
   /** Removes the targets that have no record in a complete reading. */
@@ -220,14 +225,14 @@
     this.former.delete(id)
     if (known !== undefined && compareIncarnations(known.definition.incarnation, definition.incarnation) === 'newer') this.replaceRestarted(known, definition)
     else this.targets.set(id, this.updateOrCreate(known, definition))
-    if (!isPresent && this.logsEachTarget) this.services.stateLog.changed('target registered', { target: id, service: definition.service, place: definition.place })
+    if (!isPresent && this.logsEachTarget) this.registrationLogger.log(definition)
     this.changes.fire()
   }
 
   /** Updates a target whose incarnation is unchanged, or creates an unknown one. */
   private updateOrCreate (known: KnownTarget | undefined, definition: TargetDefinition): KnownTarget {
     if (known === undefined) return new KnownTarget(definition, this.services.clock)
-    if (!known.definition.draining && definition.draining) this.services.stateLog.changed('target drains', { target: definition.id, service: definition.service })
+    if (!known.definition.draining && definition.draining) this.logChange('target drains', { target: definition.id, service: definition.service })
     known.definition = definition
     return known
   }
@@ -235,7 +240,7 @@
   /** Moves requests at the earlier incarnation to other targets at once; waiting for a silence timeout would cost a second or more. */
   private replaceRestarted (known: KnownTarget, definition: TargetDefinition): void {
     const former = known.definition
-    this.services.stateLog.changed('target restarted', { target: definition.id, service: definition.service, incarnation: definition.incarnation ?? 0, former: former.incarnation ?? 0, address: definition.address, formerAddress: former.address, inFlight: known.inFlight, suspect: known.suspect })
+    this.logChange('target restarted', { target: definition.id, service: definition.service, incarnation: definition.incarnation ?? 0, former: former.incarnation ?? 0, address: definition.address, formerAddress: former.address, inFlight: known.inFlight, suspect: known.suspect })
     this.targets.set(definition.id, new KnownTarget(definition, this.services.clock))
     this.restarts.fire({ former, present: definition })
     known.supersede()
@@ -247,6 +252,12 @@
     target.supersede()
   }
 
+  /** Logs a change of a target after its registration, which may be pending. */
+  private logChange (what: 'target drains' | 'target gone' | 'target restarted', details: LogDetails & { readonly target: string }): void {
+    this.registrationLogger.flush(details.target)
+    this.services.stateLog.changed(what, details)
+  }
+
   private dropExpiredMissing (): void {
     const now = this.services.clock.monotonic()
     for (const [id, until] of [...this.missing]) if (now >= until) this.drop(id, 'its entry did not return after the outage of the store')
@@ -265,16 +276,8 @@
     this.former.set(id, known)
     const [oldest] = this.former.keys()
     if (this.former.size > MAX_FORMER_TARGETS && oldest !== undefined) this.former.delete(oldest)
-    this.services.stateLog.changed('target gone', { target: id, why })
+    this.logChange('target gone', { target: id, why })
     this.removals.fire(known)
     this.changes.fire()
   }
 }
-
-/** Numbers of targets for a log line: in total, draining, and by service. */
-function summarize (definitions: readonly TargetDefinition[]): { targets: number, draining: number, services: string } {
-  const counts = new Map<string, number>()
-  for (const { service } of definitions) counts.set(service, (counts.get(service) ?? 0) + 1)
-  const services = [...counts].sort(([a], [b]) => a < b ? -1 : 1).map(([service, count]) => `${service}:${count}`).join(' ')
-  return { targets: definitions.length, draining: definitions.filter(({ draining }) => draining).length, services }
-}
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -28,6 +28,7 @@
     'version named': "a trainer set the named version of a model's weights",
     'targets known': 'the registrations of all targets have been read for the first time; with the number of targets, of draining targets, and of targets of each service',
     'target registered': 'a target registered that was not known before',
+    'targets registered': 'several targets registered shortly after each other; with their number, the number of draining ones, of targets of each service, and their ids',
     'target drains': 'a target announced that it accepts no new work',
     'target gone': 'the registration of a target was removed or became invalid; with the reason',
     'target restarted': 'a target restarted under the same id; with both incarnations and addresses, and the requests of this host to the former incarnation, which end',
--- a/test/actors/routes/targetEntries.test.ts
+++ b/test/actors/routes/targetEntries.test.ts
@@ -1,11 +1,11 @@
-/** Entries of targets that are rewritten as heartbeats, and which of them are decoded. */
+/** Entries of targets that are rewritten as heartbeats: which are decoded, and how many lines registrations cause. */
 
 import { expect } from 'chai'
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import { TargetTopic } from '../../../src/actors/common/routes/targetTopic.ts'
 import { Emitter } from '../../../src/base/common/lifecycle.ts'
 import { asIncarnation } from '../../../src/base/common/ids.ts'
-import type { Metrics } from '../../../src/ports/common/observation.ts'
+import type { Metrics, StateLog } from '../../../src/ports/common/observation.ts'
 import { registryProtocol } from '../../../platform/index.ts'
 import { noopMetrics, noopStateLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
@@ -16,10 +16,12 @@
 class Host {
   readonly clock = new ManualClock()
   readonly log = new MemoryKeyedLog()
+  readonly lines: { what: string, details: Record<string, unknown> }[] = []
   readonly counts = new Map<string, number>()
   changes = 0
+  private readonly stateLog: StateLog = { ...noopStateLog, changed: (what, details) => { this.lines.push({ what, details }) } }
   private readonly metrics: Metrics = { ...noopMetrics, count: (name, by = 1) => { this.counts.set(name, (this.counts.get(name) ?? 0) + by) } }
-  readonly table = new TargetTable({ clock: this.clock, stateLog: noopStateLog })
+  readonly table = new TargetTable({ clock: this.clock, stateLog: this.stateLog })
   readonly topic = new TargetTopic({ log: this.log, clock: this.clock, metrics: this.metrics, stateLog: noopStateLog, onRegained: new Emitter<void>().event }, { name: 't', pace: () => ({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 }) }, registryProtocol, this.table)
 
   constructor () {
@@ -82,4 +84,29 @@
     for (const other of others) expect(targetContent(other), other).to.not.equal(targetContent(text))
     expect(targetContent(text.replace('"v1"', '"\\"seq\\":7"'))).to.not.equal(targetContent(text.replace('"v1"', '"\\"seq\\":8"')))
   })
+
+  it('that arrive one after the other are logged in few lines', async () => {
+    // Guards against 4,050 lines at the start of a deployment: 45 targets registered one by one at each of 90 hosts.
+    const host = new Host()
+    host.log.write([{ key: 't-0', value: entry({}) }])
+    host.topic.start()
+    await host.clock.advance(100)
+    for (let number = 1; number < 45; number++) {
+      host.log.write([{ key: `t-${number}`, value: entry({ born: number }) }])
+      await host.clock.advance(110)
+    }
+    await host.clock.advance(6000)
+    expect(host.lines.length).to.be.at.most(8)
+    const registered = host.lines.flatMap(({ what, details }) => what === 'target registered' ? [String(details['target'])] : what === 'targets registered' ? String(details['ids']).split(' ') : [])
+    expect(new Set(registered).size).to.equal(44)
+    expect(registered).to.have.length(44)
+    // A registration later is logged at once, and a pending one before the next line about the same target.
+    await host.write('u', entry({ born: 99 }))
+    expect(host.lines.at(-1)).to.deep.equal({ what: 'target registered', details: { target: 'u', service: 's', place: 'here' } })
+    for (const key of ['v', 'w', 'x']) host.log.write([{ key, value: entry({ born: 100 }) }])
+    host.log.write([{ key: 'x', value: undefined }])
+    await host.clock.advance(1600)
+    expect(host.lines.slice(-2).map(({ what, details }) => `${what} ${String(details['target'])}`)).to.deep.equal(['target registered x', 'target gone x'])
+    host.topic.dispose()
+  })
 })
