Probe some twenty neighbours in turn instead of all other hosts

Cause: among 90 hosts, probed every 500 ms in turn, the same host was probed every 45 s, and connections are kept for 28 s. Nearly every probe opened a new connection, on both sides. Change: above 24 others, a host probes neighbours at distances that grow by a fifth on a ring ordered by hash, and one random other host a round. With them alone, 4 of 195 hosts did not hear in time of a leaving host, as the few updates of a message went to the starting hosts; a message now carries the updates of leaving, suspect and dead hosts first. Result, simulated (test/actors/membership/manyHosts.test.ts): new connections a second and host at most 0.15 among 30, 90 and 300 hosts; a lost host is suspect within 2 s on average, as before.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -1,5 +1,5 @@
 /**
- * Detects which hosts are alive: probes one other host per period, asks further hosts to probe it
+ * Detects which hosts are alive: probes one of a few other hosts per period, asks further hosts to probe it
  * indirectly if it does not answer, and disseminates status updates with the probes. The cost per
  * host does not grow with the number of hosts. Probes also carry the offset of the fold and the
  * pressure of shards.
@@ -12,6 +12,7 @@
 import type { Result } from '../../../base/common/resultCode.ts'
 import type { Member, MemberUpdate } from '../../../core/common/membership/memberTable.ts'
 import { MemberTable } from '../../../core/common/membership/memberTable.ts'
+import { probeNeighbours } from '../../../core/common/membership/probeTargets.ts'
 import type { StatusChange } from '../../../core/common/membership/statusLines.ts'
 import { summarizeStatusChanges } from '../../../core/common/membership/statusLines.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
@@ -218,15 +219,23 @@
     this.changeEmitter.fire()
   }
 
-  /** Returns the next member to probe: each one once per round, in a new random order each round. */
+  /** Returns the next member to probe: each neighbour and one other host once per round, in a new random order each round. */
   private nextMember (): Member | undefined {
-    if (this.probeRound.length === 0) this.probeRound = shuffle(this.table.reachableMembers(), this.services.chance)
+    if (this.probeRound.length === 0) this.probeRound = this.newProbeRound()
     const next = this.probeRound.pop()
     if (next === undefined) return undefined
     const current = this.table.get(next.host)
     return current === undefined || current.status === 'dead' ? this.nextMember() : current
   }
 
+  private newProbeRound (): Member[] {
+    const { hash, chance } = this.services
+    const reachable = this.table.reachableMembers()
+    const neighbours = probeNeighbours(hash, this.self.host, reachable)
+    const [other] = shuffle(reachable.filter((member) => !neighbours.includes(member)), chance)
+    return shuffle(other === undefined ? neighbours : [...neighbours, other], chance)
+  }
+
   /** Probes a seed or a dead host, so that the two sides of a healed network partition find each other. */
   private async probeUnreachable (): Promise<void> {
     const known = new Set(this.table.reachableMembers().map((member) => member.address))
--- a/src/core/common/membership/memberTable.ts
+++ b/src/core/common/membership/memberTable.ts
@@ -114,10 +114,11 @@
     return newlyDead
   }
 
-  /** Returns the updates to send with the next message. Each update is sent a bounded number of times. */
+  /** Returns the updates to send with the next message: first those of hosts that must get no more work. Each update is sent a bounded number of times. */
   takeUpdates (): MemberUpdate[] {
     const limit = RETRANSMIT_FACTOR * Math.ceil(Math.log2(this.members.size + 1))
-    const leastSent = [...this.pendingTransmissions.entries()].sort((a, b) => a[1] - b[1]).slice(0, MAX_UPDATES_PER_MESSAGE)
+    const order = (host: HostId): number => this.members.get(host)?.status === 'alive' ? 1 : 0
+    const leastSent = [...this.pendingTransmissions.entries()].sort((a, b) => order(a[0]) - order(b[0]) || a[1] - b[1]).slice(0, MAX_UPDATES_PER_MESSAGE)
     const updates: MemberUpdate[] = []
     for (const [host, sent] of leastSent) {
       const member = this.members.get(host)
--- a/test/actors/membership/manyHosts.test.ts
+++ b/test/actors/membership/manyHosts.test.ts
@@ -16,9 +16,17 @@
 /** Time for which a leaving host still serves requests, less the time for which callers keep an address, in milliseconds. */
 const ANNOUNCEMENT_DEADLINE_MS = 5500 - 2000
 
+/** Time for which an idle connection to another host is kept: the server's 30 s, less the client's margin of 2 s. */
+const KEPT_CONNECTION_MS = 28_000
+
 class Cluster {
   readonly hosts: Membership[] = []
   callCount = 0
+  /** Calls for which no connection to the other host was kept, as the last call to it was too long ago. */
+  newConnections = 0
+  private readonly lastCallAt = new Map<string, number>()
+  /** Hosts that neither answer nor refuse calls. */
+  readonly silent = new Set<string>()
   private readonly handlers = new Map<string, (parameters: never) => Promise<unknown>>()
   private readonly chance = newSeededChance(5)
 
@@ -27,19 +35,37 @@
   }
 
   countKnowingAs (host: string, status: string): number {
-    return this.hosts.filter((membership) => membership.members().some((member) => member.host === host && member.status === status)).length
+    return this.hosts.filter((membership, index) => !this.silent.has(`http://h${index}`) && membership.members().some((member) => member.host === host && member.status === status)).length
   }
 
   dispose (): void {
     for (const host of this.hosts) host.dispose()
   }
 
+  /** Returns how long it takes until a number of hosts suspect a host that stops answering, or know it as dead. */
+  async timeUntilSuspected (index: number, count: number): Promise<number> {
+    const stoppedAt = this.clock.now
+    this.silent.add(`http://h${index}`)
+    this.hosts[index]?.dispose()
+    const name = `h${index}/a`
+    while (this.countKnowingAs(name, 'suspect') + this.countKnowingAs(name, 'dead') < count) await this.clock.advance(50)
+    return this.clock.now - stoppedAt
+  }
+
+  private noteConnection (from: string, to: string): void {
+    const pair = `${from} ${to}`
+    if (this.clock.now - (this.lastCallAt.get(pair) ?? Number.NEGATIVE_INFINITY) > KEPT_CONNECTION_MS) this.newConnections++
+    this.lastCallAt.set(pair, this.clock.now)
+  }
+
   private add (index: number): void {
     const address = `http://h${index}`
     const peers: Peers = {
       call: async (to: string, method: string, parameters: unknown): Promise<Result<never>> => {
         this.callCount++
-        await new Promise<void>((resolve) => { this.clock.after(2, resolve) })
+        this.noteConnection(address, to)
+        await new Promise<void>((resolve) => { this.clock.after(this.silent.has(to) || this.silent.has(address) ? 250 : 2, resolve) })
+        if (this.silent.has(to) || this.silent.has(address)) return failure('unknownOutcome', 'no answer')
         const handler = this.handlers.get(`${to} ${method}`)
         return handler === undefined ? failure('targetUnreachable', 'nobody') : success(await handler(parameters as never) as never)
       }
@@ -77,4 +103,28 @@
       cluster.dispose()
     })
   }
+
+  for (const { count, lost } of [{ count: 30, lost: [5, 9, 13, 17, 21, 25] }, { count: 90, lost: [5, 13, 21, 29, 37, 45] }, { count: 300, lost: [5, 13] }]) {
+    it(`suspect a lost host of ${count} within 2 s on average, and open few connections`, async () => {
+      // Guards against the cost of connections: with probes of all others in turn, nearly each probe among 90 hosts found its
+      // connection closed. Guards also against late detection, as a host is now probed by its neighbours only.
+      const clock = new ManualClock()
+      const cluster = new Cluster(clock, hash, count)
+      await clock.advance(30_000)
+      cluster.newConnections = 0
+      cluster.callCount = 0
+      await clock.advance(10_000)
+      const [calls, connections] = [cluster.callCount, cluster.newConnections].map((number) => number / 10 / count)
+      expect(calls, 'calls per second and host').to.be.at.most(2.1)
+      expect(connections, 'new connections per second and host').to.be.at.most(0.15)
+      const detectionMs: number[] = []
+      for (const index of lost) {
+        detectionMs.push(await cluster.timeUntilSuspected(index, 1))
+        await clock.advance(2500)
+        expect(cluster.countKnowingAs(`h${index}/a`, 'alive'), 'hosts that still take it for alive').to.be.at.most(count / 10)
+      }
+      expect(detectionMs.reduce((sum, ms) => sum + ms, 0) / lost.length, `mean of ${detectionMs.join(' ')} ms`).to.be.at.most(2000)
+      cluster.dispose()
+    })
+  }
 })
--- a/test/core/membership/memberTable.test.ts
+++ b/test/core/membership/memberTable.test.ts
@@ -73,6 +73,19 @@
     expect(messages).to.be.below(200)
   })
 
+  it('sends updates of hosts that leave or fail before those of hosts that start', () => {
+    // Guards against work for a host that has left: while 195 hosts start, each message has room for 12 updates, and two hosts
+    // had not heard of a leaving host when it stopped serving.
+    const members = createTable()
+    members.takeUpdates()
+    members.merge(createUpdate('leaving', 'alive', 1), 0)
+    for (let index = 0; index < 100; index++) members.merge(createUpdate(`host-${index}`, 'alive', 1), 0)
+    members.takeUpdates()
+    members.merge(createUpdate('leaving', 'leaving', 2), 0)
+    members.merge(createUpdate('host-9', 'suspect', 1), 0)
+    expect(members.takeUpdates().slice(0, 2).map(({ host, status }) => `${host} ${status}`)).to.have.members(['leaving leaving', 'host-9 suspect'])
+  })
+
   it('converges whatever the order of the updates', () => {
     const updates = fc.array(fc.record({ host: fc.constantFrom('a', 'b', 'c'), status: fc.constantFrom<MemberStatus>('alive', 'leaving', 'suspect', 'dead'), incarnation: fc.integer({ min: 1, max: 4 }) }), { maxLength: 20 })
     fc.assert(fc.property(updates, fc.integer(), (items, seed) => {
