Remove the counter of decoded entries

Cause: the gauges and counters no longer fitted the first 4 KB of the metrics (test/adapters/prometheusMetrics.test.ts). Change: the test counts the calls of the decoder instead.

--- a/src/actors/common/routes/targetTopic.ts
+++ b/src/actors/common/routes/targetTopic.ts
@@ -79,7 +79,6 @@
     const content = this.protocol.targetContent(value)
     const decoded = this.decodedEntries.get(key)
     if (decoded?.content === content) return decoded.read
-    this.services.metrics.count('targets.decoded_entries')
     const read = this.protocol.target({ key, value })
     this.decodedEntries.set(key, { content, read })
     return read
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -80,7 +80,6 @@
   'store.calls_failed': 'calls to the store without a response',
   'store.relayed': 'calls to the store through another host',
   'store.reloads': 'topics loaded again because their history was no longer retained',
-  'targets.decoded_entries': 'registrations of targets that were decoded because more than their heartbeat counter had changed',
   'targets.outdated_entries': 'registrations of former incarnations of targets that were ignored',
   'targets.ended': 'target processes that ended while they ran requests of this host',
   'targets.restarted': 'targets that restarted under the same id',
--- a/test/actors/routes/targetEntries.test.ts
+++ b/test/actors/routes/targetEntries.test.ts
@@ -6,6 +6,7 @@
 import { Emitter } from '../../../src/base/common/lifecycle.ts'
 import { asIncarnation } from '../../../src/base/common/ids.ts'
 import type { Metrics, StateLog } from '../../../src/ports/common/observation.ts'
+import type { RegistryProtocol } from '../../../src/ports/common/protocols.ts'
 import { registryProtocol } from '../../../platform/index.ts'
 import { noopMetrics, noopStateLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
@@ -19,10 +20,19 @@
   readonly lines: { what: string, details: Record<string, unknown> }[] = []
   readonly counts = new Map<string, number>()
   changes = 0
+  decoded = 0
   private readonly stateLog: StateLog = { ...noopStateLog, changed: (what, details) => { this.lines.push({ what, details }) } }
   private readonly metrics: Metrics = { ...noopMetrics, count: (name, by = 1) => { this.counts.set(name, (this.counts.get(name) ?? 0) + by) } }
+  private readonly protocol: RegistryProtocol = {
+    ...registryProtocol,
+    target: (record) => {
+      this.decoded++
+      return registryProtocol.target(record)
+    }
+  }
+
   readonly table = new TargetTable({ clock: this.clock, stateLog: this.stateLog })
-  readonly topic = new TargetTopic({ log: this.log, clock: this.clock, metrics: this.metrics, stateLog: noopStateLog, onRegained: new Emitter<void>().event }, { name: 't', pace: () => ({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 }) }, registryProtocol, this.table)
+  readonly topic = new TargetTopic({ log: this.log, clock: this.clock, metrics: this.metrics, stateLog: noopStateLog, onRegained: new Emitter<void>().event }, { name: 't', pace: () => ({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 }) }, this.protocol, this.table)
 
   constructor () {
     this.table.onChange(() => { this.changes++ })
@@ -32,10 +42,6 @@
     this.log.write([{ key, value }])
     await this.clock.advance(1600)
   }
-
-  get decoded (): number {
-    return this.counts.get('targets.decoded_entries') ?? 0
-  }
 }
 
 describe('entries of targets', () => {
