--- a/src/core/common/steps/followPace.ts
+++ b/src/core/common/steps/followPace.ts
@@ -47,9 +47,12 @@
   return isActive || followsClosely(own) ? { type: 'long-polls', ...close } : { type: 'at-intervals', waitMs: close.waitMs, intervalMs: Math.max(close.pauseMs, TARGETS_INTERVAL_MS) }
 }
 
-/** Records of operators and trainers are read as soon as they are written, on all hosts. */
-export function operatorPace ({ hosts }: HostRanking, { waitMs, pauseMs }: ClosePace): FollowPace {
-  return { type: 'long-polls', waitMs: hosts <= MAX_SMALL_DEPLOYMENT_HOSTS ? waitMs : waitMs * OPERATOR_WAIT_FACTOR, pauseMs }
+/**
+ * Records of operators and trainers are read as soon as they are written, on all hosts. A host that follows the other topics with
+ * long polls keeps the short one here too, as it would otherwise detect a silent store later.
+ */
+export function operatorPace (own: HostRanking, isActive: boolean, { waitMs, pauseMs }: ClosePace): FollowPace {
+  return { type: 'long-polls', waitMs: isActive || followsClosely(own) ? waitMs : waitMs * OPERATOR_WAIT_FACTOR, pauseMs }
 }
 
 function followsClosely (own: HostRanking): boolean {
--- a/src/host/node/routed/followedTopics.ts
+++ b/src/host/node/routed/followedTopics.ts
@@ -26,7 +26,7 @@
   const topicServices = { ...services, stateLog: new OutageLogDeduplicator(services.stateLog), onRegained: reach.onRegained }
   const waitMs = store.long_poll
 
-  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, { name: registryProtocol.operatorTopic, pace: () => operatorPace(standing.current, { waitMs, pauseMs: 0 }) }, registryProtocol))
+  const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, { name: registryProtocol.operatorTopic, pace: () => operatorPace(standing.current, topic.isReadWithoutPause, { waitMs, pauseMs: 0 }) }, registryProtocol))
   const targets = new TargetTable(services)
   const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...topicServices }, { name: registryProtocol.targetTopic, pace: () => targetsPace(standing.current, topic.isReadWithoutPause, { waitMs, pauseMs: store.registry_pause }) }, registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
--- a/test/core/duties/dutyOrder.test.ts
+++ b/test/core/duties/dutyOrder.test.ts
@@ -90,7 +90,7 @@
     for (const hosts of [30, 90, 300]) {
       expect(stepsPace(own(hosts, 20), close)).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 1000 })
       expect(targetsPace(own(hosts, 20), false, { ...close, pauseMs: 500 })).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 })
-      expect(operatorPace(own(hosts, 20), { ...close, pauseMs: 0 })).to.deep.equal({ type: 'long-polls', waitMs: 2000, pauseMs: 0 })
+      expect(operatorPace(own(hosts, 20), false, { ...close, pauseMs: 0 })).to.deep.equal({ type: 'long-polls', waitMs: 2000, pauseMs: 0 })
     }
   })
 
@@ -99,9 +99,10 @@
     for (const ranking of [own(300, 4), own(300, 20, false), own(12, 11)]) {
       expect(stepsPace(ranking, close)).to.deep.equal(closely)
       expect(targetsPace(ranking, false, close)).to.deep.equal(closely)
+      expect(operatorPace(ranking, false, close)).to.deep.equal(closely)
     }
     expect(targetsPace(own(300, 20), true, close)).to.deep.equal(closely)
-    expect(operatorPace(own(12, 11), close)).to.deep.equal(closely)
+    expect(operatorPace(own(300, 20), true, close)).to.deep.equal(closely)
   })
 
   it('leaves a margin before a host that is not a candidate claims the duty', () => {
