--- a/src/actors/common/routes/targetTopic.ts
+++ b/src/actors/common/routes/targetTopic.ts
@@ -3,6 +3,7 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
 import type { TargetRegistration } from '../../../core/common/routes/target.ts'
+import { longestPauseMs } from '../../../core/common/steps/followPace.ts'
 import type { KeyedEntry } from '../../../ports/common/keyedLog.ts'
 import type { RegistryProtocol } from '../../../ports/common/protocols.ts'
 import type { TailServices, TailSettings } from '../store/keyedTail.ts'
@@ -10,8 +11,16 @@
 import type { TargetRecord, TargetTable } from './targetTable.ts'
 import { UnusableKeys } from './unusableKeys.ts'
 
+/** The newest entry of a target that was decoded, by which an entry with the same content needs no decoding. */
+interface DecodedEntry {
+  readonly content: string
+  readonly read: Result<TargetRegistration>
+  readonly record: TargetRecord
+}
+
 export class TargetTopic implements Disposable {
   private readonly tail: KeyedTail
+  private readonly decodedEntries = new Map<string, DecodedEntry>()
   private readonly unreadableKeys = new UnusableKeys()
   private readonly outdatedKeys = new UnusableKeys()
   /** Monotonic time at which records were last received. */
@@ -49,18 +58,25 @@
     return await this.tail.whenLoaded(limitMs)
   }
 
+  /** Reads at once if this host currently pauses between two reads. */
+  endPause (): void {
+    this.tail.endPause()
+  }
+
   dispose (): void {
     this.tail.dispose()
   }
 
-  /** A read waits for records except during the pause after records, so a record waits in the store for that pause at most. */
+  /** A read waits for records, or follows the former one after an interval or pause, so a record waits in the store for that time at most. */
   private noteReception (): void {
     const now = this.services.clock.monotonic()
-    this.recordAgeMs = Math.min(now - this.receivedAt, this.settings.pauseMs())
+    this.recordAgeMs = Math.min(now - this.receivedAt, longestPauseMs(this.settings.pace()))
     this.receivedAt = now
   }
 
   private replaceAll (entries: readonly KeyedEntry[]): void {
+    const presentKeys = new Set(entries.map(({ key }) => key))
+    for (const key of [...this.decodedEntries.keys()]) if (!presentKeys.has(key)) this.decodedEntries.delete(key)
     this.table.reload(() => {
       for (const entry of entries) this.applyEntry(entry)
       this.table.removeAllBut(new Set(entries.map(({ key }) => this.protocol.targetId(key))), this.tail.regainedAt)
@@ -69,19 +85,32 @@
 
   /** Applies a record. Loading the topic and following it go through here, so that both yield the same state of a target. */
   private applyEntry (entry: KeyedEntry): void {
-    const read = entry.value === undefined ? undefined : this.protocol.target(entry)
-    const verdict = this.table.apply(this.recordOf(entry, read), this.tail.regainedAt)
-    if (read?.ok === false) this.reportUnreadable(entry, read.message)
+    const decoded = this.decode(entry)
+    const verdict = this.table.apply(decoded?.record ?? { type: 'gone', id: this.protocol.targetId(entry.key) }, this.tail.regainedAt)
+    if (decoded?.read.ok === false) this.reportUnreadable(entry, decoded.read.message)
     else if (verdict === 'untold') this.reportUnreadable(entry, 'it states no incarnation')
     else this.unreadableKeys.delete(entry.key)
     if (verdict === 'older') this.reportOutdated(entry)
     else this.outdatedKeys.delete(entry.key)
   }
 
-  private recordOf ({ key }: KeyedEntry, read: Result<TargetRegistration> | undefined): TargetRecord {
-    const id = this.protocol.targetId(key)
-    if (read === undefined) return { type: 'gone', id }
-    if (!read.ok) return { type: 'unreadable', id }
+  /** Returns the same object for entries of a target that differ only in the heartbeat counter; `undefined` if the entry is gone. */
+  private decode ({ key, value }: KeyedEntry): DecodedEntry | undefined {
+    if (value === undefined) {
+      this.decodedEntries.delete(key)
+      return undefined
+    }
+    const content = this.protocol.targetContent(value)
+    const known = this.decodedEntries.get(key)
+    if (known?.content === content) return known
+    const read = this.protocol.target({ key, value })
+    const decoded: DecodedEntry = { content, read, record: this.recordOf(key, read) }
+    this.decodedEntries.set(key, decoded)
+    return decoded
+  }
+
+  private recordOf (key: string, read: Result<TargetRegistration>): TargetRecord {
+    if (!read.ok) return { type: 'unreadable', id: this.protocol.targetId(key) }
     const { leavesInMs, ...definition } = read.value
     // Counted from the earliest time at which the entry may have been written: an item that is moved too late loses its run.
     const writtenAt = this.receivedAt - this.recordAgeMs
