--- a/src/base/common/ids.ts
+++ b/src/base/common/ids.ts
@@ -22,6 +22,8 @@
 export type CallerName = Branded<'CallerName'>
 /** Identifies one text of an item, from its first event at one host until it is given up or resumed at another host. */
 export type TextId = Branded<'TextId'>
+/** Identifies a call in the call queue of one host process. */
+export type QueuedCallKey = Branded<'QueuedCallKey'>
 /** Digest of the content of a request; the same on all hosts and for each repeat of the request. */
 export type RequestFingerprint = Branded<'RequestFingerprint'>
 /** Identifies one incarnation of a target: the target's id and, if known, its incarnation number. */
@@ -35,6 +37,7 @@
 
 export const asHostId = (value: string): HostId => value as HostId
 export const asTargetName = (value: string): TargetName => value as TargetName
+export const asQueuedCallKey = (value: string): QueuedCallKey => value as QueuedCallKey
 export const asIncarnation = (value: number): Incarnation => value as Incarnation
 export const asPoolName = (value: string): PoolName => value as PoolName
 export const asSubscriptionName = (value: string): SubscriptionName => value as SubscriptionName
