Let calls wait in a queue while no target of their service has room

Change: where the services of RouteCalls include CallQueues, only the head of a service's queue tries targets, when a call of this host has ended or every 40 ms. Waiting calls leave at once when their caller, key, route, targets or host go. Hedges start later while calls wait, and background calls only while none waits. Without CallQueues, RouteCall behaves as before.

--- a/src/actors/common/identity/callerAuthenticator.ts
+++ b/src/actors/common/identity/callerAuthenticator.ts
@@ -8,6 +8,7 @@
 import { decideAccess } from '../../../core/common/identity/access.ts'
 import type { Instant } from '../../../base/common/instant.ts'
 import type { CallerIdentity, PresentedKey } from '../../../core/common/identity/workspaces.ts'
+import { workspaceOf } from '../../../core/common/identity/workspaces.ts'
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import { currentInstant } from '../../../ports/common/clock.ts'
@@ -57,6 +58,21 @@
     }
   }
 
+  /** Checks a caller whom this host has accepted before against the configuration in force, without reading a newer one. */
+  recheck (key: PresentedKey, isPublic: boolean, accepted: CallerIdentity): Failure | undefined {
+    const decision = this.decide(key, isPublic)
+    switch (decision.type) {
+      case 'granted': return workspaceOf(decision.caller) === workspaceOf(accepted) ? undefined : failure('stale', 'the key now belongs to another workspace', { retryAfterMs: 0 })
+      case 'denied': return failure('unauthenticated', decision.why)
+      // The configuration that listed the key is older than the one in force, so a key that is not listed was revoked.
+      case 'unsure': return this.isListed(key) ? this.staleFailure(decision.why) : failure('unauthenticated', 'the key was revoked')
+    }
+  }
+
+  private isListed (key: PresentedKey): boolean {
+    return key.type === 'key' && this.services.operator.routes?.keys?.findWorkspace(key.digest) !== undefined
+  }
+
   private decide (key: PresentedKey, isPublic: boolean): ReturnType<typeof decideAccess> {
     const { operator, clock } = this.services
     return decideAccess({ key, isPublic, keys: operator.routes?.keys, readAt: operator.readAt, now: currentInstant(clock), revocationMs: this.settings.maxRevocationDelayMs })
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -15,6 +15,8 @@
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { TargetResponse } from '../../../ports/common/targetClient.ts'
+import type { QueueTicket } from '../calls/queueTicket.ts'
+import { targetsWithRoom } from '../calls/targetsWithRoom.ts'
 import type { Admission, Trial } from './requestQuarantine.ts'
 import { requestHeldFailure } from './requestQuarantine.ts'
 import type { RouteCallServices, RoutedAnswer, RoutedRequest } from './routedRequest.ts'
@@ -44,6 +46,8 @@
   readonly run: RunTracker
   /** Whether it still counts as in flight at its target. */
   holdsSlot: boolean
+  /** Whether its target refused it or could not be reached. */
+  refused: boolean
 }
 
 /** Permission to send a held request to one more target. */
@@ -64,8 +68,12 @@
 
   /** Whether a target of the route has a slot that a background call may use. */
   hasBackgroundCapacity (route: Route): boolean {
-    const { targets, mechanisms } = this.services
-    return route.destinations.some(({ service }) => targets.available(service).some((target) => hasBackgroundSlot(target, mechanisms.caller_slot)))
+    const { targets, mechanisms, queues } = this.services
+    return route.destinations.some(({ service }) => {
+      if (queues?.isWaiting(service) === true) return false
+      const available = targets.available(service)
+      return (queues === undefined ? available : targetsWithRoom(available)).some((target) => hasBackgroundSlot(target, mechanisms.caller_slot))
+    })
   }
 }
 
@@ -96,10 +104,15 @@
   /** Present once targets have crashed while they ran the request and this call may send it to one more. */
   private trial: GrantedTrial | undefined
   private requestingTrial = false
+  /** The call's place in the call queue; absent if there is no queue, or if the call runs in the background. */
+  private readonly ticket: QueueTicket | undefined
 
   constructor (private readonly services: RouteCallServices, private readonly request: RoutedRequest, private readonly resolve: (result: Result<RoutedAnswer>) => void) {
     this.beganAt = services.clock.monotonic()
     this.content = contentOf(request)
+    this.ticket = request.background
+      ? undefined
+      : services.queues?.admit(request, { onTurn: () => { this.startRound() }, onRefused: (failed) => { this.settle(this.lastFailureOr(this.sendsByTarget.size > 0 ? this.unknownOutcome() : failed)) } })
   }
 
   start (): void {
@@ -133,20 +146,31 @@
     if (this.settled || !this.canTryAnother) return
     if (this.trial === undefined && this.services.held.standing(this.content).type === 'held') return this.requestTrial()
     const { request } = this
-    const { known, target } = this.selectTarget()
-    if (target !== undefined) return this.startAttempt(target, !this.repeatable)
+    const { service, known, target } = this.selectTarget()
+    if (target !== undefined && this.mayStart(target)) return this.startAttempt(target, !this.repeatable)
     if (this.running.size > 0) return
     // A trial runs once at one target; further rounds would resend a request that crashes targets.
     if (this.trial !== undefined) return this.settleHeld(RETRY_AFTER_MS)
     if (known.length === 0 && this.sendsByTarget.size === 0) return this.settle(this.lastFailureOr(failure('noTarget', `no target currently serves route ${request.route.name}`, { retryAfterMs: RETRY_AFTER_MS })))
     // If all remaining targets have had the request, waiting is pointless; if none remains, the request may still have run.
-    if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(failure('unknownOutcome', `no target gave a usable answer (targets that may have run it: ${this.sendsByTarget.size})`)))
+    if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(this.unknownOutcome()))
+    if (this.ticket !== undefined && service !== undefined) return this.ticket.wait(service)
     this.scheduleNextRound()
   }
 
+  /** Whether the call may start without overtaking calls that wait. A trial starts at once, as the time for it is granted by the quarantine. */
+  private mayStart ({ definition }: KnownTarget): boolean {
+    return this.ticket === undefined || this.trial !== undefined || this.ticket.mayStart(definition.service)
+  }
+
+  private unknownOutcome (): Result<RoutedAnswer> {
+    return failure('unknownOutcome', `no target gave a usable answer (targets that may have run it: ${this.sendsByTarget.size})`)
+  }
+
   private requestTrial (): void {
     if (this.requestingTrial) return
     this.requestingTrial = true
+    this.ticket?.leave('held')
     const { content, request, services } = this
     services.held.admit(content, request.route, this.allowedMs - this.elapsedMs).then((admission) => {
       this.requestingTrial = false
@@ -174,19 +198,27 @@
   }
 
   /** Returns the targets of the route, and the best one that has not had the request. */
-  private selectTarget (): { readonly known: readonly KnownTarget[], readonly target: KnownTarget | undefined } {
+  private selectTarget (): { readonly service: string | undefined, readonly known: readonly KnownTarget[], readonly target: KnownTarget | undefined } {
     const { services, request } = this
-    const service = pickDestination(request.route.destinations, services.chance.next())
+    const service = this.ticket?.service ?? pickDestination(request.route.destinations, services.chance.next())
     const known = service === undefined ? [] : services.targets.available(service)
-    const free = known.filter((target) => !this.sendsByTarget.has(target.definition.id) && !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target, services.mechanisms.caller_slot)) && (this.trial === undefined || services.held.isPresumedLive(target.definition)))
-    return { known, target: chooseTarget(free, preferredFailureDomain(services), services.chance.next()) }
+    const free = this.withCapacity(known.filter(({ definition }) => !this.sendsByTarget.has(definition.id))).filter((target) => !this.refused.has(target.definition.id) && (!request.background || hasBackgroundSlot(target, services.mechanisms.caller_slot)) && (this.trial === undefined || services.held.isPresumedLive(target.definition)))
+    return { service, known, target: chooseTarget(free, preferredFailureDomain(services), services.chance.next()) }
+  }
+
+  /** Returns the targets of one service that have capacity for this call. Without a call queue, targets themselves refuse what they have no capacity for. */
+  private withCapacity (targets: readonly KnownTarget[]): readonly KnownTarget[] {
+    const { queues } = this.services
+    if (queues === undefined || this.trial !== undefined) return targets
+    const isOvertaking = this.request.background && targets.some(({ definition }) => queues.isWaiting(definition.service))
+    return isOvertaking ? [] : targetsWithRoom(targets)
   }
 
   /** Asks all targets again after a short pause when all have refused, as long as time remains. */
   private scheduleNextRound (): void {
     if (this.elapsedMs + REFUSAL_RETRY_PAUSE_MS > this.allowedMs * MAX_REFUSED_WAIT_SHARE) {
       return this.settle(this.lastFailureOr(this.sendsByTarget.size > 0
-        ? failure('unknownOutcome', `no target gave a usable answer (targets that may have run it: ${this.sendsByTarget.size})`)
+        ? this.unknownOutcome()
         : failure('overloaded', `no target of route ${this.request.route.name} has a free slot`, { retryAfterMs: RETRY_AFTER_MS })))
     }
     this.rounds++
@@ -194,9 +226,16 @@
     this.timers.add(this.services.clock.after(REFUSAL_RETRY_PAUSE_MS, () => { this.tryNext() }))
   }
 
+  /** Asks the targets again, as it is the call's turn in the queue. */
+  private startRound (): void {
+    this.rounds++
+    this.refused.clear()
+    this.tryNext()
+  }
+
   private startAttempt (target: KnownTarget, fresh: boolean): void {
     const { services, request } = this
-    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: describeLoad(target), fresh, run: services.ends.track(target, this.content, request.requestId), holdsSlot: true }
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: describeLoad(target), fresh, run: services.ends.track(target, this.content, request.requestId), holdsSlot: true, refused: false }
     this.running.add(attempt)
     this.mayHaveRun.add(attempt)
     this.sendsByTarget.set(target.definition.id, (this.sendsByTarget.get(target.definition.id) ?? 0) + 1)
@@ -211,10 +250,24 @@
       body: request.body,
       ownConnection: fresh,
       signal: attempt.abort.signal
-    }).then((result) => { this.onAttemptEnded(attempt, result) }, (error: unknown) => { this.onAttemptEnded(attempt, failure('unknownOutcome', String(error))) }).finally(() => { restartListener.dispose() })
+    }).then((result) => { this.onAttemptEnded(attempt, result) }, (error: unknown) => { this.onAttemptEnded(attempt, failure('unknownOutcome', String(error))) }).finally(() => {
+      restartListener.dispose()
+      if (!attempt.refused) services.queues?.released(target)
+    })
     if (!this.repeatable || !services.mechanisms.second_sends) return
-    const hedgeAfterMs = hedgeDelayMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.answerMs, background: request.background })
-    this.timers.add(services.clock.after(hedgeAfterMs, () => { this.hedge(attempt) }))
+    this.timers.add(services.clock.after(this.hedgeDelayMs(target), () => { this.hedgeOnceDue(attempt) }))
+  }
+
+  /** While calls wait, a hedge takes the place of one of them, and answers are late because targets are full; hedges then start as late as those of background calls. */
+  private hedgeDelayMs ({ answerMs, definition: { service } }: KnownTarget): number {
+    const { request: { route: { objectiveMs }, background }, services: { queues } } = this
+    return hedgeDelayMs({ objectiveMs, allowedMs: this.allowedMs, answerMs, background: background || queues?.isUnderPressure(service) === true })
+  }
+
+  private hedgeOnceDue (attempt: Attempt): void {
+    const remainingMs = this.services.queues === undefined ? 0 : attempt.beganAt + this.hedgeDelayMs(attempt.target) - this.services.clock.monotonic()
+    if (remainingMs <= 0) return this.hedge(attempt)
+    this.timers.add(this.services.clock.after(remainingMs, () => { this.hedge(attempt) }))
   }
 
   /**
@@ -252,6 +305,7 @@
       this.refused.add(target.definition.id)
       if (result.code !== 'targetUnreachable') return this.onConnectionBroken(attempt, result.message)
       attempt.run.finish()
+      attempt.refused = true
       this.markNotRun(attempt)
       return this.continueAfterFailure(result.message)
     }
@@ -261,6 +315,10 @@
     const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
     const verdict = classifyAnswer(head, this.request.requestId)
     addSummary(verdict)
+    if (verdict !== 'not-run') {
+      this.ticket?.accepted()
+      if (head.load !== undefined) this.services.queues?.reported(target, head.load)
+    }
     switch (verdict) {
       case 'answer':
         target.recordAnswerTime(tookMs)
@@ -274,6 +332,7 @@
         if (this.trial !== undefined) this.trial.used = true
         return this.continueAfterFailure('the target reported a failure')
       case 'not-run':
+        attempt.refused = true
         this.markNotRun(attempt)
         this.refused.add(target.definition.id)
         return this.continueAfterFailure('the target refused the request')
@@ -287,6 +346,7 @@
 
   /** Waits until it is known whether the target has crashed, as the request may then be held. */
   private onConnectionBroken (attempt: Attempt, why: string): void {
+    this.ticket?.accepted()
     if (this.trial !== undefined) this.trial.used = true
     const proceed = (): void => { if (!this.settled) this.continueAfterFailure(why) }
     attempt.run.connectionBroke().then(proceed, proceed)
@@ -315,7 +375,7 @@
 
   private onTimeout (): void {
     this.settle(this.lastFailureOr(this.sendsByTarget.size === 0
-      ? failure('overloaded', `no target of route ${this.request.route.name} took the request in time`, { retryAfterMs: RETRY_AFTER_MS })
+      ? failure('overloaded', `no target of route ${this.request.route.name} took the request in time`, { retryAfterMs: this.ticket === undefined ? RETRY_AFTER_MS : 0 })
       : failure('unknownOutcome', `no target answered in time (targets that may have run it: ${this.sendsByTarget.size})`)), 'timeout')
   }
 
@@ -341,9 +401,11 @@
       releaseSlot(attempt)
     }
     if (this.trial?.used === false) this.trial.trial.withdraw()
+    this.ticket?.leave(why === 'timeout' ? 'limit' : 'cancelled')
     this.recordUsage(now)
     this.logOutcome(result)
     this.resolve(result)
+    for (const { target } of this.running) this.services.queues?.released(target)
   }
 
   /** Counts a request once, from the start of the first attempt that may have run it. */
--- a/src/actors/common/routes/routedRequest.ts
+++ b/src/actors/common/routes/routedRequest.ts
@@ -1,6 +1,7 @@
 /** A caller's request to a route, and the services that calls and streams share to forward it to a target. */
 
 import type { WorkspaceName } from '../../../base/common/ids.ts'
+import type { Failure } from '../../../base/common/resultCode.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
@@ -8,6 +9,7 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { TargetRequestOptions, TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetResponse, TargetClient } from '../../../ports/common/targetClient.ts'
+import type { CallQueues } from '../calls/callQueues.ts'
 import type { RequestQuarantine } from './requestQuarantine.ts'
 import type { TargetCrashDetector } from './targetCrashDetector.ts'
 import type { TargetTable } from './targetTable.ts'
@@ -29,6 +31,10 @@
   readonly caller?: string | undefined
   /** Workspace whose usage the request counts towards; absent if it belongs to none. */
   readonly workspace?: WorkspaceName | undefined
+  /** Rank of that workspace, which takes precedence over the route's; absent if it has none. */
+  readonly workspacePriority?: number | undefined
+  /** Checks whether the caller may still use the route, as defined by a newer configuration; absent if callers need no key. */
+  readonly checkAccess?: ((route: Route) => Failure | undefined) | undefined
   /** Aborted when the caller disconnects. */
   readonly gone: AbortSignal
 }
@@ -57,6 +63,8 @@
   readonly stateLog: StateLog
   /** Absent if usage is not reported. */
   readonly usage?: UsageRecorder | undefined
+  /** Absent if calls do not wait in queues. */
+  readonly queues?: CallQueues | undefined
   readonly place: string
   readonly mechanisms: Pick<Mechanisms, 'second_sends' | 'silence_suspicion' | 'caller_slot' | 'nearest_targets'>
 }
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -100,6 +100,7 @@
       target.inFlight++
       end = await this.runAtTarget(target)
       target.inFlight--
+      this.services.queues?.released(target)
       if (end !== 'not-run') runs++
       this.updateQuarantine(end)
       if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && !route.resumable)) break
--- a/src/adapters/node/prometheusMetrics.ts
+++ b/src/adapters/node/prometheusMetrics.ts
@@ -14,7 +14,7 @@
 /** Upper bounds of the histogram buckets: from an in-memory lookup to a step that is given up. */
 const BUCKETS_MS = [1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, 10_000, 20_000]
 /** Matches metric names that contain a result code or a task name, which becomes the `code` label. */
-const CODED_METRIC_PATTERN = /^(completions|orders\.failed|refused|rollouts\.ended|services|front\.refused)\.(\w+)$|^(task)\.([\w-]+)\.failed$/
+const CODED_METRIC_PATTERN = /^(completions|orders\.failed|queue\.refused|refused|rollouts\.ended|services|front\.refused)\.(\w+)$|^(task)\.([\w-]+)\.failed$/
 
 export class PrometheusMetrics implements Metrics {
   private readonly gaugeRegistry = new Registry()
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -32,6 +32,8 @@
     'target gone': 'the registration of a target was removed or became invalid; with the reason',
     'target restarted': 'a target restarted under the same id; with both incarnations and addresses, and the requests of this host to the former incarnation, which end',
     "target's entry is of an earlier life": 'an outdated registration of a former incarnation is ignored',
+    'queue holds calls': 'calls wait for a target of a service, or are refused because they would wait too long; with the starts per second that are expected',
+    'queue is empty': 'no call has waited for a service for one second; with the largest number that waited, the numbers of calls that were served and that left by reason, the last drain rate in starts per second, and the duration',
     'duty held': 'this host runs the steps; with the term',
     'duty lost': 'another host runs the steps, or none does',
     'duty released': 'this host released the duty before it stops',
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -1,6 +1,6 @@
 /**
  * Names and descriptions of all metrics. docs/METRICS.md is generated from these tables. Counters
- * whose names contain a result code or a task name have the forms of `CodedMetric`.
+ * whose names contain a result code, a reason or a task name have the forms of `CodedMetric`.
  */
 
 export const counters = {
@@ -50,6 +50,7 @@
   'peers.characters': 'characters sent and received in calls to other hosts',
   'progress.saved': 'saves of the progress of running items',
   'progress.not_saved': 'saves that the store did not accept',
+  'queue.waited': 'calls that waited in the call queue for a target',
   'requests.broken': 'requests that are not HTTP',
   'requests.crashed': 'request handlers that failed',
   'requests.retried': 'second attempts',
@@ -99,6 +100,7 @@
   'items.running': 'items that engines run for this host',
   'items.scoring': 'items of this host that wait for their score',
   'items.waiting': 'items of this host that wait for an engine',
+  'queue.waiting': 'calls that wait in the call queue for a target',
   'store.backlog': 'records that the store has not confirmed',
   'usage.reported': 'last window up to which all usage has been reported, as known to this host',
   'targets.known': 'registered targets',
@@ -109,6 +111,7 @@
 export const timings = {
   'calls.answer': 'time from a request to its response',
   'completions.time': 'time of a complete completion',
+  'queue.wait': 'time that a call waited in the call queue until a target took it',
   'services.time': 'time of a call to a service',
   'steps.accept': 'time from a submission to its acceptance',
   'steps.payloads': 'items: time until the data that their runs need has been read',
@@ -122,8 +125,8 @@
   'steps.run': 'time of the run of an item at an engine'
 } as const
 
-/** Names of counters that contain a result code or the name of a task. */
-export type CodedMetric = `completions.${string}` | `orders.failed.${string}` | `refused.${string}` | `rollouts.ended.${string}` | `services.${string}` | `task.${string}.failed` | `front.refused.${string}`
+/** Names of counters that contain a result code, the reason of a refusal or the name of a task. */
+export type CodedMetric = `completions.${string}` | `orders.failed.${string}` | `queue.refused.${string}` | `refused.${string}` | `rollouts.ended.${string}` | `services.${string}` | `task.${string}.failed` | `front.refused.${string}`
 
 export type CounterName = keyof typeof counters | CodedMetric
 export type GaugeName = keyof typeof gauges
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -2,6 +2,7 @@
 
 import type { RouteCalls } from '../../../actors/common/routes/routeCalls.ts'
 import type { StreamCalls } from '../../../actors/common/routes/streamCalls.ts'
+import type { Failure } from '../../../base/common/resultCode.ts'
 import type { CallerIdentity } from '../../../core/common/identity/workspaces.ts'
 import { workspaceOf } from '../../../core/common/identity/workspaces.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
@@ -18,6 +19,8 @@
   readonly configuration: number
   readonly caller: CallerIdentity
   readonly body: Uint8Array
+  /** Checks whether the caller may still use the route, as defined by a newer configuration. */
+  readonly checkAccess: (route: Route) => Failure | undefined
 }
 
 export interface ForwardRouteServices {
@@ -29,7 +32,7 @@
 export class ForwardRoutes {
   constructor (private readonly services: ForwardRouteServices) {}
 
-  async serve (exchange: FrontExchange, { parsedRequest, route, configuration, caller, body }: ForwardedRequest): Promise<void> {
+  async serve (exchange: FrontExchange, { parsedRequest, route, configuration, caller, body, checkAccess }: ForwardedRequest): Promise<void> {
     const { calls, streams, protocol } = this.services
     const call = {
       route,
@@ -43,6 +46,8 @@
       background: false,
       caller: caller.type === 'open' ? exchange.headers['authorization'] : workspaceOf(caller),
       workspace: workspaceOf(caller),
+      workspacePriority: caller.type === 'workspace' ? caller.priority : undefined,
+      checkAccess,
       gone: exchange.disconnectSignal
     }
     if (route.kind === 'streaming') {
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -155,7 +155,7 @@
     if (!caller.ok) return exchange.sendFailure(caller)
     const body = await exchange.readBody(this.limits.bodyBytes, this.bodyBudget)
     if (!body.ok) return exchange.sendFailure(body)
-    const request = { parsedRequest, route, configuration: this.services.operator.routes?.version ?? 0, caller: caller.value, body: body.value }
+    const request = { parsedRequest, route, configuration: this.services.operator.routes?.version ?? 0, caller: caller.value, body: body.value, checkAccess: (current: Route) => this.recheck(exchange, current, caller.value) }
     if (route.kind === 'steps') return await this.services.steps.submit(exchange, request)
     await this.services.forward.serve(exchange, request)
   }
@@ -164,6 +164,10 @@
     return await this.services.callerAuthenticator.authenticate(this.services.protocol.presentedKey(exchange.request.rawHeaders), isPublic)
   }
 
+  private recheck (exchange: FrontExchange, { isPublic }: Route, accepted: CallerIdentity): Failure | undefined {
+    return this.services.callerAuthenticator.recheck(this.services.protocol.presentedKey(exchange.request.rawHeaders), isPublic, accepted)
+  }
+
   /** Finds the route of a request. If there is none, reads newer configuration first, as the route may have just been added. */
   private async findRoute (exchange: FrontExchange): Promise<Route | 'unknown' | undefined> {
     const { operator } = this.services
--- a/test/actors/identity/callerAuthenticator.test.ts
+++ b/test/actors/identity/callerAuthenticator.test.ts
@@ -2,7 +2,7 @@
 import type { ConfigurationSource } from '../../../src/actors/common/identity/callerAuthenticator.ts'
 import { CallerAuthenticator } from '../../../src/actors/common/identity/callerAuthenticator.ts'
 import { asKeyDigest, asWorkspaceName } from '../../../src/base/common/ids.ts'
-import type { PresentedKey } from '../../../src/core/common/identity/workspaces.ts'
+import type { CallerIdentity, PresentedKey } from '../../../src/core/common/identity/workspaces.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
 import type { Instant } from '../../../src/base/common/instant.ts'
 import { currentInstant } from '../../../src/ports/common/clock.ts'
@@ -42,7 +42,7 @@
   }
 }
 
-function createFixture (): { clock: ManualClock, source: FakeConfigurationSource, ask: (asked?: PresentedKey) => Promise<string> } {
+function createFixture (): { clock: ManualClock, source: FakeConfigurationSource, ask: (asked?: PresentedKey) => Promise<string>, recheck: (accepted?: CallerIdentity) => string } {
   const clock = new ManualClock()
   const source = new FakeConfigurationSource(clock)
   const gate = new CallerAuthenticator({ operator: source, clock }, { maxRevocationDelayMs: 5000 })
@@ -52,7 +52,11 @@
     const result = await answer
     return result.ok ? result.value.type : `${result.code} ${result.retryAfterMs ?? ''}`.trim()
   }
-  return { clock, source, ask }
+  const recheck = (accepted: CallerIdentity = { type: 'workspace', name: asWorkspaceName('acme'), priority: undefined }): string => {
+    const failed = gate.recheck(key, false, accepted)
+    return failed === undefined ? 'valid' : `${failed.code} ${failed.retryAfterMs ?? ''}`.trim()
+  }
+  return { clock, source, ask, recheck }
 }
 
 describe('CallerAuthenticator', () => {
@@ -112,4 +116,26 @@
     await Promise.all(answers)
     expect(source.reads).to.be.within(1, 5)
   })
+
+  it('rechecks an accepted key without a read', () => {
+    // Guards against calls that run after they waited although their key was revoked in the meantime, or may have been.
+    const { clock, source, recheck } = createFixture()
+    expect(recheck()).to.equal('valid')
+    source.routes = tableWith([])
+    expect(recheck()).to.equal('unauthenticated')
+    clock.freeze(3000)
+    expect(recheck()).to.equal('unauthenticated')
+    source.routes = tableWith(['valid'])
+    expect(recheck()).to.equal('valid')
+    clock.freeze(3000)
+    expect(recheck()).to.equal('stale 300')
+    source.isLost = true
+    expect(recheck()).to.equal('stale 1000')
+    expect(source.reads).to.equal(0)
+  })
+
+  it('rejects an accepted key that now belongs to another workspace', () => {
+    const { recheck } = createFixture()
+    expect(recheck({ type: 'workspace', name: asWorkspaceName('former'), priority: undefined })).to.equal('stale 0')
+  })
 })
