Switch the call queue on by contract

Cause: the queue changes how calls are served, so deployments must agree on it.

The mechanism call_queue disables it in experiments. A stopping host refuses its waiting calls.

--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -10,6 +10,7 @@
   silence_suspicion: 'a target that does not answer a request over a new connection is used last for a while; if disabled, only refusals and broken answers count',
   nearest_targets: 'among targets with equal expected response times, those in the same failure domain are preferred; if disabled, any is used',
   caller_slot: 'background calls leave one slot of each target to waiting callers; if disabled, they may use all slots',
+  call_queue: 'calls for which no target has room wait in one queue per service, in the order of their ranks, and are refused as soon as they cannot be served in time; if disabled, each call asks all targets again every 40 ms',
   moves: 'a long run moves to a faster engine with a free slot; if disabled, it stays on its first engine',
   long_on_fastest: 'long items go to the fastest engines; if disabled, all items are spread evenly',
   prompt_affinity: 'among equally loaded engines, one that has processed the prompt of the group is preferred; if disabled, any is used',
--- a/src/host/node/hostGauges.ts
+++ b/src/host/node/hostGauges.ts
@@ -15,6 +15,8 @@
   readonly backlog: number
   /** Number of requests in quarantine because targets crashed while processing them. */
   readonly held: number
+  /** Number of calls that wait for a target. Absent if calls do not wait in queues. */
+  readonly queued?: number | undefined
   /** Last window up to which all usage is reported. Absent if this host does not know it. */
   readonly usageReportedThrough?: number | undefined
   readonly targets: { readonly known: number, readonly suspect: number }
@@ -27,7 +29,7 @@
   return counts
 }
 
-export function setGauges (metrics: Metrics, { duty, requests, items, backlog, held, usageReportedThrough, targets }: HostGaugeValues): void {
+export function setGauges (metrics: Metrics, { duty, requests, items, backlog, held, queued, usageReportedThrough, targets }: HostGaugeValues): void {
   metrics.gauge('duty.term', duty.term)
   metrics.gauge('duty.alone', duty.alone ? 1 : 0)
   metrics.gauge('front.requests', requests)
@@ -37,6 +39,7 @@
   metrics.gauge('items.listing', items.listing)
   metrics.gauge('store.backlog', backlog)
   metrics.gauge('held.requests', held)
+  if (queued !== undefined) metrics.gauge('queue.waiting', queued)
   if (usageReportedThrough !== undefined) metrics.gauge('usage.reported', usageReportedThrough)
   metrics.gauge('targets.known', targets.known)
   metrics.gauge('targets.suspect', targets.suspect)
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -5,6 +5,7 @@
  */
 
 import { targetProtocol } from '../../../platform/index.ts'
+import { CallQueues } from '../../actors/common/calls/callQueues.ts'
 import { RouteCalls } from '../../actors/common/routes/routeCalls.ts'
 import { StreamCalls } from '../../actors/common/routes/streamCalls.ts'
 import type { TargetTable } from '../../actors/common/routes/targetTable.ts'
@@ -15,9 +16,11 @@
 import { MetricsServer } from '../../entry/node/front/metricsServer.ts'
 import { pause } from '../../ports/common/clock.ts'
 import type { RoutedSettings } from '../../settings/common/routedSettings.ts'
+import { hasCallQueue } from '../../settings/common/routedSettings.ts'
 import type { HostSettings } from '../../settings/node/readSettings.ts'
 import { countItems, setGauges } from './hostGauges.ts'
 import { createCallGuards } from './routed/callGuards.ts'
+import type { FollowedTopics } from './routed/followedTopics.ts'
 import { createFollowedTopics } from './routed/followedTopics.ts'
 import type { HostContext } from './routed/hostContext.ts'
 import { createHostContext } from './routed/hostContext.ts'
@@ -60,7 +63,8 @@
   const client = createTargetClient(context, topics.targets)
   const guards = createCallGuards(context, topics, client)
   const usage = createHostUsage(context, otherHosts, storeAccess)
-  const callServices = { ...services, usage: usage?.meter, targets: topics.targets, client, ...guards, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
+  const queues = createCallQueues(context, topics)
+  const callServices = { ...services, usage: usage?.meter, queues, targets: topics.targets, client, ...guards, protocol: targetProtocol, place: settings.host.place, mechanisms: settings.mechanisms }
   const calls = new RouteCalls(callServices)
   const steps: HostSteps = createHostSteps(context, { others: otherHosts, storeAccess, topics, client, guards, calls })
 
@@ -73,7 +77,7 @@
 
   if (settings.metrics?.listen !== undefined) {
     const metricsServer = disposables.add(new MetricsServer(metrics, () => {
-      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
+      setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, queued: queues?.waiting, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
     }))
     await metricsServer.listen(settings.metrics.listen)
   }
@@ -88,7 +92,7 @@
     reloadSettings: () => { reloader.reloadIfChanged() },
     stop: async () => {
       isStopping = true
-      await stop(context, { others: otherHosts, steps, servers, usage })
+      await stop(context, { others: otherHosts, steps, servers, usage, queues })
     }
   }
 }
@@ -105,20 +109,27 @@
   return client
 }
 
+/** Creates the queues of calls that wait for targets; `undefined` if the settings do not provide for them. */
+function createCallQueues ({ settings, services, disposables }: HostContext, { targets, operator }: FollowedTopics): CallQueues | undefined {
+  return hasCallQueue(settings) ? disposables.add(new CallQueues({ ...services, targets, operator }, settings.queue)) : undefined
+}
+
 interface StopDependencies {
   readonly others: OtherHosts
   readonly steps: HostSteps
   readonly servers: HostServers
   readonly usage: HostUsage | undefined
+  readonly queues: CallQueues | undefined
 }
 
 /** Hands over the steps and goes on serving callers that still know this host. Ends what is left after a time limit. */
-async function stop ({ settings: { limits }, services, output, disposables }: HostContext, { others: { membership }, steps: { duty, home, backlog: stepBacklog }, servers: { front }, usage }: StopDependencies): Promise<void> {
+async function stop ({ settings: { limits }, services, output, disposables }: HostContext, { others: { membership }, steps: { duty, home, backlog: stepBacklog }, servers: { front }, usage, queues }: StopDependencies): Promise<void> {
   const { clock, stateLog } = services
   const backlog = (): number => stepBacklog() + (usage?.meter.backlog ?? 0)
   const startedAtMs = clock.monotonic()
   stateLog.changed('stop begins', { requests: front.requests, items: home.activeItemCount, records: backlog() })
   membership.leave()
+  queues?.stop()
   await Promise.all([pause(clock, limits.stop_serving), home.handOver().then(async () => { await duty.release() })])
   front.closeIdle()
   usage?.meter.flushWithoutPauses()
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -76,6 +76,16 @@
   due_seconds: z.number().positive().describe('time between the end of a window and the due time of its report, in seconds')
 }).describe('usage reports; without this table, usage is neither counted nor reported')
 
+const deploymentSchema = z.strictObject({
+  contracts: z.array(z.string()).default([]).describe('names of what was agreed for the deployment')
+})
+
+const queueSchema = z.strictObject({
+  mode: z.enum(['by-contract', 'on', 'off']).default('by-contract').describe('whether calls for which no target has room wait in a queue; by contract, they do where the contracts include `pressure`'),
+  calls: positiveInteger(256, 'maximum number of calls that wait at this host for one service'),
+  bytes: positiveInteger(8_388_608, 'maximum size of their bodies, in bytes')
+})
+
 const metricsSchema = z.strictObject({
   listen: endpoint.optional().describe('address at which metrics are served as text, under /metrics'),
   collector: endpoint.optional().describe('address of a StatsD collector')
@@ -93,9 +103,24 @@
   limits: limitsSchema.prefault({}),
   steps: stepsSchema.prefault({}),
   identity: identitySchema.prefault({}),
+  deployment: deploymentSchema.prefault({}),
+  queue: queueSchema.prefault({}),
   usage: usageSchema.optional(),
   metrics: metricsSchema.optional(),
   mechanisms: z.strictObject(mechanismSwitches).prefault({}).describe('mechanisms that an experiment can disable to determine their effect; each disabled one is logged at start')
 })
 
 export type RoutedSettings = z.infer<typeof routedSettingsSchema>
+
+/** The contract under which calls wait in queues. */
+const QUEUE_CONTRACT = 'pressure'
+
+/** Whether calls for which no target has room wait in a queue. */
+export function hasCallQueue ({ queue, deployment, mechanisms }: Pick<RoutedSettings, 'queue' | 'deployment' | 'mechanisms'>): boolean {
+  if (!mechanisms.call_queue) return false
+  switch (queue.mode) {
+    case 'on': return true
+    case 'off': return false
+    case 'by-contract': return deployment.contracts.includes(QUEUE_CONTRACT)
+  }
+}
--- a/test/host/hostGauges.test.ts
+++ b/test/host/hostGauges.test.ts
@@ -23,7 +23,7 @@
     const items = countItems(states.map((state, index) => ({ ...newItemWork({ item: newItem(`i${index}`, 'g'), rank: 'wanted' }, newText(), 0), state })))
     const set: Record<string, number> = {}
     const metrics: Metrics = { ...noopMetrics, gauge: (name, value) => { set[name] = value } }
-    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, backlog: 4, usageReportedThrough: 200, targets: targets.counts })
+    setGauges(metrics, { duty: { term: 3, alone: true }, requests: 5, items, held: 1, queued: 6, backlog: 4, usageReportedThrough: 200, targets: targets.counts })
     expect(set).to.deep.equal({
       'usage.reported': 200,
       'duty.alone': 1,
@@ -34,6 +34,7 @@
       'items.scoring': 3,
       'items.waiting': 2,
       'held.requests': 1,
+      'queue.waiting': 6,
       'store.backlog': 4,
       'targets.known': 3,
       'targets.suspect': 1
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -1,7 +1,8 @@
 /** Settings: all errors are reported at once with their lines and keys, and the examples are valid. */
 
-import { readdirSync } from 'node:fs'
+import { readdirSync, readFileSync } from 'node:fs'
 import { expect } from 'chai'
+import { hasCallQueue } from '../../src/settings/common/routedSettings.ts'
 import { parseSettings, readSettings } from '../../src/settings/node/readSettings.ts'
 
 const validSettings = `
@@ -57,4 +58,22 @@
       expect(parsed.ok ? '' : parsed.message).to.equal('')
     })
   }
+
+  it('let calls wait in queues by contract, unless they state otherwise', () => {
+    // Guards against a change of behavior of deployments whose contracts do not provide for it.
+    const example = readFileSync('examples/routes.toml', 'utf8')
+    const contract = '[deployment]\ncontracts = ["identity", "pressure"]\n'
+    for (const { tables, expected } of [
+      { tables: '', expected: false },
+      { tables: '[deployment]\ncontracts = []\n', expected: false },
+      { tables: '[deployment]\ncontracts = ["identity"]\n', expected: false },
+      { tables: contract, expected: true },
+      { tables: `${contract}[queue]\nmode = "off"\n`, expected: false },
+      { tables: '[queue]\nmode = "on"\n', expected: true },
+      { tables: `${contract}[mechanisms]\ncall_queue = false\n`, expected: false }
+    ]) {
+      const parsed = parseSettings(`${example}\n${tables}`)
+      expect(parsed.ok && parsed.value.type === 'routes' && hasCallQueue(parsed.value.settings), tables).to.equal(expected)
+    }
+  })
 })
