--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -86,7 +86,8 @@
         duty: { ...settings.duty },
         steps: { ...settings.steps },
         identity: { ...settings.identity },
-        ...(settings.usage === undefined ? {} : { usage: settings.usage })
+        ...(settings.usage === undefined ? {} : { usage: settings.usage }),
+        ...(settings.deployment === undefined ? {} : { deployment: settings.deployment })
       } as unknown as Record<string, Record<string, unknown>>))
       return { name, storeEndpoint: endpoint, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, process: new HostProcess(name, '', '', settingsPath, PROGRAM) }
     }))
