Decode the fourth figure of a target's load header

The header may state how long work currently takes on the machine, in percent of the usual time; the figure was discarded. It becomes LoadReport.slowdown (1 is usual). A header with a figure that is missing, not a number, negative or above one million is ignored as a whole, and the decoded head says so. A negative figure was used until now.

--- a/src/core/common/routes/target.ts
+++ b/src/core/common/routes/target.ts
@@ -29,4 +29,6 @@
   readonly running: number
   readonly waiting: number
   readonly slots: number
+  /** How long work currently takes on the machine relative to usual (1); absent if the target does not report it. */
+  readonly slowdown?: number | undefined
 }
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -117,6 +117,8 @@
   /** Whether the target states that it did not run the request. */
   readonly notRun: boolean
   readonly load: LoadReport | undefined
+  /** Whether the target sent a load report that is ignored because it cannot be read. */
+  readonly isLoadUnreadable?: true
   /** Weight version at the start of the response. */
   readonly version: number | undefined
 }
--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -156,6 +156,24 @@
     ]).toMatchSnapshot()
   })
 
+  it('reads the load figures of a target, and ignores a load header with an invalid figure as a whole', () => {
+    // Guards against a target that looks idle or infinitely fast because one figure of its report is wrong.
+    const read = (value: string): unknown => {
+      const { load, isLoadUnreadable } = targetProtocol.responseHead(200, { 'bulrushvalve-server-load': value })
+      return isLoadUnreadable === true ? 'unreadable' : load
+    }
+    expect(['3,0,8', '3,0,8,250', '0,0,0,0', ' 1 , 2 , 6 , 100 ', '1000000,0,6,1000000'].map(read)).to.deep.equal([
+      { running: 3, waiting: 0, slots: 8 },
+      { running: 3, waiting: 0, slots: 8, slowdown: 2.5 },
+      { running: 0, waiting: 0, slots: 0, slowdown: 0 },
+      { running: 1, waiting: 2, slots: 6, slowdown: 1 },
+      { running: 1_000_000, waiting: 0, slots: 6, slowdown: 10_000 }
+    ])
+    const invalid = ['', ',', '3', '3,0', '3,0,8,', '3,0,8,x', '3,0,8,-1', '-1,0,8', '3,0,8,1000001', '1000001,0,8,100', 'NaN,0,8', 'Infinity,0,8', '3,,8,100']
+    expect(invalid.map(read)).to.deep.equal(invalid.map(() => 'unreadable'))
+    expect(targetProtocol.responseHead(200, {})).to.include({ load: undefined }).and.not.have.property('isLoadUnreadable')
+  })
+
   it('reads events', () => {
     expect(targetProtocol.event(new Map([['id', '3'], ['data', 'x'], ['bulrushvalve-weight-versions', '5']]))).to.deep.equal({ id: 3, data: 'x', version: 5 })
     expect(targetProtocol.event(new Map([['data', 'x']]))).to.equal(undefined)
