Estimate expected answer times from reported slowdowns, own sends and the age of reports

Cause: each host ranked targets by its own requests and a report that counted in full for 400 ms, so all hosts saw the same target as idle and sent to it, and a target in a slow phase looked like any other.

Once a target of a service has sent the fourth figure, a report is aged by what the target has answered since, own sends since the report are added, and the reported slowdown counts less with age; the pace is learned at usual speed. chooseTarget draws at random, by the inverse square of the expected time or the better of two, if it knows the scale of such a service. Nothing passes the scale yet. The line 'call ended' shows the slowdown that was used, unreadable reports are counted, and the mechanism target_slowdown takes all targets for usual.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -200,7 +200,7 @@
     this.running.add(attempt)
     this.mayHaveRun.add(attempt)
     this.sendsByTarget.set(target.definition.id, (this.sendsByTarget.get(target.definition.id) ?? 0) + 1)
-    target.inFlight++
+    target.recordSend()
     // A former incarnation never answers, and a connection to it may stay silent until the caller's time is over.
     const restartListener = target.onRestart(() => { attempt.abort.abort() })
     services.client.exchange({
@@ -213,7 +213,7 @@
       signal: attempt.abort.signal
     }).then((result) => { this.onAttemptEnded(attempt, result) }, (error: unknown) => { this.onAttemptEnded(attempt, failure('unknownOutcome', String(error))) }).finally(() => { restartListener.dispose() })
     if (!this.repeatable || !services.mechanisms.second_sends) return
-    const hedgeAfterMs = hedgeDelayMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.answerMs, background: request.background })
+    const hedgeAfterMs = hedgeDelayMs({ objectiveMs: request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: target.presentAnswerMs, background: request.background })
     this.timers.add(services.clock.after(hedgeAfterMs, () => { this.hedge(attempt) }))
   }
 
@@ -257,17 +257,17 @@
     }
     attempt.run.finish()
     const head = this.services.protocol.responseHead(result.value.status, result.value.headers)
-    if (head.load !== undefined) target.recordLoad(head.load)
+    target.recordHead(head)
     const answer: RoutedAnswer = { answer: result.value, target: target.definition.id, failures: this.failures }
     const verdict = classifyAnswer(head, this.request.requestId)
     addSummary(verdict)
     switch (verdict) {
       case 'answer':
-        target.recordAnswerTime(tookMs)
+        target.recordAnswerTime(tookMs, head.load)
         this.recordAnswer()
         return this.settle(success(answer), attempt.fresh ? 'new connection won' : 'other')
       case 'target-failed':
-        target.recordAnswerTime(tookMs)
+        target.recordAnswerTime(tookMs, head.load)
         this.failures++
         this.lastFailure = { ...answer, failures: this.failures }
         // A target may fail before it reaches the point at which the request crashes targets, so a failure does not clear it.
@@ -388,6 +388,6 @@
   else target.recordSilence()
 }
 
-function describeLoad ({ inFlight, report, reportAgeMs }: KnownTarget): string {
-  return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms`
+function describeLoad ({ inFlight, report, reportAgeMs, isUneven, slowdown }: KnownTarget): string {
+  return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms${isUneven ? `*${slowdown.toFixed(2)}` : ''}`
 }
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -97,7 +97,7 @@
         break
       }
       this.triedTargets.add(target.definition.id)
-      target.inFlight++
+      target.recordSend()
       end = await this.runAtTarget(target)
       target.inFlight--
       if (end !== 'not-run') runs++
@@ -169,7 +169,7 @@
       if (!opened.ok) return reusesConnection && silenceAbort.signal.aborted ? this.onSilentConnection(target, run, silenceTimeoutMs) : await this.onFailedRun(target, run, opened.code === 'targetUnreachable' ? 'not-run' : 'broke')
       const { status, headers, pieces: chunks, cancel } = opened.value
       const head = protocol.responseHead(status, headers)
-      if (head.load !== undefined) target.recordLoad(head.load)
+      target.recordHead(head)
       const verdict = classifyAnswer(head, request.requestId)
       if (verdict === 'not-run' || verdict === 'unusable' || (this.headSent && verdict !== 'answer')) {
         cancel()
@@ -188,7 +188,7 @@
         timer = clock.after(silenceTimeoutMs, () => { silenceAbort.abort() })
       }
       run.finish()
-      target.recordAnswerTime(clock.monotonic() - this.startedAt - this.callerPausedMs)
+      target.recordAnswerTime(clock.monotonic() - this.startedAt - this.callerPausedMs, head.load)
       if (reader.rest.length === 0) return 'whole'
       // A body that is not an event stream is forwarded unchanged.
       if (this.last === request.resumeAfter) {
--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -9,10 +9,13 @@
 import type { IncarnationOrder } from '../../../core/common/routes/incarnation.ts'
 import { compareIncarnations, IncarnationTracker } from '../../../core/common/routes/incarnation.ts'
 import type { LoadReport, ModelVersion, TargetDefinition } from '../../../core/common/routes/target.ts'
-import type { TargetLoad } from '../../../core/common/routes/targetChoice.ts'
+import type { TargetLoad } from '../../../core/common/routes/targetEstimate.ts'
+import { boundedSlowdown, presentSlowdown } from '../../../core/common/routes/targetEstimate.ts'
+import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import type { Incarnation } from '../../../base/common/ids.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
-import type { StateLog } from '../../../ports/common/observation.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
+import type { TargetResponseHead } from '../../../ports/common/protocols.ts'
 
 /** Weight of the newest answer in the exponential moving average, which covers about the last five answers. */
 const ANSWER_TIME_SMOOTHING = 0.2
@@ -33,13 +36,33 @@
   private superseded = false
   inFlight = 0
   report: LoadReport | undefined
+  sentSinceReport = 0
   answerMs: number | undefined
   private reportedAt = Number.NEGATIVE_INFINITY
   private suspectUntil = Number.NEGATIVE_INFINITY
   private failures = 0
   private hadSilentConnection = false
 
-  constructor (public definition: TargetDefinition, private readonly clock: Clock) {}
+  /** @param unevenServices services of which a target has reported a slowdown; shared by all targets */
+  constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly unevenServices: Set<string>) {}
+
+  private get clock (): Clock {
+    return this.services.clock
+  }
+
+  get isUneven (): boolean {
+    return this.unevenServices.has(this.definition.service)
+  }
+
+  /** The slowdown that is expected now; 1 is the usual speed. */
+  get slowdown (): number {
+    return presentSlowdown(this)
+  }
+
+  /** Expected time to an answer at the present speed, without requests ahead; absent before the first answer. */
+  get presentAnswerMs (): number | undefined {
+    return this.answerMs === undefined ? undefined : this.answerMs * this.slowdown
+  }
 
   /** Whether a later incarnation of the target is known. */
   get isSuperseded (): boolean {
@@ -60,16 +83,36 @@
     return this.clock.monotonic() < this.suspectUntil
   }
 
-  recordAnswerTime (tookMs: number): void {
+  /** Counts a request that is being sent. */
+  recordSend (): void {
+    this.inFlight++
+    this.sentSinceReport++
+  }
+
+  /** Records the time to an answer. The slowdown that the answer reports is removed from it, so that a temporary slowdown is not taken for the target's pace. */
+  recordAnswerTime (tookMs: number, reported?: LoadReport): void {
     this.failures = 0
     this.hadSilentConnection = false
     this.suspectUntil = Number.NEGATIVE_INFINITY
-    this.answerMs = this.answerMs === undefined ? tookMs : this.answerMs + (tookMs - this.answerMs) * ANSWER_TIME_SMOOTHING
+    const usualMs = tookMs / (this.ignoresSlowdown ? 1 : boundedSlowdown(reported?.slowdown))
+    this.answerMs = this.answerMs === undefined ? usualMs : this.answerMs + (usualMs - this.answerMs) * ANSWER_TIME_SMOOTHING
+  }
+
+  /** Records the load that the head of a response reports, if any. */
+  recordHead ({ load, isLoadUnreadable }: Pick<TargetResponseHead, 'load' | 'isLoadUnreadable'>): void {
+    if (load !== undefined) this.recordLoad(load)
+    if (isLoadUnreadable === true) this.services.metrics?.count('targets.unreadable_loads')
   }
 
   recordLoad (report: LoadReport): void {
-    this.report = report
+    if (report.slowdown !== undefined) this.unevenServices.add(this.definition.service)
+    this.report = this.ignoresSlowdown && report.slowdown !== undefined ? { ...report, slowdown: 1 } : report
     this.reportedAt = this.clock.monotonic()
+    this.sentSinceReport = 0
+  }
+
+  private get ignoresSlowdown (): boolean {
+    return this.services.mechanisms?.target_slowdown === false
   }
 
   /** Records silence on a reused connection. The first is attributed to the connection, a second without an answer in between to the target. */
@@ -87,6 +130,9 @@
 export interface TargetTableServices {
   readonly clock: Clock
   readonly stateLog: StateLog
+  readonly metrics?: Pick<Metrics, 'count'>
+  /** All mechanisms are enabled if absent. */
+  readonly mechanisms?: Pick<Mechanisms, 'target_slowdown'>
 }
 
 /** A restarted target: the definitions of its former and its present incarnation. */
@@ -110,6 +156,7 @@
   /** Targets whose entries were missing after an outage of the store, with the monotonic time until which the entries may return. */
   private readonly missing = new Map<string, number>()
   private readonly incarnations = new IncarnationTracker()
+  private readonly unevenServices = new Set<string>()
   private readonly changes = new Emitter<void>()
   readonly onChange: Event<void> = this.changes.event
   private readonly restarts = new Emitter<RestartedTarget>()
@@ -225,7 +272,7 @@
 
   /** Updates a target whose incarnation is unchanged, or creates an unknown one. */
   private updateOrCreate (known: KnownTarget | undefined, definition: TargetDefinition): KnownTarget {
-    if (known === undefined) return new KnownTarget(definition, this.services.clock)
+    if (known === undefined) return new KnownTarget(definition, this.services, this.unevenServices)
     if (!known.definition.draining && definition.draining) this.services.stateLog.changed('target drains', { target: definition.id, service: definition.service })
     known.definition = definition
     return known
@@ -235,7 +282,7 @@
   private replaceRestarted (known: KnownTarget, definition: TargetDefinition): void {
     const former = known.definition
     this.services.stateLog.changed('target restarted', { target: definition.id, service: definition.service, incarnation: definition.incarnation ?? 0, former: former.incarnation ?? 0, address: definition.address, formerAddress: former.address, inFlight: known.inFlight, suspect: known.suspect })
-    this.targets.set(definition.id, new KnownTarget(definition, this.services.clock))
+    this.targets.set(definition.id, new KnownTarget(definition, this.services, this.unevenServices))
     this.restarts.fire({ former, present: definition })
     known.supersede()
   }
--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -80,7 +80,7 @@
   },
   /** Decisions on requests, steps and orders. */
   decided: {
-    'call ended': 'a request was answered; with its route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, and the age of the newest load report',
+    'call ended': 'a request was answered; with its route, outcome, targets tried in order, rounds, time taken and allowed, configuration version, and for each attempt the load that was known of its target, the age of the report, and after an asterisk the slowdown that was used',
     'call rejected': 'a request was rejected before it was sent to a target; with the code, the configuration version, and the milliseconds since its last complete read was sent (null if the clocks disagree)',
     'stream given up': 'a caller did not read for too long; with the bytes that were forwarded and the wait',
     'stream ended': 'a stream was completed, interrupted or refused; with its targets and the last event',
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -85,6 +85,7 @@
   'targets.restarted': 'targets that restarted under the same id',
   'targets.silent': 'targets that stopped responding',
   'targets.unreadable_entries': 'invalid registrations of targets',
+  'targets.unreadable_loads': 'load reports of targets that were ignored because a figure is missing, not a number, negative or above one million',
   'task.failed': 'messages that caused a task to fail',
   'weights.changed': 'observed weight changes'
 } as const
--- a/src/core/common/mechanisms.ts
+++ b/src/core/common/mechanisms.ts
@@ -10,6 +10,7 @@
   silence_suspicion: 'a target that does not answer a request over a new connection is used last for a while; if disabled, only refusals and broken answers count',
   nearest_targets: 'among targets with equal expected response times, those in the same failure domain are preferred; if disabled, any is used',
   caller_slot: 'background calls leave one slot of each target to waiting callers; if disabled, they may use all slots',
+  target_slowdown: 'expected times include how slowly targets report to work at the moment; if disabled, all are taken to work at their usual speed',
   moves: 'a long run moves to a faster engine with a free slot; if disabled, it stays on its first engine',
   long_on_fastest: 'long items go to the fastest engines; if disabled, all items are spread evenly',
   prompt_affinity: 'among equally loaded engines, one that has processed the prompt of the group is preferred; if disabled, any is used',
--- a/src/core/common/routes/hedging.ts
+++ b/src/core/common/routes/hedging.ts
@@ -6,7 +6,7 @@
  * pool of the first is retired.
  */
 
-import type { TargetLoad } from './targetChoice.ts'
+import type { TargetLoad } from './targetEstimate.ts'
 
 export interface AttemptTimes {
   readonly objectiveMs: number
--- a/src/core/common/routes/targetChoice.ts
+++ b/src/core/common/routes/targetChoice.ts
@@ -1,48 +1,39 @@
 /**
  * Selects the target for a request. Load pattern: a few requests per second to services with a few
  * targets, some of which are slow, unreachable or shutting down, from hosts that do not share what
- * they send. Each host ranks targets by the expected time to an answer. It is derived from the host's
- * own requests in flight, the load that the target last reported, and the target's answer time.
+ * they send. Each host ranks targets by the expected time to an answer (`targetEstimate`).
+ *
+ * If targets report their slowdowns, many hosts see the same report at the same time. The choice is then
+ * random where hosts cannot infer each other's sends.
  */
 
-import type { LoadReport, TargetDefinition } from './target.ts'
-
-/** A target's load as known to a host. */
-export interface TargetLoad {
-  readonly definition: TargetDefinition
-  /** Number of requests of this host that the target has not answered yet. */
-  readonly inFlight: number
-  readonly report: LoadReport | undefined
-  /** Age of the report, in milliseconds. */
-  readonly reportAgeMs: number
-  /** Moving average of the time to an answer, in milliseconds; absent before the first answer. */
-  readonly answerMs: number | undefined
-  /** Whether the target recently failed to answer. */
-  readonly suspect: boolean
+import type { TargetLoad } from './targetEstimate.ts'
+import { expectedAnswerMs } from './targetEstimate.ts'
+
+export type { TargetLoad } from './targetEstimate.ts'
+
+/** Numbers that determine how much the choices of hosts have to differ. */
+export interface ServiceScale {
+  /** Number of targets of the service. */
+  readonly targets: number
+  /** Number of slots of all targets of the service. */
+  readonly slots: number
+  /** Number of hosts that send requests. */
+  readonly liveHosts: number
 }
 
-/** How long a load report is used. After about the duration of a request it no longer reflects the load. */
-const REPORT_VALID_MS = 400
-/** Assumed answer time of a target that has not answered yet, which is that of a short look-up. */
-const INITIAL_ANSWER_MS = 40
-/** Cost of a round trip to another failure domain, set slightly above the round-trip times specified for sites. */
-const CROSS_DOMAIN_LATENCY_MS = 4
-/** Penalty of a suspect target. It exceeds any queueing time, so a suspect is used only if no other target is left. */
-const SUSPECT_PENALTY_MS = 60_000
-
-/** Returns the expected time until a target answers, in milliseconds. */
-export function expectedAnswerMs (load: TargetLoad, place: string | undefined): number {
-  const { definition, inFlight, report, reportAgeMs } = load
-  const reportedLoad = report !== undefined && reportAgeMs < REPORT_VALID_MS ? report.running + report.waiting : 0
-  const ahead = Math.max(inFlight, reportedLoad)
-  const answerMs = load.answerMs ?? INITIAL_ANSWER_MS
-  const fullRounds = Math.floor(ahead / Math.max(1, definition.slots))
-  const utilization = ahead / Math.max(1, definition.slots)
-  return answerMs * (1 + fullRounds + utilization) + (definition.place === place ? 0 : CROSS_DOMAIN_LATENCY_MS) + (load.suspect ? SUSPECT_PENALTY_MS : 0)
+/** Up to this number of targets all are compared: two random ones often include the slowest. */
+const MAX_COMPARED_TARGETS = 3
+
+/** Returns the target for a request to a service of the given scale; `random` is a number in the range [0, 1). */
+export function chooseTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number, scale?: ServiceScale): Load | undefined {
+  if (scale === undefined || !loads.some(({ isUneven }) => isUneven)) return fastestTarget(loads, place, random)
+  if (scale.targets <= MAX_COMPARED_TARGETS) return weightedTarget(loads, place, random)
+  return scale.slots < scale.liveHosts ? betterOfTwo(loads, place, random) : fastestTarget(loads, place, random)
 }
 
-/** Returns the target with the lowest expected time to an answer. Ties are broken by `random`, a number in the range [0, 1). */
-export function chooseTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number): Load | undefined {
+/** Returns the target with the lowest expected time to an answer. Ties are broken by `random`. */
+export function fastestTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number): Load | undefined {
   let best: Load[] = []
   let bestMs = Number.POSITIVE_INFINITY
   for (const load of loads) {
@@ -56,3 +47,24 @@
   }
   return best[Math.floor(random * best.length)]
 }
+
+/** Returns a random target with a probability inversely proportional to the square of its expected time. */
+export function weightedTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number): Load | undefined {
+  const weights = loads.map((load) => 1 / Math.max(1, expectedAnswerMs(load, place)) ** 2)
+  let left = random * weights.reduce((sum, weight) => sum + weight, 0)
+  for (const [index, load] of loads.entries()) {
+    left -= weights[index] ?? 0
+    if (left < 0) return load
+  }
+  return loads.at(-1)
+}
+
+/** Returns the better of two different random targets. */
+export function betterOfTwo<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number): Load | undefined {
+  if (loads.length < 2) return loads[0]
+  const pair = Math.floor(random * loads.length * (loads.length - 1))
+  const first = Math.floor(pair / (loads.length - 1))
+  const second = (first + 1 + pair % (loads.length - 1)) % loads.length
+  const drawn = [loads[first], loads[second]].filter((load) => load !== undefined)
+  return fastestTarget(drawn, place, 0)
+}
--- a/src/host/node/routed/followedTopics.ts
+++ b/src/host/node/routed/followedTopics.ts
@@ -24,13 +24,13 @@
   start (): void
 }
 
-export function createFollowedTopics ({ settings: { store }, services, disposables }: HostContext, { standing }: OtherHosts, { reachability: reach, keyedLog }: StoreAccess): FollowedTopics {
+export function createFollowedTopics ({ settings: { store, mechanisms }, services, disposables }: HostContext, { standing }: OtherHosts, { reachability: reach, keyedLog }: StoreAccess): FollowedTopics {
   const topicServices = { ...services, stateLog: new OutageLogDeduplicator(services.stateLog), onRegained: reach.onRegained }
   const tailSettings = (name: string, pauseMs: () => number): TailSettings => ({ name, longPollMs: store.long_poll, pauseMs })
   const followPause = (defaultPauseMs: number): number => followPauseMs(standing.current.hosts, defaultPauseMs)
 
   const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, tailSettings(registryProtocol.operatorTopic, () => 0), registryProtocol))
-  const targets = new TargetTable(services)
+  const targets = new TargetTable({ ...services, mechanisms })
   const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...topicServices }, tailSettings(registryProtocol.targetTopic, () => followPause(store.registry_pause)), registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
   const topic = disposables.add(new StepTopic({ log: stepLog, ...topicServices }, tailSettings(store.topic, () => isCandidate(standing.current) ? store.read_pause : followPause(store.read_pause))))
--- a/test/actors/routes/targetRestarts.test.ts
+++ b/test/actors/routes/targetRestarts.test.ts
@@ -76,9 +76,9 @@
 function simulateUse (target: KnownTarget | undefined): KnownTarget {
   if (target === undefined) throw new Error('no target')
   target.recordAnswerTime(70)
-  target.recordLoad({ running: 3, waiting: 2, slots: 8 })
+  target.recordLoad({ running: 3, waiting: 2, slots: 8, slowdown: 2.5 })
   target.recordFailure()
-  target.inFlight++
+  target.recordSend()
   return target
 }
 
@@ -113,6 +113,7 @@
       const target = here.table.get('a')
       expect(here.available(service), name).to.include('a')
       expect(target, name).not.to.equal(former)
+      expect([target?.sentSinceReport, target?.slowdown], name).to.deep.equal([0, 1])
       expect([target?.inFlight, target?.report, target?.answerMs, target?.suspect, target?.definition.draining, target?.definition.address], name).to.deep.equal([0, undefined, undefined, false, false, next.addr ?? '10.0.0.1:80'])
       here.topic.dispose()
     }
--- a/test/actors/routes/targetTable.test.ts
+++ b/test/actors/routes/targetTable.test.ts
@@ -105,4 +105,62 @@
     target?.recordSilence()
     expect(target?.suspect).to.equal(true)
   })
+
+  describe('with targets that report slowdowns', () => {
+    const report = { running: 2, waiting: 0, slots: 6 }
+
+    it('treats a service as uneven once one of its targets has reported one, and no other service', () => {
+      // Guards against a deployment without such reports whose requests are placed otherwise than before.
+      table.get('a')?.recordLoad(report)
+      expect([table.get('a')?.isUneven, table.get('b')?.isUneven]).to.deep.equal([false, false])
+      table.get('a')?.recordLoad({ ...report, slowdown: 1 })
+      expect([table.get('a')?.isUneven, table.get('b')?.isUneven, table.get('other')?.isUneven]).to.deep.equal([true, true, false])
+      table.get('a')?.recordLoad(report)
+      expect(table.get('b')?.isUneven).to.equal(true)
+    })
+
+    it('does not learn a temporary slowdown as the pace of a target', () => {
+      // Guards against a target that is avoided for seconds after a slow phase of 600 ms.
+      const target = table.get('a')
+      target?.recordAnswerTime(30, { ...report, slowdown: 1 })
+      for (let answer = 0; answer < 10; answer++) target?.recordAnswerTime(75, { ...report, slowdown: 2.5 })
+      expect(target?.answerMs).to.be.closeTo(30, 1e-9)
+    })
+
+    it('learns the pace of a slow target that always reports its usual speed', () => {
+      // Guards against a false figure that is never corrected.
+      const target = table.get('a')
+      for (let answer = 0; answer < 30; answer++) target?.recordAnswerTime(75, { ...report, slowdown: 1 })
+      target?.recordLoad({ ...report, slowdown: 1 })
+      expect(target?.presentAnswerMs).to.be.closeTo(75, 1e-9)
+    })
+
+    it('counts own sends since the newest report', async () => {
+      const target = table.get('a')
+      target?.recordSend()
+      target?.recordLoad({ ...report, slowdown: 2 })
+      target?.recordSend()
+      expect([target?.inFlight, target?.sentSinceReport, target?.slowdown]).to.deep.equal([2, 1, 2])
+      await clock.advance(300)
+      expect(target?.slowdown).to.equal(1.5)
+    })
+
+    it('counts a load report that cannot be read, and keeps the last readable one', () => {
+      const counted: string[] = []
+      const counting = new TargetTable({ clock, stateLog: noopStateLog, metrics: { count: (name) => { counted.push(name) } } })
+      counting.set(newTargetDefinition({ id: 'a' }))
+      counting.get('a')?.recordHead({ load: { ...report, slowdown: 2 } })
+      counting.get('a')?.recordHead({ load: undefined, isLoadUnreadable: true })
+      counting.get('a')?.recordHead({ load: undefined })
+      expect([counted, counting.get('a')?.report?.slowdown]).to.deep.equal([['targets.unreadable_loads'], 2])
+    })
+
+    it('takes all for usual if the mechanism is disabled', () => {
+      const ablated = new TargetTable({ clock, stateLog: noopStateLog, mechanisms: { target_slowdown: false } })
+      ablated.set(newTargetDefinition({ id: 'a' }))
+      ablated.get('a')?.recordLoad({ ...report, slowdown: 2.5 })
+      ablated.get('a')?.recordAnswerTime(75, { ...report, slowdown: 2.5 })
+      expect([ablated.get('a')?.slowdown, ablated.get('a')?.answerMs]).to.deep.equal([1, 75])
+    })
+  })
 })
