Choose engines by the slowdown that they report

Cause: an engine in a slow phase got items until its events showed that it is slow.

Change: runs of items record the load reports in heads that state a slowdown. The slowness of an engine is its usual pace times the reported slowdown by the weight that is left of it, and what was observed by the rest: recent intervals already contain the slowdown, which must not count twice. Moves are still decided by what was observed of the current engine, as a slow phase may be over before a move pays off, but lead to no engine that reports one.

--- a/src/actors/common/steps/engineRegistry.ts
+++ b/src/actors/common/steps/engineRegistry.ts
@@ -1,12 +1,15 @@
 /** Tracks the engines of all services on the host that runs the steps: model versions, active runs and speed. */
 
 import type { EngineLoad } from '../../../core/common/steps/engineChoice.ts'
+import type { EngineSlowdown } from '../../../core/common/steps/enginePace.ts'
 import { EnginePace, relativeSlowness } from '../../../core/common/steps/enginePace.ts'
+import { boundedSlowdown, slowdownWeight } from '../../../core/common/routes/targetEstimate.ts'
 import type { Incarnation } from '../../../base/common/ids.ts'
 import type { IncarnationOrder } from '../../../core/common/routes/incarnation.ts'
 import type { RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ModelVersion } from '../../../core/common/routes/target.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
+import type { TargetResponseHead } from '../../../ports/common/protocols.ts'
 import type { KnownTarget, TargetTable } from '../routes/targetTable.ts'
 
 /** An engine that refused an item gets no new one for about the duration of the shortest run. */
@@ -38,6 +41,17 @@
     return this.target.suspect || this.clock.monotonic() < this.refusedUntil
   }
 
+  /** The slowdown that the engine last reported; `undefined` if it reports none. */
+  get slowdown (): EngineSlowdown | undefined {
+    const { report, reportAgeMs } = this.target
+    return report?.slowdown === undefined ? undefined : { slowdown: boundedSlowdown(report.slowdown), weight: slowdownWeight(reportAgeMs) }
+  }
+
+  /** Records the load in the head of a response to an item. Reports without a slowdown are not used: items are counted by this host, which runs all of them. */
+  recordHead (head: Pick<TargetResponseHead, 'load' | 'isLoadUnreadable'>): void {
+    if (head.load === undefined || head.load.slowdown !== undefined) this.target.recordHead(head)
+  }
+
   /** Newest version of a model that the engine has reported. The engine's registered entry lags behind its responses. */
   version (model: string): number {
     const entry = this.target.definition.models.find((known) => known.model === model)?.version ?? 0
@@ -65,6 +79,8 @@
 /** An engine together with the load figures that the engine choice compares. */
 export interface EngineCandidate extends EngineLoad {
   readonly engine: Engine
+  /** Slowness without the engine's own report. */
+  readonly observedSlowness: number
 }
 
 export class EngineRegistry {
@@ -91,7 +107,11 @@
   /** Returns the engines of these services with the figures needed to choose one for an item of this model and group. */
   candidates (services: readonly string[], model: string, group: string | undefined): EngineCandidate[] {
     const engines = services.flatMap((service) => this.forService(service))
-    const slowness = relativeSlowness(engines.map(({ pace }) => pace), this.clock.monotonic())
+    const paces = engines.map(({ pace }) => pace)
+    const nowMs = this.clock.monotonic()
+    const slowdowns = engines.map((engine) => engine.slowdown)
+    const observedSlowness = relativeSlowness(paces, nowMs)
+    const slowness = slowdowns.every((slowdown) => slowdown === undefined) ? observedSlowness : relativeSlowness(paces, nowMs, slowdowns)
     return engines.map((engine, index) => ({
       engine,
       id: engine.id,
@@ -101,6 +121,7 @@
       loading: engine.order?.model === model,
       suspect: engine.suspect,
       slowness: slowness[index] ?? 1,
+      observedSlowness: observedSlowness[index] ?? 1,
       hasPrompt: group !== undefined && engine.hasPrompt(group)
     }))
   }
--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -50,9 +50,11 @@
       if (itemWork.state !== 'running') return []
       const elapsedMs = nowMs - itemWork.startedAt
       const current = candidates.find(({ engine }) => engine === itemWork.engine)
-      if (current === undefined || !shouldMove(current, fastest, elapsedMs)) return []
+      // A reported slowdown may be over before a move pays off, so a run leaves an engine for what was observed of it, but does not move to one that reports a slowdown.
+      const observed = current === undefined ? undefined : { slowness: current.observedSlowness }
+      if (current === undefined || observed === undefined || !shouldMove(observed, fastest, elapsedMs)) return []
       const faster = this.chooseFrom(candidates, work, itemWork)
-      return faster !== undefined && shouldMove(current, faster, elapsedMs) ? [{ itemWork, current, faster }] : []
+      return faster !== undefined && shouldMove(observed, faster, elapsedMs) ? [{ itemWork, current, faster }] : []
     })
   }
 
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -134,6 +134,7 @@
     return ended
   }
   if (head.requestId !== undefined && head.requestId !== item.id) return endRun({ type: 'broken', why: `the response belongs to request ${head.requestId}` })
+  engine.recordHead(head)
   if (head.notRun) return endRun({ type: 'refused' })
   if (head.status === STATUS_IMPOSSIBLE) return endRun({ type: 'impossible' })
   if (head.status === STATUS_ENGINE_FAILED) return endRun({ type: 'failed' })
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -399,7 +399,7 @@
     const move = this.placement.nextMove(work, route, now)
     if (move === undefined) return
     const { itemWork, current, faster } = move
-    this.services.stateLog.decided('run moved to a faster engine', { item: itemWork.item.id, step: work.step.submission.id, engine: current.id, slowness: current.slowness, to: faster.id, toSlowness: faster.slowness, lastedMs: Math.round(now - itemWork.startedAt), events: itemWork.text.events.length })
+    this.services.stateLog.decided('run moved to a faster engine', { item: itemWork.item.id, step: work.step.submission.id, engine: current.id, slowness: current.observedSlowness, to: faster.id, toSlowness: faster.slowness, lastedMs: Math.round(now - itemWork.startedAt), events: itemWork.text.events.length })
     itemWork.state = 'waiting'
     itemWork.runCancellation?.abort()
   }
--- a/src/core/common/steps/engineChoice.ts
+++ b/src/core/common/steps/engineChoice.ts
@@ -20,7 +20,7 @@
   /** Whether the engine rejects new requests for the model because it is loading weights. */
   readonly loading: boolean
   readonly suspect: boolean
-  /** Time per stream event relative to the other engines; 1 is typical. */
+  /** Expected time per stream event relative to the other engines; 1 is typical. */
   readonly slowness: number
   /** Whether the engine has already processed the prompt of the item's group. */
   readonly hasPrompt: boolean
--- a/src/core/common/steps/enginePace.ts
+++ b/src/core/common/steps/enginePace.ts
@@ -61,20 +61,40 @@
   }
 }
 
+/** The slowdown that an engine has reported, and what is left of it. */
+export interface EngineSlowdown {
+  /** Reported time per unit of work relative to usual (1). */
+  readonly slowdown: number
+  /** Fraction of the distance from 1 that is still expected; 0 once the report says nothing about the present. */
+  readonly weight: number
+}
+
 /** Maximum slowness of an engine without recent events, so that it is tried again. */
 const MAX_BASELINE_SLOWNESS = 1.5
 
-/** Returns the current event interval of each engine relative to the median; 1 for engines without any data. */
-export function relativeSlowness (paces: readonly EnginePace[], nowMs: number): number[] {
+/**
+ * Returns the current event interval of each engine relative to the median; 1 for engines without any data.
+ * A reported slowdown counts by its weight and the observed intervals by the rest, as recent intervals already
+ * contain the slowdown of the time in which they were observed.
+ */
+export function relativeSlowness (paces: readonly EnginePace[], nowMs: number, slowdowns: readonly (EngineSlowdown | undefined)[] = []): number[] {
   const typicalMs = median(paces.flatMap((pace) => pace.baselineIntervalMs ?? pace.recentIntervalMs(nowMs) ?? []))
-  if (typicalMs === undefined || typicalMs <= 0) return paces.map(() => 1)
-  return paces.map((pace) => {
-    const recentMs = pace.recentIntervalMs(nowMs)
-    if (recentMs !== undefined) return recentMs / typicalMs
-    return pace.baselineIntervalMs === undefined ? 1 : Math.min(MAX_BASELINE_SLOWNESS, pace.baselineIntervalMs / typicalMs)
+  const isKnown = typicalMs !== undefined && typicalMs > 0
+  return paces.map((pace, index) => {
+    const observed = isKnown ? observedSlowness(pace, typicalMs, nowMs) : 1
+    const reported = slowdowns[index]
+    if (reported === undefined || reported.weight === 0) return observed
+    const usual = isKnown && pace.baselineIntervalMs !== undefined ? pace.baselineIntervalMs / typicalMs : 1
+    return usual * reported.slowdown * reported.weight + observed * (1 - reported.weight)
   })
 }
 
+function observedSlowness (pace: EnginePace, typicalMs: number, nowMs: number): number {
+  const recentMs = pace.recentIntervalMs(nowMs)
+  if (recentMs !== undefined) return recentMs / typicalMs
+  return pace.baselineIntervalMs === undefined ? 1 : Math.min(MAX_BASELINE_SLOWNESS, pace.baselineIntervalMs / typicalMs)
+}
+
 function median (values: readonly number[]): number | undefined {
   const sorted = [...values].sort((a, b) => a - b)
   return sorted[Math.floor(sorted.length / 2)]
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -1,6 +1,7 @@
 /** One item on one engine that streams, breaks off, sends invalid data or hangs. */
 
 import { expect } from 'chai'
+import type { Engine } from '../../../src/actors/common/steps/engineRegistry.ts'
 import { EngineRegistry } from '../../../src/actors/common/steps/engineRegistry.ts'
 import type { RunOutcome } from '../../../src/actors/common/steps/itemRun.ts'
 import { runItem } from '../../../src/actors/common/steps/itemRun.ts'
@@ -23,7 +24,7 @@
 const event = (id: number, version?: number): string => `${version === undefined ? '' : `bulrushvalve-weight-versions: ${version}\n`}id: ${id}\ndata: d${id}\n\n`
 const events = (...ids: number[]): ScriptedAnswer['events'] => ids.map((id) => ({ afterMs: 30, raw: event(id) }))
 
-async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunOutcome, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number, firstMs: number, baselineIntervalMs: number | undefined }> {
+async function run (answer: ScriptedAnswer, { text = newText(), minimumVersion = 2, cancelAfterMs = Number.POSITIVE_INFINITY } = {}): Promise<{ end: RunOutcome, text: ItemText, sent: SentRequest | undefined, version: number, tookMs: number, firstMs: number, baselineIntervalMs: number | undefined, engine: Engine }> {
   const clock = new ManualClock()
   const table = new TargetTable({ clock, stateLog: noopStateLog })
   table.set(newTargetDefinition({ id: 'e', service: 'engines', address: 'e', models: [{ model: 'm', version: 2 }] }))
@@ -39,7 +40,7 @@
   const ended = runItem({ client, protocol: targetProtocol, clock, ends: newTargetEnds(table, client, clock) }, engine, newItem('i', 'g'), text, { workspace: undefined, host: 'h', model: 'm', minimumVersion, payload: newItem('i', 'g'), firstEventTimeoutMs: 1000, silenceTimeoutMs: 500, cancelled: cancel.signal, onFirstEvent: () => { firstMs = clock.now - began } })
   ended.then(() => { tookMs = clock.now - began }).catch(() => undefined)
   await clock.advance(5000)
-  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs, baselineIntervalMs: engine.pace.baselineIntervalMs }
+  return { end: await ended, text, sent: client.sent[0], version: engine.version('m'), tookMs, firstMs, baselineIntervalMs: engine.pace.baselineIntervalMs, engine }
 }
 
 describe('runItem', () => {
@@ -55,6 +56,15 @@
     expect(baselineIntervalMs).to.equal(30)
   })
 
+  it('records the slowdown that the engine reports, and no load of an engine that reports none', async () => {
+    // Guards against engines that are used otherwise than before because items record their load reports.
+    const end = [{ afterMs: 5, raw: event(1) }]
+    const slow = (await run({ afterMs: 5, headers: { ...responseHeaders, 'bulrushvalve-server-load': '3,0,6,250' }, events: end })).engine
+    expect([slow.target.report, slow.slowdown?.slowdown, slow.target.isUneven]).to.deep.equal([{ running: 3, waiting: 0, slots: 6, slowdown: 2.5 }, 2.5, true])
+    const former = (await run({ afterMs: 5, headers: { ...responseHeaders, 'bulrushvalve-server-load': '3,0,6' }, events: end })).engine
+    expect([former.target.report, former.slowdown, former.target.isUneven]).to.deep.equal([undefined, undefined, false])
+  })
+
   it('collects events and the versions that produced them', async () => {
     const { end, text, version } = await run({ afterMs: 5, headers: responseHeaders, events: [{ afterMs: 5, raw: event(1) }, { afterMs: 5, raw: event(2, 4) }, { afterMs: 5, raw: event(3) }] })
     expect([end.type, text.text, [...text.versions], version]).to.deep.equal(['complete', 'd1\nd2\nd3', [3, 4], 4])
--- a/test/core/steps/stepPlan.test.ts
+++ b/test/core/steps/stepPlan.test.ts
@@ -123,6 +123,19 @@
     expect(relativeSlowness([paceOf(46, 40, 0), paceOf(46, 40, 0), paceOf(180, 40, 0)], 60_000)[2]).to.equal(1.5)
   })
 
+  it('follows the slowdown that an engine has just reported, and what was observed of it once the report is old', () => {
+    // Guards against long items that start on an engine in a slow phase of which the host has seen no event yet, and
+    // against a slowdown that counts twice because the recent events already contain it.
+    const paces = [paceOf(46, 40, 0), paceOf(46, 40, 0), paceOf(46, 40, 0)]
+    const withReport = (slowdown: number, weight: number, nowMs: number): number => relativeSlowness(paces, nowMs, [undefined, undefined, { slowdown, weight }])[2] ?? 0
+    expect([withReport(2.5, 1, 60_000), withReport(2.5, 0.5, 60_000), withReport(2.5, 0, 60_000), withReport(1, 1, 60_000)]).to.deep.equal([2.5, 1.75, 1, 1])
+    const slowed = paceOf(46, 40, 0)
+    for (let event = 1; event <= 40; event++) slowed.recordEventInterval(115, 10_000 + event * 115)
+    const observed = relativeSlowness([paceOf(46, 40, 0), paceOf(46, 40, 0), slowed], 14_700, [undefined, undefined, { slowdown: 2.5, weight: 0.8 }])[2] ?? 0
+    expect(observed).to.be.closeTo(2.5, 0.05)
+    expect(relativeSlowness([new EnginePace(), new EnginePace()], 0, [undefined, { slowdown: 2.5, weight: 1 }])).to.deep.equal([1, 2.5])
+  })
+
   it('ignores events that were read together after a pause of this host', () => {
     const pace = paceOf(46, 40, 0)
     pace.recordRun(60, 11)
