Keep idle connections to a target for as long as it announces

Cause, found with a local server that announces Keep-Alive: timeout=3 (test/adapters/lastingConnections.test.ts): the pools of the library open a connection although none would be needed - after an idle time of the announced time less 2 s (3 s: idle for 1.5 s; 2 s or less: always), or 4 s without one, - at once after an aborted request, as after each hedge that wins, whether or not a request follows, - for a request sent in the turn of the event loop in which the former was answered, - and the connection of a hedge or once-only call is closed after its answer.

Change: LastingConnections, one request per connection, the most recently used idle one first, idle until the announced time less 1 s, no replacement of aborted ones, and connections opened for one request are kept afterwards. They are retired as before after a silence, except those over which an answer arrived since the hedge was sent. Only complete exchanges may use them: a stream that meets a silent connection waits 1.5 s or more. Nothing asks for them yet.

--- a/src/adapters/node/connectionPools.ts
+++ b/src/adapters/node/connectionPools.ts
@@ -15,6 +15,8 @@
   /** Longest wait for the head of a response and between parts of its body. */
   readonly inactivityTimeoutMs: number
   readonly maximumAnswerBytes: number
+  /** Called for each connection that has been opened. */
+  readonly onConnected?: () => void
 }
 
 export class ConnectionPools implements Disposable {
@@ -30,7 +32,7 @@
     const pool = new Pool(address, {
       connections: this.settings.connections,
       pipelining: 1,
-      connect: createConnector(this.settings.connectTimeoutMs),
+      connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected),
       headersTimeout: this.settings.inactivityTimeoutMs,
       bodyTimeout: this.settings.inactivityTimeoutMs,
       maxResponseSize: this.settings.maximumAnswerBytes
@@ -73,11 +75,12 @@
  * complete when its connection is reset, as it does when the connection ends, so a target that crashed while sending such a
  * response appeared to have completed it. The library checks the error code, so the code is replaced before the library sees it.
  */
-export function createConnector (timeoutMs: number): buildConnector.connector {
+export function createConnector (timeoutMs: number, onConnected?: () => void): buildConnector.connector {
   const connect = buildConnector({ timeout: timeoutMs, ...SOCKET_BUFFER_OPTIONS })
   return (options, callback) => {
     connect(options, (...[error, socket]: buildConnector.CallbackArgs) => {
       if (error !== null) return callback(error, null)
+      onConnected?.()
       socket.prependListener('error', (failed: NodeJS.ErrnoException) => { if (failed.code === 'ECONNRESET') failed.code = CONNECTION_RESET_CODE })
       readOnDemand(socket)
       callback(null, socket)
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -1,13 +1,17 @@
-/** Sends requests to targets over pooled connections, or over a dedicated connection if a request must not run twice. */
+/**
+ * Sends requests to targets over pooled connections, over connections that are kept while idle, or over a
+ * dedicated connection if a request must not run twice.
+ */
 
 import { connect } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
-import type { Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
+import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { ConnectionPools } from './connectionPools.ts'
 import { createConnector, isNeverSent, isConnectionRefused } from './connectionPools.ts'
+import type { LastingConnections } from './lastingConnections.ts'
 
 /** Short because the caller holds a request that it wants to send elsewhere. */
 const LISTEN_PROBE_TIMEOUT_MS = 100
@@ -20,12 +24,16 @@
   readonly connectTimeoutMs: number
   /** Size limit of a complete response, in bytes. */
   readonly maximumAnswerBytes: number
+  /** Called for each connection that this client opens itself. */
+  readonly onConnected?: () => void
 }
 
-export class HttpTargetClient implements TargetClient {
-  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings) {}
+export class HttpTargetClient implements TargetClient, IdleConnections {
+  /** @param lasting connections for requests that keep them while idle; without it such requests use the pools */
+  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly lasting?: LastingConnections) {}
 
   async exchange (request: TargetRequest): Promise<Result<TargetResponse>> {
+    if (request.keepsIdle === true && this.lasting !== undefined) return await this.exchangeAndKeep(this.lasting, request)
     const dispatcher = this.dispatcher(request)
     try {
       const response = await this.send(dispatcher, request)
@@ -39,6 +47,28 @@
     }
   }
 
+  /** Exchanges over a kept connection, or over a new one that is kept afterwards. */
+  private async exchangeAndKeep (lasting: LastingConnections, request: TargetRequest): Promise<Result<TargetResponse>> {
+    const origin = `http://${request.address}`
+    const kept = request.ownConnection ? undefined : lasting.acquire(origin)
+    const client = kept?.client ?? lasting.newClient(origin)
+    try {
+      const { statusCode: status, headers, body: stream } = await this.send(client, request)
+      const body = await stream.bytes()
+      if (kept === undefined) lasting.adopt(origin, client, headers)
+      else lasting.release(origin, kept, headers)
+      return success({ status, headers, body })
+    } catch (error) {
+      if (kept === undefined) client.destroy().catch(() => undefined)
+      else lasting.fail(origin, kept)
+      return toFailure(error)
+    }
+  }
+
+  hasIdleConnection (address: string): boolean {
+    return this.lasting?.hasIdle(`http://${address}`) === true
+  }
+
   async open (request: TargetRequest): Promise<Result<TargetStream>> {
     const dispatcher = this.dispatcher(request)
     const cancellation = new AbortController()
@@ -54,8 +84,9 @@
     }
   }
 
-  retireConnections (address: string, minAgeMs: number = 0): void {
+  retireConnections (address: string, minAgeMs: number = 0, sparedMs: number = 0): void {
     this.connections.retireIfOlderThan(`http://${address}`, minAgeMs)
+    this.lasting?.retire(`http://${address}`, minAgeMs, sparedMs)
   }
 
   async listens (address: string): Promise<Listening> {
@@ -66,7 +97,10 @@
         socket.destroy()
         resolve(listening)
       }
-      socket.once('connect', () => { finish('yes') })
+      socket.once('connect', () => {
+        this.settings.onConnected?.()
+        finish('yes')
+      })
       socket.once('timeout', () => { finish('unknown') })
       socket.once('error', (error) => { finish(isConnectionRefused(error) ? 'no' : 'unknown') })
     })
@@ -75,7 +109,7 @@
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
     const origin = `http://${address}`
     if (!ownConnection) return this.connections.poolFor(origin)
-    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs), maxResponseSize: this.settings.maximumAnswerBytes })
+    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected), maxResponseSize: this.settings.maximumAnswerBytes })
   }
 
   private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, options: { readonly highWaterMark?: number } = {}): Promise<Dispatcher.ResponseData> {
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -20,6 +20,11 @@
    * is sent because a reused connection may have stopped delivering data.
    */
   readonly ownConnection: boolean
+  /**
+   * Whether the connection stays open while idle for as long as the target announces. It only applies to complete
+   * exchanges: a stream that meets a connection that went silent while idle loses more time than a request that is hedged.
+   */
+  readonly keepsIdle?: boolean
   /** Aborting the signal cancels the request. */
   readonly signal: AbortSignal
 }
@@ -46,6 +51,11 @@
 /** Whether a process accepts connections at an address: `no` if the connection was refused, `unknown` if there was no response in time. */
 export type Listening = 'yes' | 'no' | 'unknown'
 
+/** Tells to which targets open connections are unused. */
+export interface IdleConnections {
+  hasIdleConnection (address: string): boolean
+}
+
 export interface TargetClient {
   /** Sends a request and reads the complete response. */
   exchange (request: TargetRequest): Promise<Result<TargetResponse>>
@@ -53,9 +63,10 @@
   open (request: TargetRequest): Promise<Result<TargetStream>>
   /**
    * Retires the pooled connections to an address after one of them timed out, unless the pool is
-   * younger than `minAgeMs`.
+   * younger than `minAgeMs`. Of connections that are kept while idle, those stay over which an answer
+   * arrived within the last `sparedMs`.
    */
-  retireConnections (address: string, minAgeMs?: number): void
+  retireConnections (address: string, minAgeMs?: number, sparedMs?: number): void
   /** Checks whether a process listens at an address by opening a connection and closing it without sending data. */
   listens (address: string): Promise<Listening>
 }
