--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -102,6 +102,7 @@
       headers: services.protocol.itemHeaders(options.host, item.id, options.payload, { expectedTarget: id, ...(text.last === undefined ? {} : { resumeAfter: text.last }) }, options.workspace),
       body: decodeBase64(options.payload.body),
       ownConnection: false,
+      keepsIdle: target.keepsIdle,
       signal
     })
     if (!answer.ok && answer.code === 'targetUnreachable') {
@@ -134,6 +135,7 @@
     return ended
   }
   if (head.requestId !== undefined && head.requestId !== item.id) return endRun({ type: 'broken', why: `the response belongs to request ${head.requestId}` })
+  engine.recordHead(head)
   if (head.notRun) return endRun({ type: 'refused' })
   if (head.status === STATUS_IMPOSSIBLE) return endRun({ type: 'impossible' })
   if (head.status === STATUS_ENGINE_FAILED) return endRun({ type: 'failed' })
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -1,13 +1,17 @@
-/** Sends requests to targets over pooled connections, or over a dedicated connection if a request must not run twice. */
+/**
+ * Sends requests to targets over pooled connections, over connections that are kept while idle, or over a
+ * dedicated connection if a request must not run twice.
+ */
 
 import { connect } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
-import type { Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
+import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { ConnectionPools } from './connectionPools.ts'
 import { createConnector, isNeverSent, isConnectionRefused } from './connectionPools.ts'
+import type { LastingConnections } from './lastingConnections.ts'
 
 /** Short because the caller holds a request that it wants to send elsewhere. */
 const LISTEN_PROBE_TIMEOUT_MS = 100
@@ -15,17 +19,26 @@
 /** Number of bytes buffered ahead of the reader of a stream. */
 const READ_AHEAD_BYTES = 16_384
 
+const HTTP_CLIENT_ERROR = 400
+/** Bounds of the rest of a refused or failed stream that is read so that its connection can be used again. */
+const MAX_DISCARDED_BYTES = 65_536
+const DISCARD_TIMEOUT_MS = 1000
+
 export interface TargetClientSettings {
   /** Longest time to establish a connection, in milliseconds. */
   readonly connectTimeoutMs: number
   /** Size limit of a complete response, in bytes. */
   readonly maximumAnswerBytes: number
+  /** Called for each connection that this client opens itself. */
+  readonly onConnected?: () => void
 }
 
-export class HttpTargetClient implements TargetClient {
-  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings) {}
+export class HttpTargetClient implements TargetClient, IdleConnections {
+  /** @param lasting connections for requests that keep them while idle; without it such requests use the pools */
+  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly lasting?: LastingConnections) {}
 
   async exchange (request: TargetRequest): Promise<Result<TargetResponse>> {
+    if (request.keepsIdle === true && this.lasting !== undefined) return await this.exchangeAndKeep(this.lasting, request)
     const dispatcher = this.dispatcher(request)
     try {
       const response = await this.send(dispatcher, request)
@@ -39,7 +52,27 @@
     }
   }
 
+  /** Exchanges over a kept connection, or over a new one that is kept afterwards. */
+  private async exchangeAndKeep (lasting: LastingConnections, request: TargetRequest): Promise<Result<TargetResponse>> {
+    const origin = `http://${request.address}`
+    const kept = request.ownConnection ? lasting.open(origin) : lasting.acquire(origin)
+    try {
+      const { statusCode: status, headers, body: stream } = await this.send(kept.client, request)
+      const body = await stream.bytes()
+      lasting.release(origin, kept, headers)
+      return success({ status, headers, body })
+    } catch (error) {
+      lasting.fail(origin, kept)
+      return toFailure(error)
+    }
+  }
+
+  hasIdleConnection (address: string): boolean {
+    return this.lasting?.hasIdle(`http://${address}`) === true
+  }
+
   async open (request: TargetRequest): Promise<Result<TargetStream>> {
+    if (request.keepsIdle === true && this.lasting !== undefined) return await this.openAndKeep(this.lasting, request)
     const dispatcher = this.dispatcher(request)
     const cancellation = new AbortController()
     try {
@@ -54,8 +87,30 @@
     }
   }
 
-  retireConnections (address: string, minAgeMs: number = 0): void {
+  /** Opens a stream over a kept connection, or over a new one, which is kept once the stream has ended. */
+  private async openAndKeep (lasting: LastingConnections, request: TargetRequest): Promise<Result<TargetStream>> {
+    const origin = `http://${request.address}`
+    const kept = request.ownConnection ? lasting.open(origin) : lasting.acquire(origin)
+    const cancellation = new AbortController()
+    try {
+      const { statusCode: status, headers, body } = await this.send(kept.client, { ...request, signal: AbortSignal.any([request.signal, cancellation.signal]) }, { highWaterMark: READ_AHEAD_BYTES })
+      body.on('error', () => undefined)
+      body.once('close', () => { body.readableEnded ? lasting.release(origin, kept, headers) : lasting.fail(origin, kept) })
+      // The target runs nothing after it has refused or failed, so that reading the rest costs less than another connection.
+      const cancel = (): void => {
+        if (status < HTTP_CLIENT_ERROR) return cancellation.abort()
+        body.dump({ limit: MAX_DISCARDED_BYTES, signal: AbortSignal.timeout(DISCARD_TIMEOUT_MS) }).catch(() => { cancellation.abort() })
+      }
+      return success({ status, headers, pieces: body, cancel })
+    } catch (error) {
+      lasting.fail(origin, kept)
+      return toFailure(error)
+    }
+  }
+
+  retireConnections (address: string, minAgeMs: number = 0, sparedMs: number = 0): void {
     this.connections.retireIfOlderThan(`http://${address}`, minAgeMs)
+    this.lasting?.retire(`http://${address}`, minAgeMs, sparedMs)
   }
 
   async listens (address: string): Promise<Listening> {
@@ -66,7 +121,10 @@
         socket.destroy()
         resolve(listening)
       }
-      socket.once('connect', () => { finish('yes') })
+      socket.once('connect', () => {
+        this.settings.onConnected?.()
+        finish('yes')
+      })
       socket.once('timeout', () => { finish('unknown') })
       socket.once('error', (error) => { finish(isConnectionRefused(error) ? 'no' : 'unknown') })
     })
@@ -75,7 +133,7 @@
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
     const origin = `http://${address}`
     if (!ownConnection) return this.connections.poolFor(origin)
-    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs), maxResponseSize: this.settings.maximumAnswerBytes })
+    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected), maxResponseSize: this.settings.maximumAnswerBytes })
   }
 
   private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, options: { readonly highWaterMark?: number } = {}): Promise<Dispatcher.ResponseData> {
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -17,6 +17,7 @@
   'claims.released': 'claims released because nothing ran',
   'claims.unknown': 'once-only calls whose outcome is unknown',
   'completions.whole': 'streams that were completed',
+  'connections.opened': 'new connections to targets',
   'connections.dropped': 'connections refused because there are too many',
   'directory.answers': 'answers to address queries of callers',
   'fleet.orders': 'orders of rented targets sent to the platform',
@@ -88,6 +89,7 @@
   'targets.restarted': 'targets that restarted under the same id',
   'targets.silent': 'targets that stopped responding',
   'targets.unreadable_entries': 'invalid registrations of targets',
+  'targets.unreadable_loads': 'load reports of targets that were ignored because a figure is missing, not a number, negative or above one million',
   'task.failed': 'messages that caused a task to fail',
   'weights.changed': 'observed weight changes'
 } as const
--- a/src/host/node/routed/followedTopics.ts
+++ b/src/host/node/routed/followedTopics.ts
@@ -22,12 +22,12 @@
   start (): void
 }
 
-export function createFollowedTopics ({ settings: { store }, services, disposables }: HostContext, { standing }: OtherHosts, { reachability: reach, keyedLog }: StoreAccess): FollowedTopics {
+export function createFollowedTopics ({ settings: { store, mechanisms }, services, disposables }: HostContext, { standing }: OtherHosts, { reachability: reach, keyedLog }: StoreAccess): FollowedTopics {
   const topicServices = { ...services, stateLog: new OutageLogDeduplicator(services.stateLog), onRegained: reach.onRegained }
   const waitMs = store.long_poll
 
   const operator = disposables.add(new OperatorTopic({ log: keyedLog(registryProtocol.operatorTopic), ...topicServices }, { name: registryProtocol.operatorTopic, pace: () => operatorPace(standing.current, topic.isReadWithoutPause, { waitMs, pauseMs: 0 }) }, registryProtocol))
-  const targets = new TargetTable(services)
+  const targets = new TargetTable({ ...services, mechanisms })
   const targetTopic = disposables.add(new TargetTopic({ log: keyedLog(registryProtocol.targetTopic), ...topicServices }, { name: registryProtocol.targetTopic, pace: () => targetsPace(standing.current, topic.isReadWithoutPause, { waitMs, pauseMs: store.registry_pause }) }, registryProtocol, targets))
   const stepLog = keyedLog(store.topic)
   const topic: StepTopic = disposables.add(new StepTopic({ log: stepLog, ...topicServices }, { name: store.topic, pace: () => stepsPace(standing.current, { waitMs, pauseMs: store.read_pause }) }))
