Pass on the loads of hosts with probes

Cause: a host probes some twenty neighbours, so it heard the loads of about half of 90 hosts, and an address answer lists only hosts whose load is known.

Change: probes of deployments in which a host does not probe all others carry 16 loads of other hosts, changed ones first, and all loads with the full member table.

Result: in one process, all of 30, 90 and 300 hosts know a load of every other host within 12 s of the start and a changed load within 12 s.

--- a/src/actors/common/membership/membership.ts
+++ b/src/actors/common/membership/membership.ts
@@ -10,9 +10,10 @@
 import { Emitter, toDisposable } from '../../../base/common/lifecycle.ts'
 import { unreachable } from '../../../base/common/exhaustive.ts'
 import type { Result } from '../../../base/common/resultCode.ts'
+import { HostLoads } from '../../../core/common/membership/hostLoads.ts'
 import type { Member, MemberUpdate } from '../../../core/common/membership/memberTable.ts'
 import { MemberTable } from '../../../core/common/membership/memberTable.ts'
-import { probeNeighbours } from '../../../core/common/membership/probeTargets.ts'
+import { MAX_PROBED_HOSTS, probeNeighbours } from '../../../core/common/membership/probeTargets.ts'
 import type { StatusChange } from '../../../core/common/membership/statusLines.ts'
 import { summarizeStatusChanges } from '../../../core/common/membership/statusLines.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
@@ -89,7 +90,7 @@
   private readonly table: MemberTable
   private readonly changeEmitter = new Emitter<void>()
   private readonly pressures = new Map<ShardKey, number>()
-  private readonly loads = new Map<HostId, number>()
+  private readonly loads = new HostLoads()
   private readonly hostsReachingStore = new Set<HostId>()
   private readonly hostsBeingProbed = new Set<HostId>()
   /** Hosts that became known or alive and have not been logged yet. */
@@ -133,7 +134,7 @@
   }
 
   loadOf (host: HostId): number | undefined {
-    return host === this.self.host ? this.payload.load() : this.loads.get(host)
+    return host === this.self.host ? this.payload.load() : this.loads.loadOf(host)
   }
 
   /** Returns the addresses of hosts that may answer, in random order; the seeds if no host is known. */
@@ -302,6 +303,7 @@
       updates: giveFull ? this.table.fullTable() : this.table.takeUpdates(),
       offset: this.payload.offset(),
       load: this.payload.load(),
+      otherLoads: this.table.reachableMembers().length > MAX_PROBED_HOSTS ? this.loads.take(this.services.clock.monotonic(), giveFull) : undefined,
       reachesStore: this.payload.reachesStore(),
       pressures: this.payload.pressures(),
       digest: this.services.hash.digest(this.table.summary()),
@@ -339,6 +341,15 @@
     if (isOtherHost) this.suspect(member)
   }
 
+  /** Records the sender's load, and those that it passes on of members that are not known to be dead. */
+  private recordLoads ({ from, load, otherLoads = [] }: ProbeMessage, nowMs: number): void {
+    this.loads.record({ host: from.host, load, ageMs: 0 }, nowMs)
+    for (const other of otherLoads) {
+      const status = this.table.get(other.host)?.status
+      if (status !== undefined && status !== 'dead') this.loads.record(other, nowMs)
+    }
+  }
+
   private mergeProbe (message: ProbeMessage): void {
     const now = this.services.clock.monotonic()
     let changed = false
@@ -350,7 +361,7 @@
       this.logStatus({ host: update.host, status: update.status, was: formerStatus ?? 'unknown' })
     }
     this.tablesDiffer = message.digest !== this.services.hash.digest(this.table.summary())
-    this.loads.set(message.from.host, message.load)
+    this.recordLoads(message, now)
     if (message.reachesStore) this.hostsReachingStore.add(message.from.host)
     else this.hostsReachingStore.delete(message.from.host)
     for (const [shard, pressure] of Object.entries(message.pressures)) this.pressures.set(shard as ShardKey, pressure)
--- a/src/core/common/membership/probeTargets.ts
+++ b/src/core/common/membership/probeTargets.ts
@@ -14,7 +14,7 @@
 import type { Hash } from '../../../ports/common/hash.ts'
 
 /** Up to this number of others, all are probed in turn: with a probe every 500 ms, each within 12 s, well before the 28 s after which its connection is closed. */
-const MAX_PROBED_HOSTS = 24
+export const MAX_PROBED_HOSTS = 24
 const DISTANCE_GROWTH = 1.2
 /** Larger than any hash, so that the distance from a larger hash to a smaller one exceeds all others. */
 const RING_SIZE = 2 ** 32
--- a/src/ports/common/peers.ts
+++ b/src/ports/common/peers.ts
@@ -5,6 +5,7 @@
 
 import type { Failure, Result } from '../../base/common/resultCode.ts'
 import type { HostId, ShardKey } from '../../base/common/ids.ts'
+import type { HostLoad } from '../../core/common/membership/hostLoads.ts'
 import type { MemberUpdate } from '../../core/common/membership/memberTable.ts'
 import type { AcquireRequest, Grant } from '../../core/common/routing/admissionMessages.ts'
 import type { KeyedPage, KeyedRecord, NewestPage } from './keyedLog.ts'
@@ -20,6 +21,8 @@
   readonly pressures: Readonly<Record<string, number>>
   /** Load of the sender, 0 to 1, where 1 means that it accepts no callers: requests in flight as a fraction of its limit or, if larger, its processor load where callers are spread by it. */
   readonly load: number
+  /** Loads of other hosts as known to the sender; absent where every host probes all others. */
+  readonly otherLoads?: readonly HostLoad[] | undefined
   /** Whether the sender reaches the store directly, so that other hosts may relay store calls through it. */
   readonly reachesStore: boolean
   /** Digest of the sender's member table; two hosts whose digests differ exchange their tables. */
--- a/test/actors/membership/manyHosts.test.ts
+++ b/test/actors/membership/manyHosts.test.ts
@@ -19,6 +19,9 @@
 /** Time for which an idle connection to another host is kept: the server's 30 s, less the client's margin of 2 s. */
 const KEPT_CONNECTION_MS = 28_000
 
+/** Callers arrive 16 s after the hosts of a deployment start. */
+const LOADS_KNOWN_WITHIN_MS = 12_000
+
 class Cluster {
   readonly hosts: Membership[] = []
   callCount = 0
@@ -104,6 +107,23 @@
     })
   }
 
+  for (const count of [30, 90, 300]) {
+    it(`know the loads of all ${count} hosts soon after they start, and changes of a load within seconds`, async () => {
+      // Guards against hosts that receive no callers: an address answer lists only hosts whose load is known, and a host probes its neighbours only.
+      const clock = new ManualClock()
+      const cluster = new Cluster(clock, hash, count)
+      const loads = cluster.hosts.map(() => 0)
+      cluster.hosts.forEach((host, index) => { host.setProbePayload({ offset: () => 0, load: () => loads[index] ?? 0, reachesStore: () => true, pressures: () => ({}) }) })
+      const countKnowing = (load: number): number => cluster.hosts.filter((host) => host.loadOf(asHostId('h3/a')) === load).length
+      await clock.advance(LOADS_KNOWN_WITHIN_MS)
+      for (const host of cluster.hosts) expect(host.available().filter((member) => host.loadOf(member.host) === undefined)).to.deep.equal([])
+      loads[3] = 0.5
+      await clock.advance(LOADS_KNOWN_WITHIN_MS)
+      expect(countKnowing(0.5), 'hosts that know the present load').to.equal(count)
+      cluster.dispose()
+    })
+  }
+
   for (const { count, lost } of [{ count: 30, lost: [5, 9, 13, 17, 21, 25] }, { count: 90, lost: [5, 13, 21, 29, 37, 45] }, { count: 300, lost: [5, 13] }]) {
     it(`suspect a lost host of ${count} within 2 s on average, and open few connections`, async () => {
       // Guards against the cost of connections: with probes of all others in turn, nearly each probe among 90 hosts found its
