Register the tests of the duty ranking before the run starts

The tests of a describe block with an asynchronous callback are registered only if the process happens to wait; a run of this file alone left them out.

--- a/test/core/duties/dutyOrder.test.ts
+++ b/test/core/duties/dutyOrder.test.ts
@@ -3,6 +3,7 @@
 import { expect } from 'chai'
 import { createHash } from '../../../src/adapters/node/xxHash.ts'
 import { asHostId, asFailureDomain } from '../../../src/base/common/ids.ts'
+import type { Hash } from '../../../src/ports/common/hash.ts'
 import type { DutyHost, HostRanking } from '../../../src/core/common/duties/dutyOrder.ts'
 import { CANDIDATE_COUNT, claimDelayMs, rankHostsForDuty, isCandidate } from '../../../src/core/common/duties/dutyOrder.ts'
 import { operatorPace, stepsPace, targetsPace } from '../../../src/core/common/steps/followPace.ts'
@@ -12,8 +13,9 @@
 /** A quarter of the hosts is large; the hosts are spread over five failure domains. */
 const hostsOf = (count: number, incarnation = 'a'): DutyHost[] => Array.from({ length: count }, (_, index) => ({ host: asHostId(`host-${index}/${incarnation}`), place: asFailureDomain(`place-${index % 5}`), processor: index % 4 === 0 ? 1.35 : 0.324 }))
 
-describe('the ranking of hosts for a duty', async () => {
-  const hash = await createHash()
+describe('the ranking of hosts for a duty', () => {
+  let hash: Hash
+  before(async () => { hash = await createHash() })
 
   it('starts with large hosts of different failure domains, regardless of the order of the members', () => {
     for (const count of SIZES) {
