Order no rented targets in the first 5 s of a host

Cause: on the shifted deployment the first holder ordered 8 spot targets 1.3 s after the start, before the entries of the targets had arrived.

Change: a host orders nothing in its first 5 s.

Result: the test that starts a holder with its deployment fails before (orders after 250 ms) and passes now; the process tests of rented targets pass (3).

--- a/src/actors/common/fleet/fleetController.ts
+++ b/src/actors/common/fleet/fleetController.ts
@@ -36,9 +36,16 @@
   readonly stateLog: StateLog
   /** Machine of this host, which is the name of the duty holder. */
   readonly machine: string
+  /** Monotonic time at which this host started. */
+  readonly startedAtMs: number
 }
 
 const CHECK_INTERVAL_MS = 250
+/**
+ * Time after the start of this host before it orders targets. The entries of targets that start together with the hosts arrive
+ * over a few heartbeats, and an order in between would be for targets that are about to register.
+ */
+const REGISTRATION_PERIOD_MS = 5000
 /** Keeps the orders of one check well below the platform's limit of 50 calls per second for all duties. */
 const MAX_ORDERS_PER_CHECK = 6
 /** Initial pause after an order that was refused for now or not answered; it doubles with each further one, with jitter between half and all of it. */
@@ -132,8 +139,8 @@
   }
 
   private mayOrder (): boolean {
-    const { duty, clock, isRegistryCurrent } = this.services
-    return this.timer !== undefined && duty.alone && isRegistryCurrent() && clock.monotonic() >= this.pausedUntilMs
+    const { duty, clock, isRegistryCurrent, startedAtMs } = this.services
+    return this.timer !== undefined && duty.alone && isRegistryCurrent() && clock.monotonic() >= Math.max(this.pausedUntilMs, startedAtMs + REGISTRATION_PERIOD_MS)
   }
 
   /** Returns the services whose targets may be ordered. The demand of other services than engines is not known, so their targets are left alone. */
--- a/src/host/node/routed/hostFleet.ts
+++ b/src/host/node/routed/hostFleet.ts
@@ -32,6 +32,7 @@
     routes: () => operator.routes,
     targets: (service) => targets.available(service).map(({ definition }) => definition),
     isRegistryCurrent: () => targetTopic.isCurrent,
+    startedAtMs: services.clock.monotonic(),
     knownPlaces: () => [settings.host.place, ...membership.members().map(({ place }) => place), ...targets.places()],
     demands: () => home.slotDemands()
   }))
--- a/test/actors/fleet/fleetController.test.ts
+++ b/test/actors/fleet/fleetController.test.ts
@@ -102,7 +102,7 @@
   private table: RouteTable | undefined
 
   /** Adds a host that may hold the duty. */
-  join (machine: string): Duty {
+  join (machine: string, startedAtMs: number = Number.NEGATIVE_INFINITY): Duty {
     const duty = new Duty()
     const metrics = { ...noopMetrics, gauge: (name: string, value: number) => { this.gauges.set(name, value) } }
     const services = {
@@ -117,7 +117,8 @@
       chance: newSeededChance(1),
       metrics,
       stateLog: this.log,
-      machine
+      machine,
+      startedAtMs
     }
     this.controllers.push(new FleetController(services))
     return duty
@@ -151,6 +152,17 @@
     duty = scene.join('n-1')
   })
 
+  it('orders nothing while the targets that start together with its host register', async () => {
+    // Guards against orders at the start of a deployment, for targets whose entries have not arrived yet.
+    const starting = scene.join('n-2', scene.clock.now)
+    scene.demand = 36
+    starting.set(true, 7)
+    await scene.clock.advance(4500)
+    expect(scene.platform.received).to.deep.equal([])
+    await scene.clock.advance(1000)
+    expect(scene.platform.received.length).to.be.greaterThan(0)
+  })
+
   it('orders what open steps need at once, with its name and term, and nothing more then', async () => {
     duty.set(true, 7)
     scene.demand = 36
--- a/test/platform/rentedTargets.test.ts
+++ b/test/platform/rentedTargets.test.ts
@@ -6,6 +6,8 @@
 import { configuration, Fleet } from './support/fleet.ts'
 import type { TargetOptions } from './support/targetStandIn.ts'
 
+/** Time after its start in which a host orders nothing. */
+const REGISTRATION_PERIOD_MS = 5000
 const BOOT_MS = 500
 const LEAVES_MS = 2500
 const engine = { models: ['m'], eventMs: 10, loadMs: 150 }
@@ -50,7 +52,7 @@
     // Guards against items that are broken off by an end that was announced, and against orders without need.
     await start(['usage', 'autoscale'])
     fleet.store.put('keyed.op', 'config', scaledConfiguration(2, scaling))
-    await pause(6000)
+    await pause(REGISTRATION_PERIOD_MS + 6000)
     expect(duties.scaleOrders).to.deep.equal([])
     // Short items of other ids, from which the holder learns how long an event takes.
     expect((await fleet.submit(fleet.host(0), 'step-0', [[], [20, 20, 20, 20]], { group_count: 1 })).status).to.equal(202)
@@ -91,7 +93,7 @@
   it('are not ordered where the platform does not accept it or the configuration has no bounds', async () => {
     await start(['usage'])
     fleet.store.put('keyed.op', 'config', scaledConfiguration(2, { ...scaling, min: 2 }))
-    await pause(6000)
+    await pause(REGISTRATION_PERIOD_MS + 6000)
     expect(duties.scaleOrders).to.deep.equal([])
   })
 })
