Name keep-alive connections and reported slowdowns by their usual terms

LastingConnections is now KeepAliveConnections, isUneven is reportsSlowdown, and the call queue dispatches its calls.

--- a/src/actors/common/calls/callQueues.ts
+++ b/src/actors/common/calls/callQueues.ts
@@ -48,7 +48,7 @@
   /** The next poll of each service for which calls wait. */
   private readonly polls = new Map<string, { readonly dueAt: number, readonly timer: Disposable }>()
   /** Services whose calls are being given their turns. */
-  private readonly pumped = new Set<string>()
+  private readonly dispatching = new Set<string>()
   private readonly subscriptions = new DisposableStore()
   private calls = 0
   private isLeaving = false
@@ -56,7 +56,7 @@
   constructor (private readonly services: CallQueuesServices, limits: CallQueueLimits) {
     this.queue = new CallQueue(limits)
     this.log = new QueueLog(services, this.queue)
-    this.subscriptions.add(services.targets.onChange(() => { for (const service of this.queue.waitingServices()) this.pump(service) }))
+    this.subscriptions.add(services.targets.onChange(() => { for (const service of this.queue.waitingServices()) this.dispatch(service) }))
     this.subscriptions.add(services.operator.onChange(() => { this.dropInvalid() }))
   }
 
@@ -82,7 +82,7 @@
   /** A call of this host to a target ended. */
   released ({ definition: { service } }: KnownTarget): void {
     this.queue.released(service)
-    if (this.isWaiting(service)) this.pump(service)
+    if (this.isWaiting(service)) this.dispatch(service)
   }
 
   /** A target reported its load with an answer to a call of this host. */
@@ -163,9 +163,9 @@
   }
 
   /** Gives calls of a service their turns while targets have room and the queue allows further tries. */
-  private pump (service: string): void {
-    if (this.pumped.has(service)) return
-    this.pumped.add(service)
+  private dispatch (service: string): void {
+    if (this.dispatching.has(service)) return
+    this.dispatching.add(service)
     this.observe(service)
     if (this.services.targets.available(service).length === 0) this.refuseWithoutTargets(service)
     while (this.maySend(service)) {
@@ -174,7 +174,7 @@
       if (ticket === undefined) break
       this.handOut(ticket)
     }
-    this.pumped.delete(service)
+    this.dispatching.delete(service)
     this.afterChange(service)
   }
 
@@ -211,7 +211,7 @@
     if (dueAt === Number.POSITIVE_INFINITY) return
     const timer = clock.after(dueAt - this.now, () => {
       this.polls.delete(service)
-      this.pump(service)
+      this.dispatch(service)
     })
     this.polls.set(service, { dueAt, timer })
   }
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -304,7 +304,7 @@
    * it is postponed. The number of times is limited, as a silent connection may lead to a loaded target too.
    */
   private postponeHedge (attempt: Attempt): boolean {
-    if (!attempt.target.isUneven || attempt.hedgePostponements >= MAX_HEDGE_POSTPONEMENTS) return false
+    if (!attempt.target.reportsSlowdown || attempt.hedgePostponements >= MAX_HEDGE_POSTPONEMENTS) return false
     attempt.hedgePostponements++
     this.timers.add(this.services.clock.after(hedgeDelayMs({ objectiveMs: this.request.route.objectiveMs, allowedMs: this.allowedMs, answerMs: undefined, background: false }), () => { this.hedge(attempt) }))
     return true
@@ -469,6 +469,6 @@
   else target.recordSilence()
 }
 
-function describeLoad ({ inFlight, report, reportAgeMs, isUneven, slowdown }: KnownTarget): string {
-  return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms${isUneven ? `*${slowdown.toFixed(2)}` : ''}`
+function describeLoad ({ inFlight, report, reportAgeMs, reportsSlowdown, slowdown }: KnownTarget): string {
+  return report === undefined ? `${inFlight},-` : `${inFlight},${report.running}+${report.waiting}@${Math.round(reportAgeMs)}ms${reportsSlowdown ? `*${slowdown.toFixed(2)}` : ''}`
 }
--- a/src/actors/common/routes/targetPlacement.ts
+++ b/src/actors/common/routes/targetPlacement.ts
@@ -66,7 +66,7 @@
 export function chooseFrom (services: ChoiceServices, known: readonly KnownTarget[], candidates: readonly KnownTarget[], reusesConnection: boolean): KnownTarget | undefined {
   const { placement, mechanisms, chance } = services
   const place = mechanisms.nearest_targets ? services.place : undefined
-  if (placement === undefined || known[0]?.isUneven !== true) return chooseTarget(candidates, place, chance.next())
+  if (placement === undefined || known[0]?.reportsSlowdown !== true) return chooseTarget(candidates, place, chance.next())
   const nowMs = services.clock.monotonic()
   placement.recordRequest(known[0].definition.service, nowMs)
   const preferred = reusesConnection && mechanisms.target_subset ? placement.narrow(known, candidates, place, nowMs) : candidates
--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -44,20 +44,20 @@
   private failures = 0
   private hadSilentConnection = false
 
-  /** @param unevenServices services of which a target has reported a slowdown; shared by all targets */
-  constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly unevenServices: Set<string>) {}
+  /** @param servicesWithSlowdown services of which a target has reported a slowdown; shared by all targets */
+  constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly servicesWithSlowdown: Set<string>) {}
 
   private get clock (): Clock {
     return this.services.clock
   }
 
-  get isUneven (): boolean {
-    return this.unevenServices.has(this.definition.service)
+  get reportsSlowdown (): boolean {
+    return this.servicesWithSlowdown.has(this.definition.service)
   }
 
   /** Whether connections to the target are kept while idle for as long as it announces. */
   get keepsIdle (): boolean {
-    return this.isUneven && this.services.mechanisms?.target_subset !== false
+    return this.reportsSlowdown && this.services.mechanisms?.target_subset !== false
   }
 
   /** The slowdown that is expected now; 1 is the usual speed. */
@@ -111,7 +111,7 @@
   }
 
   recordLoad (report: LoadReport): void {
-    if (report.slowdown !== undefined) this.unevenServices.add(this.definition.service)
+    if (report.slowdown !== undefined) this.servicesWithSlowdown.add(this.definition.service)
     this.report = this.ignoresSlowdown && report.slowdown !== undefined ? { ...report, slowdown: 1 } : report
     this.reportedAt = this.clock.monotonic()
     this.sentSinceReport = 0
@@ -162,7 +162,7 @@
   /** Targets whose entries were missing after an outage of the store, with the monotonic time until which the entries may return. */
   private readonly missing = new Map<string, number>()
   private readonly incarnations = new IncarnationTracker()
-  private readonly unevenServices = new Set<string>()
+  private readonly servicesWithSlowdown = new Set<string>()
   private readonly changes = new Emitter<void>()
   readonly onChange: Event<void> = this.changes.event
   private readonly restarts = new Emitter<RestartedTarget>()
@@ -288,7 +288,7 @@
 
   /** Updates a target whose incarnation is unchanged, or creates an unknown one. */
   private updateOrCreate (known: KnownTarget | undefined, definition: TargetDefinition): KnownTarget {
-    if (known === undefined) return new KnownTarget(definition, this.services, this.unevenServices)
+    if (known === undefined) return new KnownTarget(definition, this.services, this.servicesWithSlowdown)
     if (!known.definition.draining && definition.draining) this.logChange('target drains', { target: definition.id, service: definition.service })
     const leavesAtMs = earliest(known.definition.leavesAtMs, definition.leavesAtMs)
     known.definition = leavesAtMs === definition.leavesAtMs ? definition : { ...definition, leavesAtMs }
@@ -299,7 +299,7 @@
   private replaceRestarted (known: KnownTarget, definition: TargetDefinition): void {
     const former = known.definition
     this.logChange('target restarted', { target: definition.id, service: definition.service, incarnation: definition.incarnation ?? 0, former: former.incarnation ?? 0, address: definition.address, formerAddress: former.address, inFlight: known.inFlight, suspect: known.suspect })
-    this.targets.set(definition.id, new KnownTarget(definition, this.services, this.unevenServices))
+    this.targets.set(definition.id, new KnownTarget(definition, this.services, this.servicesWithSlowdown))
     this.restarts.fire({ former, present: definition })
     known.supersede()
   }
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -11,7 +11,7 @@
 import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { ConnectionPools } from './connectionPools.ts'
 import { createConnector, isNeverSent, isConnectionRefused } from './connectionPools.ts'
-import type { LastingConnections } from './lastingConnections.ts'
+import type { KeepAliveConnections } from './keepAliveConnections.ts'
 
 /** Short because the caller holds a request that it wants to send elsewhere. */
 const LISTEN_PROBE_TIMEOUT_MS = 100
@@ -34,11 +34,11 @@
 }
 
 export class HttpTargetClient implements TargetClient, IdleConnections {
-  /** @param lasting connections for requests that keep them while idle; without it such requests use the pools */
-  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly lasting?: LastingConnections) {}
+  /** @param keepAlive connections for requests that keep them while idle; without it such requests use the pools */
+  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly keepAlive?: KeepAliveConnections) {}
 
   async exchange (request: TargetRequest): Promise<Result<TargetResponse>> {
-    if (request.keepsIdle === true && this.lasting !== undefined) return await this.exchangeAndKeep(this.lasting, request)
+    if (request.keepsIdle === true && this.keepAlive !== undefined) return await this.exchangeAndKeep(this.keepAlive, request)
     const dispatcher = this.dispatcher(request)
     try {
       const response = await this.send(dispatcher, request)
@@ -53,26 +53,26 @@
   }
 
   /** Exchanges over a kept connection, or over a new one that is kept afterwards. */
-  private async exchangeAndKeep (lasting: LastingConnections, request: TargetRequest): Promise<Result<TargetResponse>> {
+  private async exchangeAndKeep (keepAlive: KeepAliveConnections, request: TargetRequest): Promise<Result<TargetResponse>> {
     const origin = `http://${request.address}`
-    const kept = request.ownConnection ? lasting.open(origin) : lasting.acquire(origin)
+    const kept = request.ownConnection ? keepAlive.open(origin) : keepAlive.acquire(origin)
     try {
       const { statusCode: status, headers, body: stream } = await this.send(kept.client, request)
       const body = await stream.bytes()
-      lasting.release(origin, kept, headers)
+      keepAlive.release(origin, kept, headers)
       return success({ status, headers, body })
     } catch (error) {
-      lasting.fail(origin, kept)
+      keepAlive.fail(origin, kept)
       return toFailure(error)
     }
   }
 
   hasIdleConnection (address: string): boolean {
-    return this.lasting?.hasIdle(`http://${address}`) === true
+    return this.keepAlive?.hasIdle(`http://${address}`) === true
   }
 
   async open (request: TargetRequest): Promise<Result<TargetStream>> {
-    if (request.keepsIdle === true && this.lasting !== undefined) return await this.openAndKeep(this.lasting, request)
+    if (request.keepsIdle === true && this.keepAlive !== undefined) return await this.openAndKeep(this.keepAlive, request)
     const dispatcher = this.dispatcher(request)
     const cancellation = new AbortController()
     try {
@@ -88,14 +88,14 @@
   }
 
   /** Opens a stream over a kept connection, or over a new one, which is kept once the stream has ended. */
-  private async openAndKeep (lasting: LastingConnections, request: TargetRequest): Promise<Result<TargetStream>> {
+  private async openAndKeep (keepAlive: KeepAliveConnections, request: TargetRequest): Promise<Result<TargetStream>> {
     const origin = `http://${request.address}`
-    const kept = request.ownConnection ? lasting.open(origin) : lasting.acquire(origin)
+    const kept = request.ownConnection ? keepAlive.open(origin) : keepAlive.acquire(origin)
     const cancellation = new AbortController()
     try {
       const { statusCode: status, headers, body } = await this.send(kept.client, { ...request, signal: AbortSignal.any([request.signal, cancellation.signal]) }, { highWaterMark: READ_AHEAD_BYTES })
       body.on('error', () => undefined)
-      body.once('close', () => { body.readableEnded ? lasting.release(origin, kept, headers) : lasting.fail(origin, kept) })
+      body.once('close', () => { body.readableEnded ? keepAlive.release(origin, kept, headers) : keepAlive.fail(origin, kept) })
       // The target runs nothing after it has refused or failed, so that reading the rest costs less than another connection.
       const cancel = (): void => {
         if (status < HTTP_CLIENT_ERROR) return cancellation.abort()
@@ -103,14 +103,14 @@
       }
       return success({ status, headers, pieces: body, cancel })
     } catch (error) {
-      lasting.fail(origin, kept)
+      keepAlive.fail(origin, kept)
       return toFailure(error)
     }
   }
 
-  retireConnections (address: string, minAgeMs: number = 0, sparedMs: number = 0): void {
+  retireConnections (address: string, minAgeMs: number = 0, answeredWithinMs: number = 0): void {
     this.connections.retireIfOlderThan(`http://${address}`, minAgeMs)
-    this.lasting?.retire(`http://${address}`, minAgeMs, sparedMs)
+    this.keepAlive?.retire(`http://${address}`, minAgeMs, answeredWithinMs)
   }
 
   async listens (address: string): Promise<Listening> {
--- a/src/adapters/node/lastingConnections.ts
+++ b/src/adapters/node/keepAliveConnections.ts
@@ -21,7 +21,7 @@
 const MILLISECONDS_PER_SECOND = 1000
 
 /** One connection, or the attempt to open it, with the requests that use it. */
-export interface LastingConnection {
+export interface KeepAliveConnection {
   readonly client: Client
   readonly openedAt: number
   /** Number of requests that use it or wait for it. */
@@ -32,8 +32,8 @@
   isRetired: boolean
 }
 
-export class LastingConnections implements Disposable {
-  private readonly connections = new Map<string, Set<LastingConnection>>()
+export class KeepAliveConnections implements Disposable {
+  private readonly connections = new Map<string, Set<KeepAliveConnection>>()
 
   constructor (private readonly settings: ConnectionPoolSettings) {}
 
@@ -45,11 +45,11 @@
   }
 
   /** Takes an idle connection, or opens one. Above the limit the request waits for the connection with the fewest requests. */
-  acquire (origin: string): LastingConnection {
+  acquire (origin: string): KeepAliveConnection {
     const now = performance.now()
     const known = this.connections.get(origin) ?? new Set()
-    let newest: LastingConnection | undefined
-    let leastUsed: LastingConnection | undefined
+    let newest: KeepAliveConnection | undefined
+    let leastUsed: KeepAliveConnection | undefined
     for (const connection of known) {
       if (isUsable(connection, now) && (newest === undefined || connection.answeredAt > newest.answeredAt)) newest = connection
       if (leastUsed === undefined || connection.requests < leastUsed.requests) leastUsed = connection
@@ -64,7 +64,7 @@
   }
 
   /** Opens a connection for one request, also above the limit. It is kept after the request. */
-  open (origin: string): LastingConnection {
+  open (origin: string): KeepAliveConnection {
     const client = new Client(origin, {
       pipelining: 1,
       connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected),
@@ -74,7 +74,7 @@
       keepAliveTimeout: DEFAULT_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS
     })
-    const connection: LastingConnection = { client, openedAt: performance.now(), requests: 1, answeredAt: Number.NEGATIVE_INFINITY, usableUntil: Number.POSITIVE_INFINITY, isRetired: false }
+    const connection: KeepAliveConnection = { client, openedAt: performance.now(), requests: 1, answeredAt: Number.NEGATIVE_INFINITY, usableUntil: Number.POSITIVE_INFINITY, isRetired: false }
     const known = this.connections.get(origin) ?? new Set()
     this.connections.set(origin, known.add(connection))
     client.on('disconnect', () => { if (connection.requests === 0) this.discard(origin, connection) })
@@ -82,7 +82,7 @@
   }
 
   /** Returns a connection whose request has been answered. */
-  release (origin: string, connection: LastingConnection, headers: Dispatcher.ResponseData['headers']): void {
+  release (origin: string, connection: KeepAliveConnection, headers: Dispatcher.ResponseData['headers']): void {
     const now = performance.now()
     connection.requests--
     connection.answeredAt = now
@@ -91,16 +91,16 @@
   }
 
   /** Returns a connection whose request failed or was aborted. */
-  fail (origin: string, connection: LastingConnection): void {
+  fail (origin: string, connection: KeepAliveConnection): void {
     connection.requests--
     if (connection.requests === 0) this.discard(origin, connection)
   }
 
-  /** Closes the connections opened at least `minAgeMs` ago, except those over which an answer arrived within the last `sparedMs`. Requests in flight may complete. */
-  retire (origin: string, minAgeMs: number, sparedMs: number): void {
+  /** Closes the connections opened at least `minAgeMs` ago, except those over which an answer arrived within the last `answeredWithinMs`. Requests in flight may complete. */
+  retire (origin: string, minAgeMs: number, answeredWithinMs: number): void {
     const now = performance.now()
     for (const connection of this.connections.get(origin) ?? []) {
-      if (now - connection.openedAt < minAgeMs || now - connection.answeredAt < sparedMs) continue
+      if (now - connection.openedAt < minAgeMs || now - connection.answeredAt < answeredWithinMs) continue
       connection.isRetired = true
       if (connection.requests === 0) this.discard(origin, connection)
       else this.remove(origin, connection)
@@ -111,19 +111,19 @@
     for (const [origin, known] of this.connections) for (const connection of known) this.discard(origin, connection)
   }
 
-  private discard (origin: string, connection: LastingConnection): void {
+  private discard (origin: string, connection: KeepAliveConnection): void {
     this.remove(origin, connection)
     connection.client.destroy().catch(() => undefined)
   }
 
-  private remove (origin: string, connection: LastingConnection): void {
+  private remove (origin: string, connection: KeepAliveConnection): void {
     const known = this.connections.get(origin)
     known?.delete(connection)
     if (known?.size === 0) this.connections.delete(origin)
   }
 }
 
-function isUsable ({ client, requests, usableUntil, isRetired }: LastingConnection, now: number): boolean {
+function isUsable ({ client, requests, usableUntil, isRetired }: KeepAliveConnection, now: number): boolean {
   return requests === 0 && !isRetired && now < usableUntil && client.stats.connected
 }
 
--- a/src/core/common/routes/targetChoice.ts
+++ b/src/core/common/routes/targetChoice.ts
@@ -27,7 +27,7 @@
 
 /** Returns the target for a request to a service of the given scale; `random` is a number in the range [0, 1). */
 export function chooseTarget<Load extends TargetLoad> (loads: readonly Load[], place: string | undefined, random: number, scale?: ServiceScale): Load | undefined {
-  if (scale === undefined || !loads.some(({ isUneven }) => isUneven)) return fastestTarget(loads, place, random)
+  if (scale === undefined || !loads.some(({ reportsSlowdown }) => reportsSlowdown)) return fastestTarget(loads, place, random)
   if (scale.targets <= MAX_COMPARED_TARGETS) return weightedTarget(loads, place, random)
   return scale.slots < scale.liveHosts ? betterOfTwo(loads, place, random) : fastestTarget(loads, place, random)
 }
--- a/src/core/common/routes/targetEstimate.ts
+++ b/src/core/common/routes/targetEstimate.ts
@@ -24,7 +24,7 @@
   /** Whether the target recently failed to answer. */
   readonly suspect: boolean
   /** Whether a target of the service has reported a slowdown. */
-  readonly isUneven: boolean
+  readonly reportsSlowdown: boolean
 }
 
 /** How long a load report is used if targets report no slowdown. After about the duration of a request it no longer reflects the load. */
@@ -70,7 +70,7 @@
 /** Returns the expected number of requests that the target has not answered yet. */
 export function requestsAhead (load: TargetLoad): number {
   const { definition, inFlight, report, reportAgeMs } = load
-  if (!load.isUneven) return Math.max(inFlight, report !== undefined && reportAgeMs < REPORT_VALID_MS ? report.running + report.waiting : 0)
+  if (!load.reportsSlowdown) return Math.max(inFlight, report !== undefined && reportAgeMs < REPORT_VALID_MS ? report.running + report.waiting : 0)
   if (report === undefined) return inFlight
   const answered = reportAgeMs / Math.max(1, presentPaceMs(load)) * Math.max(1, definition.slots)
   const remaining = Math.max(0, report.running + report.waiting - answered)
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -12,7 +12,7 @@
 import type { TargetTable } from '../../actors/common/routes/targetTable.ts'
 import { ConnectionPools } from '../../adapters/node/connectionPools.ts'
 import { EventLoopLoad } from '../../adapters/node/eventLoopLoad.ts'
-import { LastingConnections } from '../../adapters/node/lastingConnections.ts'
+import { KeepAliveConnections } from '../../adapters/node/keepAliveConnections.ts'
 import { HttpTargetClient } from '../../adapters/node/httpTargetClient.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { ForwardRoutes } from '../../entry/node/front/forwardRoutes.ts'
@@ -113,7 +113,7 @@
   const answers = { maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, onConnected: () => { metrics.count('connections.opened') } }
   const connectionSettings = { ...answers, connections: limits.target_connections, inactivityTimeoutMs: TARGET_IDLE_TIMEOUT_MS }
   const connections = disposables.add(new ConnectionPools(connectionSettings))
-  const client = new HttpTargetClient(connections, answers, disposables.add(new LastingConnections(connectionSettings)))
+  const client = new HttpTargetClient(connections, answers, disposables.add(new KeepAliveConnections(connectionSettings)))
   // Pooled connections lead to the former incarnation, or to another process that now has its address.
   disposables.add(targets.onRestart(({ former, present }) => {
     metrics.count('targets.restarted')
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -61,9 +61,9 @@
   /**
    * Retires the pooled connections to an address after one of them timed out, unless the pool is
    * younger than `minAgeMs`. Of connections that are kept while idle, those stay over which an answer
-   * arrived within the last `sparedMs`.
+   * arrived within the last `answeredWithinMs`.
    */
-  retireConnections (address: string, minAgeMs?: number, sparedMs?: number): void
+  retireConnections (address: string, minAgeMs?: number, answeredWithinMs?: number): void
   /** Checks whether a process listens at an address by opening a connection and closing it without sending data. */
   listens (address: string): Promise<Listening>
 }
--- a/test/actors/routes/targetTable.test.ts
+++ b/test/actors/routes/targetTable.test.ts
@@ -113,11 +113,11 @@
     it('treats a service as uneven once one of its targets has reported one, and no other service', () => {
       // Guards against a deployment without such reports whose requests are placed otherwise than before.
       table.get('a')?.recordLoad(report)
-      expect([table.get('a')?.isUneven, table.get('b')?.isUneven]).to.deep.equal([false, false])
+      expect([table.get('a')?.reportsSlowdown, table.get('b')?.reportsSlowdown]).to.deep.equal([false, false])
       table.get('a')?.recordLoad({ ...report, slowdown: 1 })
-      expect([table.get('a')?.isUneven, table.get('b')?.isUneven, table.get('other')?.isUneven]).to.deep.equal([true, true, false])
+      expect([table.get('a')?.reportsSlowdown, table.get('b')?.reportsSlowdown, table.get('other')?.reportsSlowdown]).to.deep.equal([true, true, false])
       table.get('a')?.recordLoad(report)
-      expect(table.get('b')?.isUneven).to.equal(true)
+      expect(table.get('b')?.reportsSlowdown).to.equal(true)
     })
 
     it('does not learn a temporary slowdown as the pace of a target', () => {
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -60,9 +60,9 @@
     // Guards against engines that are used otherwise than before because items record their load reports.
     const end = [{ afterMs: 5, raw: event(1) }]
     const slow = (await run({ afterMs: 5, headers: { ...responseHeaders, 'bulrushvalve-server-load': '3,0,6,250' }, events: end })).engine
-    expect([slow.target.report, slow.slowdown?.slowdown, slow.target.isUneven]).to.deep.equal([{ running: 3, waiting: 0, slots: 6, slowdown: 2.5 }, 2.5, true])
+    expect([slow.target.report, slow.slowdown?.slowdown, slow.target.reportsSlowdown]).to.deep.equal([{ running: 3, waiting: 0, slots: 6, slowdown: 2.5 }, 2.5, true])
     const former = (await run({ afterMs: 5, headers: { ...responseHeaders, 'bulrushvalve-server-load': '3,0,6' }, events: end })).engine
-    expect([former.target.report, former.slowdown, former.target.isUneven]).to.deep.equal([undefined, undefined, false])
+    expect([former.target.report, former.slowdown, former.target.reportsSlowdown]).to.deep.equal([undefined, undefined, false])
   })
 
   it('collects events and the versions that produced them', async () => {
--- a/test/adapters/answerEndings.test.ts
+++ b/test/adapters/answerEndings.test.ts
@@ -4,7 +4,7 @@
 import fc from 'fast-check'
 import { ConnectionPools } from '../../src/adapters/node/connectionPools.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
-import { LastingConnections } from '../../src/adapters/node/lastingConnections.ts'
+import { KeepAliveConnections } from '../../src/adapters/node/keepAliveConnections.ts'
 import type { TargetRequest } from '../../src/ports/common/targetClient.ts'
 import { pause } from '../../standins/httpStandIn.ts'
 import type { AnswerCase, EndingCase, ReceivedAnswer } from '../support/answerEndings.ts'
@@ -19,13 +19,13 @@
   /** Returns the mismatches between the responses of a case and what a client reports of them. */
   async function findMismatches (endings: EndingCase, keepsIdle: boolean): Promise<string[]> {
     const connections = new ConnectionPools(settings)
-    const lasting = new LastingConnections(settings)
-    const client = new HttpTargetClient(connections, settings, lasting)
+    const keepAlive = new KeepAliveConnections(settings)
+    const client = new HttpTargetClient(connections, settings, keepAlive)
     try {
       return await runCase(endings, async (...details) => await readResponse(client, keepsIdle, ...details))
     } finally {
       connections.dispose()
-      lasting.dispose()
+      keepAlive.dispose()
     }
   }
 
--- a/test/adapters/lastingConnections.test.ts
+++ b/test/adapters/keepAliveConnections.test.ts
@@ -7,7 +7,7 @@
 import { expect } from 'chai'
 import { ConnectionPools } from '../../src/adapters/node/connectionPools.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
-import { LastingConnections } from '../../src/adapters/node/lastingConnections.ts'
+import { KeepAliveConnections } from '../../src/adapters/node/keepAliveConnections.ts'
 import type { Result } from '../../src/base/common/resultCode.ts'
 import type { TargetResponse } from '../../src/ports/common/targetClient.ts'
 
@@ -29,7 +29,7 @@
   opened = 0
   accepted = 0
   private readonly pools: ConnectionPools
-  private readonly lasting: LastingConnections
+  private readonly keepAlive: KeepAliveConnections
   readonly client: HttpTargetClient
   private readonly server: Server
   address = ''
@@ -37,8 +37,8 @@
   constructor (private readonly keepsIdle: boolean) {
     const settings = { connections: MAX_CONNECTIONS, connectTimeoutMs: 500, inactivityTimeoutMs: 5000, maximumAnswerBytes: 1000, onConnected: () => { this.opened++ } }
     this.pools = new ConnectionPools(settings)
-    this.lasting = new LastingConnections(settings)
-    this.client = new HttpTargetClient(this.pools, settings, this.lasting)
+    this.keepAlive = new KeepAliveConnections(settings)
+    this.client = new HttpTargetClient(this.pools, settings, this.keepAlive)
     this.server = createServer((request, response) => {
       request.resume()
       setTimeout(() => {
@@ -73,7 +73,7 @@
 
   close (): void {
     this.pools.dispose()
-    this.lasting.dispose()
+    this.keepAlive.dispose()
     this.server.closeAllConnections()
     this.server.close()
   }
--- a/test/adapters/resetAnswers.test.ts
+++ b/test/adapters/resetAnswers.test.ts
@@ -5,7 +5,7 @@
 import { createServer } from 'node:net'
 import { ConnectionPools } from '../../src/adapters/node/connectionPools.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
-import { LastingConnections } from '../../src/adapters/node/lastingConnections.ts'
+import { KeepAliveConnections } from '../../src/adapters/node/keepAliveConnections.ts'
 import type { TargetRequest } from '../../src/ports/common/targetClient.ts'
 
 const settings = { connections: 2, connectTimeoutMs: 500, inactivityTimeoutMs: 2000, maximumAnswerBytes: 10_000 }
@@ -15,7 +15,7 @@
   // Guards against a truncated response that is reported as complete because a reset of its connection is taken for its end.
   let server: Server
   let connections: ConnectionPools
-  let lasting: LastingConnections
+  let keepAlive: KeepAliveConnections
   let client: HttpTargetClient
   let afterHead: (socket: Socket) => void
   let runsImmediately: boolean
@@ -32,12 +32,12 @@
     })
     await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
     connections = new ConnectionPools(settings)
-    lasting = new LastingConnections(settings)
-    client = new HttpTargetClient(connections, settings, lasting)
+    keepAlive = new KeepAliveConnections(settings)
+    client = new HttpTargetClient(connections, settings, keepAlive)
   })
   afterEach(async () => {
     connections.dispose()
-    lasting.dispose()
+    keepAlive.dispose()
     await new Promise((resolve) => { server.close(resolve) })
   })
 
--- a/test/core/duties/dutyOrder.test.ts
+++ b/test/core/duties/dutyOrder.test.ts
@@ -88,7 +88,7 @@
   const close = { waitMs: 1000, pauseMs: 200 }
   const own = (hosts: number, rank: number, converged = true): HostRanking => ({ rank, hosts, converged, small: false })
 
-  it('is the same for a host among 30 and among 300, and slower than today', () => {
+  it('is the same for a host among 30 and among 300, and slower than on a host that follows closely', () => {
     for (const hosts of [30, 90, 300]) {
       expect(stepsPace(own(hosts, 20), close)).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 900 })
       expect(targetsPace(own(hosts, 20), false, { ...close, pauseMs: 500 })).to.deep.equal({ type: 'at-intervals', waitMs: 1000, intervalMs: 1500 })
--- a/test/core/fleet/fleetPlan.test.ts
+++ b/test/core/fleet/fleetPlan.test.ts
@@ -32,7 +32,7 @@
 
 /** Enough for 36 slots, with four targets more than needed. */
 const ample = new Map([['a', { regular: 2, spot: 2 }], ['b', { regular: 2, spot: 2 }], ['c', { regular: 2, spot: 2 }]])
-const lasting = NOW - SURPLUS_MS
+const lastGrowth = NOW - SURPLUS_MS
 
 describe('the plan of a fleet', () => {
   it('orders two targets for each model without any demand', () => {
@@ -94,11 +94,11 @@
   })
 
   it('gives up one target in each failure domain after a surplus of a minute', () => {
-    const input = newInput({ present: ample, demand: 0, largestDemand: 12, grownAtMs: lasting })
+    const input = newInput({ present: ample, demand: 0, largestDemand: 12, grownAtMs: lastGrowth })
     const { orders } = planFleet(input)
     expect(orders.map(({ place, why, count, former }) => [place, why, former - count])).to.deep.equal([['a', 'surplus', 1], ['b', 'surplus', 1], ['c', 'surplus', 1]])
     const tooEarly: Partial<FleetInput>[] = [
-      { grownAtMs: lasting + 1 },
+      { grownAtMs: lastGrowth + 1 },
       { reducedAtMs: new Map([...ample.keys()].map((place) => [place, NOW - 9999])) },
       { reductionsFromMs: NOW + 1 },
       { largestDemand: undefined },
@@ -116,7 +116,7 @@
       const largestDemand = upTo(60)
       const isMetFirst = meets(present, largestDemand)
       for (let round = 0; round < 12; round++) {
-        const { orders } = planFleet(newInput({ present, demand: 0, largestDemand, grownAtMs: lasting }))
+        const { orders } = planFleet(newInput({ present, demand: 0, largestDemand, grownAtMs: lastGrowth }))
         const reductions = orders.filter(({ why }) => why === 'surplus')
         if (reductions.length === 0) break
         present = applied(present, reductions)
@@ -128,7 +128,7 @@
 
   it('does not convert kinds into each other', () => {
     const present = new Map([['a', { regular: 3, spot: 0 }], ['b', { regular: 3, spot: 0 }], ['c', { regular: 0, spot: 0 }]])
-    const { orders } = planFleet(newInput({ present, demand: 36, largestDemand: 36, grownAtMs: lasting }))
+    const { orders } = planFleet(newInput({ present, demand: 36, largestDemand: 36, grownAtMs: lastGrowth }))
     expect(orders).to.deep.equal([])
   })
 })
--- a/test/core/routes/routes.test.ts
+++ b/test/core/routes/routes.test.ts
@@ -29,7 +29,7 @@
 })
 
 describe('the selection of a target', () => {
-  const load = (id: string, details: Partial<TargetLoad> = {}): TargetLoad => ({ definition: newTargetDefinition({ id }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs: 30, suspect: false, isUneven: false, ...details })
+  const load = (id: string, details: Partial<TargetLoad> = {}): TargetLoad => ({ definition: newTargetDefinition({ id }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs: 30, suspect: false, reportsSlowdown: false, ...details })
   const chosen = (loads: TargetLoad[]): string | undefined => chooseTarget(loads, 'here', 0)?.definition.id
 
   for (const { name, loads, expected } of [
--- a/test/core/routes/targetEstimate.test.ts
+++ b/test/core/routes/targetEstimate.test.ts
@@ -7,7 +7,7 @@
 import { expectedAnswerMs, hasRoom, presentSlowdown, requestsAhead } from '../../../src/core/common/routes/targetEstimate.ts'
 import { newTargetDefinition } from '../../support/routes.ts'
 
-const idle: TargetLoad = { definition: newTargetDefinition({ id: 'a' }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs: 30, suspect: false, isUneven: true }
+const idle: TargetLoad = { definition: newTargetDefinition({ id: 'a' }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs: 30, suspect: false, reportsSlowdown: true }
 const load = (details: Partial<TargetLoad> = {}): TargetLoad => ({ ...idle, ...details })
 const reported = (running: number, waiting: number, slowdown?: number): TargetLoad['report'] => ({ running, waiting, slots: 6, ...(slowdown === undefined ? {} : { slowdown }) })
 
@@ -32,7 +32,7 @@
     sentSinceReport: fc.nat(40),
     answerMs: fc.option(fc.double({ min: 1, max: 500, noNaN: true }), { nil: undefined }),
     suspect: fc.boolean()
-  }).map(({ place, ...details }): TargetLoad => ({ ...details, isUneven: false, definition: newTargetDefinition({ id: 'x', place }) }))
+  }).map(({ place, ...details }): TargetLoad => ({ ...details, reportsSlowdown: false, definition: newTargetDefinition({ id: 'x', place }) }))
 
   it('gives the same times and choices as before, whatever the number of hosts', () => {
     // Guards against a deployment whose targets report three figures and that is served otherwise than before.
@@ -48,7 +48,7 @@
     { name: 'is used up by a recent report', given: { report: reported(6, 2), reportAgeMs: 399 }, expected: false },
     { name: 'is there if the report is old', given: { report: reported(6, 2), reportAgeMs: 400 }, expected: true }
   ]) {
-    it(`room ${name}`, () => { expect(hasRoom(load({ isUneven: false, ...given }))).to.equal(expected) })
+    it(`room ${name}`, () => { expect(hasRoom(load({ reportsSlowdown: false, ...given }))).to.equal(expected) })
   }
 })
 
--- a/test/core/routes/targetSubset.test.ts
+++ b/test/core/routes/targetSubset.test.ts
@@ -8,7 +8,7 @@
 import type { Hash } from '../../../src/ports/common/hash.ts'
 import { newTargetDefinition } from '../../support/routes.ts'
 
-const load = (id: string, answerMs: number, suspect = false): TargetLoad => ({ definition: newTargetDefinition({ id }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs, suspect, isUneven: true })
+const load = (id: string, answerMs: number, suspect = false): TargetLoad => ({ definition: newTargetDefinition({ id }), inFlight: 0, report: undefined, reportAgeMs: Number.POSITIVE_INFINITY, sentSinceReport: 0, answerMs, suspect, reportsSlowdown: true })
 
 describe('the subset of targets that a host prefers', () => {
   let hash: Hash
--- a/test/settings/mechanisms.test.ts
+++ b/test/settings/mechanisms.test.ts
@@ -33,7 +33,7 @@
   it('have simple fallbacks: items in submission order, targets in any failure domain', () => {
     const items = [stepItem('a', 'g1', 10), stepItem('b', 'g2', 90), stepItem('c', 'g1', 50)]
     expect(submittedItemOrder(newSubmission('s', items), (group) => group === 'g2').map(({ item, rank }) => `${item.id} ${rank}`)).to.deep.equal(['a wanted', 'b carried', 'c wanted'])
-    const idle = { inFlight: 0, report: undefined, reportAgeMs: 0, sentSinceReport: 0, answerMs: 20, suspect: false, isUneven: false }
+    const idle = { inFlight: 0, report: undefined, reportAgeMs: 0, sentSinceReport: 0, answerMs: 20, suspect: false, reportsSlowdown: false }
     const targets = ['far', 'near'].map((place) => ({ ...idle, definition: newTargetDefinition({ id: place, place }) }))
     expect([0, 0.9].map((chance) => chooseTarget(targets, 'near', chance)?.definition.id)).to.deep.equal(['near', 'near'])
     expect([0, 0.9].map((chance) => chooseTarget(targets, undefined, chance)?.definition.id)).to.deep.equal(['far', 'near'])
--- a/test/support/placementReplay.ts
+++ b/test/support/placementReplay.ts
@@ -258,11 +258,11 @@
     return failure('targetUnreachable', 'not used by calls')
   }
 
-  retireConnections (address: string, minAgeMs: number = 0, sparedMs: number = 0): void {
+  retireConnections (address: string, minAgeMs: number = 0, answeredWithinMs: number = 0): void {
     const now = this.clock.now
     // The time of an answer spares only connections that are kept; a pool is retired as a whole.
     const isKept = this.options.reportsSlowdown && this.options.mechanisms?.target_subset !== false
-    const isSpared = ({ openedAt, answeredAt }: ReplayConnection): boolean => now - openedAt < minAgeMs || (isKept && now - answeredAt < sparedMs)
+    const isSpared = ({ openedAt, answeredAt }: ReplayConnection): boolean => now - openedAt < minAgeMs || (isKept && now - answeredAt < answeredWithinMs)
     this.connections.set(address, (this.connections.get(address) ?? []).filter(isSpared))
   }
 
--- a/test/support/silentConnectionHarness.ts
+++ b/test/support/silentConnectionHarness.ts
@@ -7,7 +7,7 @@
 import { TargetPlacement } from '../../src/actors/common/routes/targetPlacement.ts'
 import { TargetTable } from '../../src/actors/common/routes/targetTable.ts'
 import { ConnectionPools } from '../../src/adapters/node/connectionPools.ts'
-import { LastingConnections } from '../../src/adapters/node/lastingConnections.ts'
+import { KeepAliveConnections } from '../../src/adapters/node/keepAliveConnections.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
 import { NodeClock } from '../../src/adapters/node/nodeClock.ts'
 import { createHash } from '../../src/adapters/node/xxHash.ts'
@@ -59,7 +59,7 @@
   waiting = 0
   maxWaiting = 0
   private readonly targets: StandIn[] = []
-  private readonly connections: (ConnectionPools | LastingConnections)[] = []
+  private readonly connections: (ConnectionPools | KeepAliveConnections)[] = []
   private readonly processorWaits = new ProcessorWaits()
   private requests = 0
   private hash: Hash = { digest: () => '', number: () => 0 }
@@ -95,9 +95,9 @@
     // Pooled connections are not used any more once a report has been received.
     if (this.reportsSlowdown) table.get('t0')?.recordLoad({ running: 0, waiting: 0, slots: 6, slowdown: 1 })
     const settings = { connections: 64, connectTimeoutMs: 400, inactivityTimeoutMs: 30_000, maximumAnswerBytes: 100_000 }
-    const [pools, lasting] = [new ConnectionPools(settings), new LastingConnections(settings)]
-    this.connections.push(pools, lasting)
-    const client = new HttpTargetClient(pools, settings, lasting)
+    const [pools, keepAlive] = [new ConnectionPools(settings), new KeepAliveConnections(settings)]
+    this.connections.push(pools, keepAlive)
+    const client = new HttpTargetClient(pools, settings, keepAlive)
     const placement = new TargetPlacement({ hash: this.hash, client, machine: `h${index}`, liveHosts: () => this.hosts.length })
     const metrics = { ...noopMetrics, count: (name: CounterName) => { if (name === 'calls.second_target') this.hedgeCount++ } }
     const services = { targets: table, client, ...newCrashGuards(table, client, clock), placement, protocol: targetProtocol, clock, chance: newSeededChance(index + 1), metrics, stateLog: noopStateLog, place: 'here', mechanisms: allMechanisms }
