Use idle slots while calls wait, and keep failovers out of the call queue

A release only replaces the call that ended, and polls, the only tries that add calls in flight, were postponed by each release. A send window that refusals had reduced to one grew by a quarter of a call per answer. A call that already had one target returned to the head of the queue and blocked the calls behind it, or was refused as late although another target would take it. A call that was refused at its turn went back to the queue of a stopping host.

Result: four new tests fail before and pass now (after a burst of another host and after 200 ms of refusals, no call is refused a second later).

--- a/src/actors/common/calls/callQueues.ts
+++ b/src/actors/common/calls/callQueues.ts
@@ -85,9 +85,9 @@
     if (this.isWaiting(service)) this.dispatch(service)
   }
 
-  /** A target reported its load with an answer to a call of this host. */
-  reported ({ definition: { service } }: KnownTarget, { running, waiting, slots }: LoadReport): void {
-    this.queue.reported(service, { ahead: running + waiting, slots })
+  /** A target answered a call of this host, and reported its load if it does so. */
+  answered ({ definition: { service } }: KnownTarget, load: LoadReport | undefined): void {
+    this.queue.answered(service, load === undefined ? undefined : { ahead: load.running + load.waiting, slots: load.slots })
   }
 
   /** Refuses all waiting calls, and from now on all for which no target has room. */
@@ -114,6 +114,7 @@
     switch (state.type) {
       case 'waiting': return undefined
       case 'handed-out':
+        if (this.isLeaving) return this.refuse(ticket, 'leaving', leavingFailure())
         this.queue.putBack(ticket.key, this.now)
         ticket.state = { type: 'waiting', service: state.service, since: state.since }
         return this.afterChange(state.service)
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -157,13 +157,18 @@
     if (known.length === 0 && this.sendsByTarget.size === 0) return this.settle(this.lastFailureOr(failure('noTarget', `no target currently serves route ${request.route.name}`, { retryAfterMs: RETRY_AFTER_MS })))
     // If all remaining targets have had the request, waiting is pointless; if none remains, the request may still have run.
     if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(this.unknownOutcome()))
-    if (this.ticket !== undefined && service !== undefined) return this.ticket.wait(service)
+    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service)
     this.scheduleNextRound()
   }
 
+  /** Whether no target can have run the call. Only such a call waits in the queue: for another one, some targets are out of the question, and its refusal could not say that it did not run. */
+  private get isUnsent (): boolean {
+    return this.sendsByTarget.size === 0
+  }
+
   /** Whether the call may start without overtaking calls that wait. A trial starts at once, as the time for it is granted by the quarantine. */
   private mayStart ({ definition }: KnownTarget): boolean {
-    return this.ticket === undefined || this.trial !== undefined || this.ticket.mayStart(definition.service)
+    return this.ticket === undefined || this.trial !== undefined || !this.isUnsent || this.ticket.mayStart(definition.service)
   }
 
   private unknownOutcome (): Result<RoutedAnswer> {
@@ -209,10 +214,11 @@
     return { service, known, target: chooseFrom(services, known, free, reusesConnection) }
   }
 
-  /** Returns the targets of one service that have capacity for this call. Without a call queue, targets themselves refuse what they have no capacity for. */
+  /** Returns the targets of one service that have capacity for this call. Without a call queue, targets themselves refuse what they have no capacity for; so they do for a failover, which does not wait in the queue. */
   private withCapacity (targets: readonly KnownTarget[]): readonly KnownTarget[] {
     const { queues } = this.services
-    if (queues === undefined || this.trial !== undefined) return targets
+    const isFailover = !this.isUnsent && this.running.size === 0
+    if (queues === undefined || this.trial !== undefined || isFailover) return targets
     const isOvertaking = this.request.background && targets.some(({ definition }) => queues.isWaiting(definition.service))
     return isOvertaking ? [] : targetsWithRoom(targets)
   }
@@ -335,7 +341,7 @@
     addSummary(verdict)
     if (verdict !== 'not-run') {
       this.ticket?.accepted()
-      if (head.load !== undefined) this.services.queues?.reported(target, head.load)
+      this.services.queues?.answered(target, head.load)
     }
     switch (verdict) {
       case 'answer':
--- a/src/core/common/calls/callQueue.ts
+++ b/src/core/common/calls/callQueue.ts
@@ -40,6 +40,8 @@
   readonly startsPerSecond: number
   /** Calls of this host that its targets have not answered. */
   readonly inFlight: number
+  /** Whether a target is expected to have an idle slot. */
+  readonly hasIdleSlot: boolean
 }
 
 /** Why a call does not wait, or no longer does. */
@@ -90,7 +92,7 @@
 const RETRY_JITTER = 0.25
 /** Retry hints are rounded down to the precision with which they are sent; rounding up could exceed the share of the remaining time. */
 const RETRY_PRECISION_MS = 10
-const INITIAL_OUTLOOK: ServiceOutlook = { answerMs: 40, startsPerSecond: 1, inFlight: 0 }
+const INITIAL_OUTLOOK: ServiceOutlook = { answerMs: 40, startsPerSecond: 1, inFlight: 0, hasIdleSlot: false }
 
 interface Entry {
   readonly call: QueuedCall
@@ -112,6 +114,8 @@
   /** Whether something was released since the last try. Each release permits one try: if a host sent all its calls on one report, others that know the same report would too. */
   isReleased = false
   lastTryAt = Number.NEGATIVE_INFINITY
+  /** Time of the last try without a release, which is the only kind that adds to the calls in flight. */
+  lastPollAt = Number.NEGATIVE_INFINITY
   /** Best rank that waited at the last start, and the starts in a row that went to it while lower ranks waited. */
   bestRank = 0
   startsOfBestRank = 0
@@ -119,6 +123,11 @@
   started = 0
   dropped = new Map<DropReason, number>()
 
+  /** Time after which the poll interval is counted. While slots are idle, tries after releases do not postpone polls: a release only replaces the call that ended, so the calls in flight would never grow. */
+  get pollReferenceAt (): number {
+    return this.outlook.hasIdleSlot ? this.lastPollAt : this.lastTryAt
+  }
+
   get bytes (): number {
     return [...this.waiting.values()].reduce((sum, { call }) => sum + call.bytes, 0)
   }
@@ -192,6 +201,7 @@
     if (queue.waiting.size === 1) {
       if (!queue.drain.hasWaited(now)) queue.window.open(queue.outlook.inFlight, now)
       queue.lastTryAt = now
+      queue.lastPollAt = now
       queue.isReleased = false
     }
     queue.maxWaiting = Math.max(queue.maxWaiting, queue.waiting.size)
@@ -209,10 +219,11 @@
   next (service: string, now: number): QueuedCall | undefined {
     const queue = this.services.get(service)
     if (queue === undefined || queue.waiting.size === 0) return undefined
-    if (!queue.isReleased && now - queue.lastTryAt < POLL_INTERVAL_MS) return undefined
+    if (!queue.isReleased && now - queue.pollReferenceAt < POLL_INTERVAL_MS) return undefined
     const entry = selectNext(queue, now)
     if (entry === undefined) return undefined
     const { call } = entry
+    if (!queue.isReleased) queue.lastPollAt = now
     queue.isReleased = false
     queue.lastTryAt = now
     queue.window.recordStart(now)
@@ -253,9 +264,9 @@
     return queue.window.allows(queue.outlook.inFlight, queue.outlook.answerMs, now)
   }
 
-  /** A target of a service reported its load with an answer. */
-  reported (service: string, { ahead, slots }: { readonly ahead: number, readonly slots: number }): void {
-    this.services.get(service)?.window.adjust(ahead, slots)
+  /** A target of a service answered, and reported its load if it does so. */
+  answered (service: string, load: { readonly ahead: number, readonly slots: number } | undefined): void {
+    this.services.get(service)?.window.adjust(load)
   }
 
   /** A call leaves the queue. */
--- a/src/core/common/calls/sendWindow.ts
+++ b/src/core/common/calls/sendWindow.ts
@@ -1,12 +1,14 @@
 /**
  * Limits the calls that a host has in flight at a service while calls wait for it. Hosts do not know each other's sends: if
  * each of them sent whatever the newest report has room for, together they would overfill a target and then idle until
- * their reports are too old. The window grows slowly while reports show room and shrinks in proportion while they show none
+ * their reports are too old. The window grows slowly while reports show room, fast while they show idle slots, and shrinks in proportion while they show none
  * (additive increase, multiplicative decrease), so that hosts converge to equal shares without messages.
  */
 
 /** Growth of the window in the time in which it is answered once. */
 const INCREASE = 0.25
+/** Growth with each answer whose report shows an idle slot. Without it, a window that refusals had reduced to one took seconds to recover. */
+const IDLE_INCREASE = 1
 /** Share by which a report without room shrinks the window. With 0.2 slots idled, with 0.05 queues at the targets lasted longer (replay of 6 hosts). */
 const DECREASE = 0.1
 /** Share by which a refusal shrinks the window. */
@@ -29,10 +31,12 @@
     this.lastStartAt = now
   }
 
-  /** Applies the load that a target reported with an answer. */
-  adjust (ahead: number, slots: number): void {
-    if (ahead >= slots + LONG_QUEUE) this.shrink(DECREASE)
-    else if (ahead < slots + SHORT_QUEUE) this.size += INCREASE / this.size
+  /** Applies an answer, with the load that its target reported. Without a report, the answer itself shows that the window is not too large. */
+  adjust (load: { readonly ahead: number, readonly slots: number } | undefined): void {
+    if (load === undefined) this.size += INCREASE / this.size
+    else if (load.ahead >= load.slots + LONG_QUEUE) this.shrink(DECREASE)
+    else if (load.ahead < load.slots) this.size += IDLE_INCREASE
+    else if (load.ahead < load.slots + SHORT_QUEUE) this.size += INCREASE / this.size
   }
 
   recordRefusal (): void {
--- a/src/core/common/calls/serviceOutlook.ts
+++ b/src/core/common/calls/serviceOutlook.ts
@@ -1,6 +1,7 @@
 /** Derives what a call queue may expect of a service from the load of its targets, before a drain rate has been measured. */
 
-import type { TargetLoad } from '../routes/targetChoice.ts'
+import type { TargetLoad } from '../routes/targetEstimate.ts'
+import { requestsAhead } from '../routes/targetEstimate.ts'
 import type { ServiceOutlook } from './callQueue.ts'
 
 /** Assumed answer time of a target that has not answered yet, which is that of a short look-up. */
@@ -15,5 +16,5 @@
   const counted = sound.length > 0 ? sound : loads
   const answerMs = counted.reduce((sum, load) => sum + (load.answerMs ?? INITIAL_ANSWER_MS), 0) / Math.max(1, counted.length) || INITIAL_ANSWER_MS
   const inFlight = loads.reduce((sum, load) => sum + load.inFlight, 0)
-  return { answerMs, startsPerSecond: Math.max(1, inFlight) * 1000 / answerMs, inFlight }
+  return { answerMs, startsPerSecond: Math.max(1, inFlight) * 1000 / answerMs, inFlight, hasIdleSlot: counted.some((load) => requestsAhead(load) < load.definition.slots) }
 }
--- a/test/actors/calls/callQueues.test.ts
+++ b/test/actors/calls/callQueues.test.ts
@@ -163,17 +163,45 @@
     expect(fixture.harness.client.ran).to.not.include(fixture.outcomes[CALLS_WITH_ROOM]?.id)
   })
 
-  it('that may have run before is not reported as not run', async () => {
-    // Guards against a 503 for a request that a target has run: its connection breaks, and the call then waits for another target.
-    const { harness, host, outcomes, send } = createFixture({ targets: ['t', 'u'], workMs: 300 })
-    for (let index = 0; index < 2 * CALLS_WITH_ROOM; index++) send()
-    await harness.clock.advance(10)
-    harness.client.target('t').breakConnections()
-    await harness.clock.advance(1)
-    expect(host.queues?.waiting).to.equal(1)
+  it('that a target refuses after the host has begun to stop is refused as leaving', async () => {
+    // Guards against a call that returns to the queue of a stopping host and waits there until it is too late.
+    const { harness, host, outcomes } = createFixtureWithWaitingCall()
+    await harness.clock.advance(50)
+    harness.client.target('t').refusesAll = true
+    await harness.clock.advance(53)
     host.queues?.stop()
-    await harness.clock.advance(0)
-    const failures = outcomes.map(failureOf).filter((failed) => failed !== undefined)
+    await harness.clock.advance(1)
+    expect(failureOf(outcomes[CALLS_WITH_ROOM])).to.include({ code: 'leaving', retryAfterMs: 0 })
+    expect(host.queues?.waiting).to.equal(0)
+  })
+})
+
+describe('a call that may have run at a target', () => {
+  /** Fills two targets, and breaks the connection of the call that runs at the first one. */
+  async function createFixtureWithBrokenCall (): Promise<Fixture> {
+    const fixture = createFixture({ targets: ['t', 'u'], workMs: 300 })
+    for (let index = 0; index < 2 * CALLS_WITH_ROOM; index++) fixture.send()
+    await fixture.harness.clock.advance(10)
+    fixture.harness.client.target('t').breakConnections()
+    return fixture
+  }
+
+  it('is sent to another target without waiting in the queue', async () => {
+    // Guards against a failover that ends as an unknown outcome because a queue in which it would wait is too long, and against one that keeps the head of the queue while all targets with room have had the call.
+    const { harness, host, outcomes } = await createFixtureWithBrokenCall()
+    await harness.clock.advance(1)
+    expect(host.queues?.waiting).to.equal(0)
+    await harness.clock.advance(5000)
+    expect(outcomes.map((outcome) => outcome?.result.ok)).to.deep.equal(outcomes.map(() => true))
+  })
+
+  it('is not reported as not run if the other target refuses it', async () => {
+    // Guards against a 503 for a request that a target has run.
+    const fixture = await createFixtureWithBrokenCall()
+    fixture.harness.client.target('u').refusesAll = true
+    fixture.host.queues?.stop()
+    await fixture.harness.clock.advance(5000)
+    const failures = fixture.outcomes.map(failureOf).filter((failed) => failed !== undefined)
     expect(failures.map(({ code }) => code)).to.deep.equal(['unknownOutcome'])
   })
 })
--- a/test/actors/calls/overloadReplay.test.ts
+++ b/test/actors/calls/overloadReplay.test.ts
@@ -97,3 +97,57 @@
     expect(shareInTime(calls, 0)).to.be.at.least(shareInTime(calls, 5))
   })
 })
+
+describe('a host whose queue holds calls', () => {
+  const steady = newRoute({ objectiveMs: 1500, timeoutMs: 2000 })
+
+  interface SteadyLoad {
+    readonly workMs: number
+    readonly intervalMs: number
+    readonly durationMs: number
+    /** Called before each call. */
+    readonly before?: (harness: QueueHarness, atMs: number) => void
+  }
+
+  /** Sends calls at a steady rate to two targets of six slots; returns the times at which refused calls arrived. */
+  async function refusedAt (hosts: number, { workMs, intervalMs, durationMs, before }: SteadyLoad): Promise<number[]> {
+    const target = { slots: 6, queue: 24, workMs }
+    const harness = new QueueHarness({ a: target, b: target }, hosts, { queued: true })
+    for (const { operator } of harness.hosts) operator.apply(1, [steady])
+    const refused: number[] = []
+    for (let atMs = 0; atMs < durationMs; atMs += intervalMs) {
+      before?.(harness, atMs)
+      harness.call(harness.host(0), steady).then(({ result }) => { if (!result.ok) refused.push(atMs) }, () => undefined)
+      await harness.clock.advance(intervalMs)
+    }
+    await harness.clock.advance(4000)
+    return refused
+  }
+
+  it('uses idle slots again after the burst of another host', async () => {
+    // Guards against a queue that only replaces the calls that end: it then keeps its calls in flight as few as during the burst, for as long as the load lasts.
+    const BURST_AT_MS = 1000
+    const refused = await refusedAt(2, {
+      workMs: 50,
+      intervalMs: 10,
+      durationMs: 6000,
+      before: (harness, atMs) => {
+        if (atMs === BURST_AT_MS) for (let index = 0; index < 120; index++) harness.call(harness.host(1), steady).catch(() => undefined)
+      }
+    })
+    expect(refused.filter((atMs) => atMs > BURST_AT_MS + 1000)).to.deep.equal([])
+  })
+
+  it('serves all calls again within a second after its targets have refused all for a moment', async () => {
+    // Guards against a send window that refusals reduced to one and that then grows by a fraction of a call per answer.
+    const refused = await refusedAt(1, {
+      workMs: 200,
+      intervalMs: 25,
+      durationMs: 5000,
+      before: (harness, atMs) => {
+        for (const id of ['a', 'b']) harness.client.target(id).refusesAll = atMs >= 1000 && atMs < 1200
+      }
+    })
+    expect(refused.filter((atMs) => atMs > 2200)).to.deep.equal([])
+  })
+})
--- a/test/core/calls/callQueue.test.ts
+++ b/test/core/calls/callQueue.test.ts
@@ -19,7 +19,7 @@
 /** A queue whose targets are expected to start a number of calls per second. */
 function newQueue (startsPerSecond = 100, limits = LIMITS): CallQueue {
   const queue = new CallQueue(limits)
-  queue.observe(SERVICE, { answerMs: 100, startsPerSecond, inFlight: 0 })
+  queue.observe(SERVICE, { answerMs: 100, startsPerSecond, inFlight: 0, hasIdleSlot: false })
   return queue
 }
 
@@ -135,7 +135,7 @@
 
   it('is refused at once if it could not be answered within its limit', () => {
     const queue = newQueue(10)
-    queue.observe(SERVICE, { answerMs: 1450, startsPerSecond: 10, inFlight: 0 })
+    queue.observe(SERVICE, { answerMs: 1450, startsPerSecond: 10, inFlight: 0, hasIdleSlot: false })
     expect(offer(queue, newCall('a')).type).to.equal('refuse')
   })
 
