Do not reuse a keep-alive connection that has just been closed

An expired connection was closed while the least used one was searched, and could still be selected above the limit of connections. Found in review; its run with two connections and a process that stood still returned ClientDestroyedError although nothing was sent.

--- a/src/adapters/node/keepAliveConnections.ts
+++ b/src/adapters/node/keepAliveConnections.ts
@@ -51,10 +51,13 @@
     let newest: KeepAliveConnection | undefined
     let leastUsed: KeepAliveConnection | undefined
     for (const connection of known) {
+      // The timer that closes it is late if this process stood still.
+      if (connection.requests === 0 && now >= connection.usableUntil) {
+        this.discard(origin, connection)
+        continue
+      }
       if (isUsable(connection, now) && (newest === undefined || connection.answeredAt > newest.answeredAt)) newest = connection
       if (leastUsed === undefined || connection.requests < leastUsed.requests) leastUsed = connection
-      // The timer that closes it is late if this process stood still.
-      if (connection.requests === 0 && now >= connection.usableUntil) this.discard(origin, connection)
     }
     const isFull = known.size >= this.settings.connections
     const taken = newest ?? (isFull ? leastUsed : undefined)
