Settle promises after timers that dispose of themselves

The replay clock counted the timers of an instant after they ran, so a timer that removed itself gave promises no turn and call durations came out too long.

--- a/test/support/replayClock.ts
+++ b/test/support/replayClock.ts
@@ -53,9 +53,11 @@
       this.order.pop()
       const tasks = this.tasks.get(due) ?? new Set()
       this.now = Math.max(this.now, due)
+      // A task may dispose of its own timer and thereby remove itself.
+      const count = tasks.size
       for (const task of tasks) task()
       this.tasks.delete(due)
-      if (tasks.size > 0) await settle()
+      if (count > 0) await settle()
     }
     this.now = Math.max(this.now, end)
   }
