State the assumed answer time and the queue at a target once

The call queue, the placement of targets and the expected times each had their own copy of the same two figures, and a comment asked to keep them equal. No change of behavior.

--- a/src/actors/common/routes/targetPlacement.ts
+++ b/src/actors/common/routes/targetPlacement.ts
@@ -7,6 +7,7 @@
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import { RequestRate } from '../../../core/common/routes/requestRate.ts'
 import { chooseTarget } from '../../../core/common/routes/targetChoice.ts'
+import { INITIAL_ANSWER_MS } from '../../../core/common/routes/targetEstimate.ts'
 import { preferredTargets, subsetCandidates, subsetSize } from '../../../core/common/routes/targetSubset.ts'
 import type { Clock, RandomSource } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
@@ -32,9 +33,6 @@
   readonly placement?: TargetPlacement | undefined
 }
 
-/** Answer time that is assumed of a service before the first answer, in milliseconds. */
-const INITIAL_ANSWER_MS = 40
-
 export class TargetPlacement {
   private readonly rates = new Map<string, RequestRate>()
 
--- a/src/core/common/calls/callQueue.ts
+++ b/src/core/common/calls/callQueue.ts
@@ -9,6 +9,7 @@
  */
 
 import type { QueuedCallKey, WorkspaceName } from '../../../base/common/ids.ts'
+import { INITIAL_ANSWER_MS } from '../routes/targetEstimate.ts'
 import { DrainRate } from './drainRate.ts'
 import { RecentService } from './recentService.ts'
 import { SendWindow } from './sendWindow.ts'
@@ -92,7 +93,7 @@
 const RETRY_JITTER = 0.25
 /** Retry hints are rounded down to the precision with which they are sent; rounding up could exceed the share of the remaining time. */
 const RETRY_PRECISION_MS = 10
-const INITIAL_OUTLOOK: ServiceOutlook = { answerMs: 40, startsPerSecond: 1, inFlight: 0, hasIdleSlot: false }
+const INITIAL_OUTLOOK: ServiceOutlook = { answerMs: INITIAL_ANSWER_MS, startsPerSecond: 1, inFlight: 0, hasIdleSlot: false }
 
 interface Entry {
   readonly call: QueuedCall
--- a/src/core/common/calls/sendWindow.ts
+++ b/src/core/common/calls/sendWindow.ts
@@ -5,6 +5,8 @@
  * (additive increase, multiplicative decrease), so that hosts converge to equal shares without messages.
  */
 
+import { MAX_QUEUED_AT_TARGET } from '../routes/targetEstimate.ts'
+
 /** Growth of the window in the time in which it is answered once. */
 const INCREASE = 0.25
 /** Growth with each answer whose report shows an idle slot. Without it, a window that refusals had reduced to one took seconds to recover. */
@@ -14,8 +16,6 @@
 /** Share by which a refusal shrinks the window. */
 const REFUSAL_DECREASE = 0.5
 const MIN_SIZE = 1
-/** Requests that wait at a target from which on the window shrinks; the same as in `hasRoom`. */
-const LONG_QUEUE = 2
 /** Requests that wait at a target below which the window grows. */
 const SHORT_QUEUE = 1
 /** After this many answer times without a start, one call may start beyond the window, as those in flight may have been lost. */
@@ -34,7 +34,7 @@
   /** Applies an answer, with the load that its target reported. Without a report, the answer itself shows that the window is not too large. */
   adjust (load: { readonly ahead: number, readonly slots: number } | undefined): void {
     if (load === undefined) this.size += INCREASE / this.size
-    else if (load.ahead >= load.slots + LONG_QUEUE) this.shrink(DECREASE)
+    else if (load.ahead >= load.slots + MAX_QUEUED_AT_TARGET) this.shrink(DECREASE)
     else if (load.ahead < load.slots) this.size += IDLE_INCREASE
     else if (load.ahead < load.slots + SHORT_QUEUE) this.size += INCREASE / this.size
   }
--- a/src/core/common/calls/serviceOutlook.ts
+++ b/src/core/common/calls/serviceOutlook.ts
@@ -1,12 +1,9 @@
 /** Derives what a call queue may expect of a service from the load of its targets, before a drain rate has been measured. */
 
 import type { TargetLoad } from '../routes/targetEstimate.ts'
-import { requestsAhead } from '../routes/targetEstimate.ts'
+import { INITIAL_ANSWER_MS, requestsAhead } from '../routes/targetEstimate.ts'
 import type { ServiceOutlook } from './callQueue.ts'
 
-/** Assumed answer time of a target that has not answered yet, which is that of a short look-up. */
-const INITIAL_ANSWER_MS = 40
-
 /**
  * Returns the mean answer time of the targets, and by Little's law the rate at which this host's calls in flight there are
  * answered, each answer being followed by a start. A host without calls in flight expects the rate of a single one.
--- a/src/core/common/routes/targetEstimate.ts
+++ b/src/core/common/routes/targetEstimate.ts
@@ -30,7 +30,7 @@
 /** How long a load report is used if targets report no slowdown. After about the duration of a request it no longer reflects the load. */
 const REPORT_VALID_MS = 400
 /** Assumed answer time of a target that has not answered yet, which is that of a short look-up. */
-const INITIAL_ANSWER_MS = 40
+export const INITIAL_ANSWER_MS = 40
 /** Cost of a round trip to another failure domain, set slightly above the round-trip times specified for sites. */
 const CROSS_DOMAIN_LATENCY_MS = 4
 /** Penalty of a suspect target. It exceeds any queueing time, so a suspect is used only if no other target is left. */
@@ -44,7 +44,7 @@
  * Requests that may queue at a target. Two keep its slots busy while the news of a free slot travels to this host
  * and the next request travels back; further ones could no longer be overtaken by an urgent call.
  */
-const MAX_QUEUED_AT_TARGET = 2
+export const MAX_QUEUED_AT_TARGET = 2
 
 /** Returns a reported slowdown within its bounds; 1 if none is reported. */
 export function boundedSlowdown (reported: number | undefined): number {
