--- a/review/1/main.ts
+++ b/review/1/main.ts
@@ -17,15 +17,21 @@
 const EVENT_MS = 110
 const LOAD_MS = 900
 /** Least duration of a long and of a short item, and how much longer others of their kind take. */
-const LONG_MS = 2650
+const LONG_MS = 3000
 const LONG_SPREAD_MS = 300
 const SHORT_MS = 550
 const SHORT_SPREAD_MS = 350
 const GROUPS = 17
 const WANTED = 15
 const GROUP_SIZE = 4
-/** With the disruption, training is short, and a version is named while runs of the step before go on. Without it, they have ended. */
-const TRAINING_MS = isTroubled ? 500 : 3500
+/** With the disruption, a version is named while runs of the step before go on. Without it, they have ended. */
+const LEAST_TRAINING_MS = 300
+const MOST_TRAINING_MS = 1500
+const LONG_TRAINING_MS = 3500
+/** Usual time from the naming of a version to the first orders. */
+const ORDER_MS = 35
+/** How many engines load at once. */
+const LOADS_AT_ONCE = 2
 /** Time from the naming of a version to the next step: with the disruption, every other step comes while engines still load. */
 const EARLY_MS = 1600
 const LOADED_MS = 3400
@@ -51,6 +57,17 @@
   return id.includes('long') ? Math.floor(LONG_MS / EVENT_MS) + seed % Math.ceil(LONG_SPREAD_MS / EVENT_MS) : Math.floor(SHORT_MS / EVENT_MS) + seed % Math.ceil(SHORT_SPREAD_MS / EVENT_MS)
 }
 
+/**
+ * Returns how long training takes: so long that an engine which changes its weights first does so just before the last event of a run.
+ * The engines with the fewest runs change first.
+ */
+function trainingMs (engines: readonly EngineWorker[]): number {
+  if (!isTroubled) return LONG_TRAINING_MS
+  const first = [...engines].sort((a, b) => a.openRuns.length - b.openRuns.length).slice(0, LOADS_AT_ONCE)
+  const fitting = first.flatMap((engine) => engine.openRuns.map(({ lastEventAt }) => lastEventAt - EVENT_MS / 2 - LOAD_MS - ORDER_MS - Date.now()))
+  return fitting.filter((ms) => ms >= LEAST_TRAINING_MS && ms <= MOST_TRAINING_MS).sort((a, b) => a - b)[0] ?? LEAST_TRAINING_MS
+}
+
 await runCase(join(process.argv[2] ?? '.', 'record.txt'), async (record, cleanUp) => {
   const deployment = await Deployment.prepare(3, configuration, record)
   cleanUp(async () => { await deployment.stop() })
@@ -83,7 +100,7 @@
       record.write(broken.at(-1) ?? '')
     }
     carried = items.filter(({ group }) => items.some((item) => item.group === group && !listed.has(item.id))).slice(0, GROUP_SIZE * Math.floor(WANTED / 2))
-    await pause(TRAINING_MS)
+    await pause(trainingMs(engines))
     trainer.nameVersion(++version)
     const namedAt = Date.now()
     await pause(namedAt + (isTroubled && step % 2 === 1 ? EARLY_MS : LOADED_MS) - Date.now())
--- a/review/support/workers.ts
+++ b/review/support/workers.ts
@@ -12,6 +12,8 @@
 const REPORT_LAG_MS = 100
 /** Requests that wait beside those that run. */
 const QUEUE = 24
+/** How late a timer usually is. */
+const TIMER_MS = 1
 
 export interface WorkerOptions {
   readonly id: string
@@ -142,6 +144,7 @@
 export class EngineWorker extends Worker {
   /** The version under which each event was made, by its text. */
   readonly made = new Map<string, number>()
+  private readonly progress = new Map<Run, number>()
   readonly orders: { readonly at: number, readonly version: number, readonly holder: string, readonly fence: number, readonly status: number }[] = []
   private states: EngineState[] = [{ at: 0, version: 1, busy: false, accepted: 0 }]
 
@@ -149,6 +152,11 @@
     super(options, store, record)
   }
 
+  /** The runs that go on, and when each makes its last event. */
+  get openRuns (): { readonly run: Run, readonly lastEventAt: number }[] {
+    return [...this.progress].filter(([{ ended }]) => ended === 'open').map(([run, lastEventAt]) => ({ run, lastEventAt }))
+  }
+
   get version (): number {
     return this.state.version
   }
@@ -207,6 +215,7 @@
     response.writeHead(200, { ...headers, 'content-type': 'text/event-stream', 'bulrushvalve-weight-versions': String(version) })
     response.flushHeaders()
     for (let number = after === undefined ? 1 : Number(after) + 1; number <= this.plan.events(run.id); number++) {
+      this.progress.set(run, Date.now() + (this.plan.events(run.id) - number + 1) * (this.plan.eventMs + TIMER_MS))
       await pause(this.plan.eventMs)
       if (response.destroyed) return
       const line = this.version === version ? '' : `bulrushvalve-weight-versions: ${this.version}\n`
