Keep the version of each event of a text, so that dropped events leave no version behind

Cause: the versions of a text were one set beside its events. Wherever events were dropped, the set stayed: a head start leaves its last event to the later step, and if an engine had loaded new weights just before it, the result named a version that generated none of its events. The same on a second path: a saved text that ends before an event too large for a record named the version of that event.

Change: each event carries its version, in memory and in saved progress, and the versions of a text are derived from the events that it has. Saved progress of former releases is read as far as the version of each event is certain; what follows is generated again. A former release skips records of this one.

The existing tests compare events with their versions one by one, which is stricter than the sets before; the generated runs now change versions within a run, and saved parts within a record.

--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -8,6 +8,7 @@
 import { minimumVersionAfterStep, maxHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
 import type { ItemLengthEstimator } from '../../../core/common/steps/itemLengthEstimator.ts'
 import type { SavedText } from '../../../core/common/steps/progress.ts'
+import { versionsOf, withoutNewestEvents } from '../../../core/common/steps/progress.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import type { StepItem } from '../../../core/common/steps/step.ts'
 import type { FoldedStep } from '../../../core/common/steps/stepFold.ts'
@@ -114,13 +115,14 @@
     const start = requestKey === undefined ? undefined : this.starts.get(requestKey)
     if (requestKey === undefined || start === undefined || start.step === work.step.submission.id) return undefined
     this.cancel(requestKey, start)
-    const { text, complete } = start
+    const { generated } = start.text
+    if (generated === undefined) return undefined
     // Only the end of a stream shows that a text is complete, so the last event is left for the later run to generate.
-    const events = complete ? text.events.slice(0, -1) : [...text.events]
-    if (text.last === undefined || events.length === 0) return undefined
+    const resumable = start.complete ? withoutNewestEvents(generated, 1) : generated
+    if (resumable.events.length === 0) return undefined
     this.services.metrics.count('steps.head_starts_used')
-    this.services.stateLog.decided('head start used', { item, step: work.step.submission.id, events: events.length, versions: [...text.versions].join(' ') })
-    return { events, last: text.last - (text.events.length - events.length), versions: [...text.versions] }
+    this.services.stateLog.decided('head start used', { item, step: work.step.submission.id, events: resumable.events.length, versions: versionsOf(resumable.events).join(' ') })
+    return resumable
   }
 
   cancelAll (): void {
--- a/src/actors/common/steps/itemText.ts
+++ b/src/actors/common/steps/itemText.ts
@@ -1,8 +1,8 @@
 /** The text of one item while it is generated: its events in order, the model versions that produced them, and how much of it is saved. */
 
 import type { TextId } from '../../../base/common/ids.ts'
-import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import { FULL_SAVE_AGE_MS } from '../../../core/common/steps/progress.ts'
+import type { ProgressPart, SavedText, TextEvent } from '../../../core/common/steps/progress.ts'
+import { FULL_SAVE_AGE_MS, versionsOf } from '../../../core/common/steps/progress.ts'
 import type { StreamEvent } from '../../../ports/common/protocols.ts'
 
 /** Events of a text that have yet to be saved. */
@@ -14,8 +14,7 @@
  */
 export class ItemText {
   private id: TextId
-  readonly events: string[] = []
-  readonly versions = new Set<number>()
+  readonly events: TextEvent[] = []
   /** Number of events of this text that are in the store. */
   private savedCount = 0
   /** Monotonic time of the last save that contained this text from its first event on. */
@@ -36,6 +35,16 @@
     return this.maxEventCount
   }
 
+  /** Versions of the weights that generated the events. */
+  get versions (): number[] {
+    return versionsOf(this.events)
+  }
+
+  /** The events generated so far; `undefined` if there are none. */
+  get generated (): SavedText | undefined {
+    return this.last === undefined ? undefined : { events: [...this.events], last: this.last }
+  }
+
   beginRun (version: number | undefined): void {
     this.version = version
   }
@@ -45,27 +54,25 @@
     const expectedId = (this.last ?? event.id - 1) + 1
     if (event.id !== expectedId) return false
     if (event.version !== undefined) this.version = event.version
-    if (this.version !== undefined) this.versions.add(this.version)
-    this.events.push(event.data)
+    this.events.push({ data: event.data, version: this.version })
     this.last = event.id
     this.maxEventCount = Math.max(this.maxEventCount, this.events.length)
     return true
   }
 
   /** Replaces the text with the events of an earlier run. */
-  restore ({ events, last, versions }: SavedText): void {
+  restore ({ events, last }: SavedText): void {
     this.clear()
     this.events.push(...events)
     this.last = last
     this.maxEventCount = Math.max(this.maxEventCount, events.length)
-    for (const version of versions) this.versions.add(version)
   }
 
   /** Returns the events that are not saved yet, or all events if the last full save is too old; `undefined` if there are none. */
   unsavedPart (now: number): UnsavedPart | undefined {
     const from = now - this.fullySavedAt < FULL_SAVE_AGE_MS ? this.savedCount : 0
     if (this.last === undefined || this.events.length <= from) return undefined
-    return { text: this.id, from, events: this.events.slice(from), last: this.last, versions: [...this.versions] }
+    return { text: this.id, from, events: this.events.slice(from), last: this.last }
   }
 
   /**
@@ -83,11 +90,10 @@
     this.savedCount = 0
     this.fullySavedAt = Number.NEGATIVE_INFINITY
     this.events.length = 0
-    this.versions.clear()
     this.last = undefined
   }
 
   get text (): string {
-    return this.events.join('\n')
+    return this.events.map(({ data }) => data).join('\n')
   }
 }
--- a/src/actors/common/steps/leavingEngines.ts
+++ b/src/actors/common/steps/leavingEngines.ts
@@ -64,5 +64,5 @@
 
 /** Where a sample must come from a single version, a text can only be continued by an engine that has this version. */
 function mayResume ({ text }: ItemWork, { singleVersion }: Route, version: number): boolean {
-  return !singleVersion || [...text.versions].every((known) => known === version)
+  return !singleVersion || text.versions.every((known) => known === version)
 }
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -303,14 +303,14 @@
     const { submission } = work.step
     const { item, text } = itemWork
     this.services.metrics.timing('steps.run', tookMs)
-    this.services.stateLog.decided('run ended', { item: item.id, step: submission.id, failed: end.type !== 'complete' && end.type !== 'moved', engine: engine.id, end: end.type, why: end.type === 'broken' ? end.why : '', events: text.events.length, versions: [...text.versions].join(' '), run: itemWork.runs, tookMs: Math.round(tookMs) })
+    this.services.stateLog.decided('run ended', { item: item.id, step: submission.id, failed: end.type !== 'complete' && end.type !== 'moved', engine: engine.id, end: end.type, why: end.type === 'broken' ? end.why : '', events: text.events.length, versions: text.versions.join(' '), run: itemWork.runs, tookMs: Math.round(tookMs) })
     switch (end.type) {
       case 'complete':
         engine.target.recordAnswerTime(tookMs)
         work.finished.set(item.id, text.events.length)
         this.lengths.recordItem(item.expectedTokens, text.events.length, itemWork.runs === 1 && itemWork.eventsAtStart === 0 ? tookMs : undefined)
-        if (route.singleVersion && text.versions.size > 1) return this.requeue(work, itemWork, true)
-        return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: [...text.versions].sort((a, b) => a - b), score: undefined })
+        if (route.singleVersion && text.versions.length > 1) return this.requeue(work, itemWork, true)
+        return this.score(work, itemWork, { item: item.id, state: 'complete', text: text.text, versions: text.versions.sort((a, b) => a - b), score: undefined })
       case 'refused':
         engine.recordRefusal()
         return this.requeue(work, itemWork, false)
--- a/src/actors/common/steps/unfinishedTexts.ts
+++ b/src/actors/common/steps/unfinishedTexts.ts
@@ -5,7 +5,7 @@
 
 import { asTextId } from '../../../base/common/ids.ts'
 import type { ProgressPart, SavedText } from '../../../core/common/steps/progress.ts'
-import { progressKey } from '../../../core/common/steps/progress.ts'
+import { progressKey, versionsOf } from '../../../core/common/steps/progress.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { UnsavedPart } from './itemText.ts'
@@ -60,7 +60,7 @@
     const { submission } = work.step
     const requestKey = itemRequestKey(work, itemWork.item.id)
     const candidates = [headStart, saved.get(progressKey(submission.id, itemWork.item.id)), requestKey === undefined ? undefined : this.retained.get(requestKey)]
-    const compatible = candidates.filter((text) => text !== undefined).filter(({ versions }) => versions.every((version) => version >= submission.minimumVersion))
+    const compatible = candidates.filter((text) => text !== undefined).filter(({ events }) => versionsOf(events).every((version) => version >= submission.minimumVersion))
     const longest = compatible.sort((a, b) => b.events.length - a.events.length)[0]
     if (longest === undefined || longest.events.length === 0 || singleVersion || itemWork.state !== 'waiting') return
     itemWork.text.restore(longest)
@@ -71,9 +71,10 @@
   retain (work: StepWork): void {
     for (const { item, text } of work.items.values()) {
       const requestKey = itemRequestKey(work, item.id)
-      if (text.last === undefined || requestKey === undefined) continue
+      const { generated } = text
+      if (generated === undefined || requestKey === undefined) continue
       this.retained.delete(requestKey)
-      this.retained.set(requestKey, { events: [...text.events], last: text.last, versions: [...text.versions] })
+      this.retained.set(requestKey, generated)
     }
     for (const requestKey of [...this.retained.keys()].slice(0, -MAX_RETAINED_TEXTS)) this.retained.delete(requestKey)
   }
--- a/src/core/common/steps/progress.ts
+++ b/src/core/common/steps/progress.ts
@@ -8,6 +8,9 @@
 import type { TextId } from '../../../base/common/ids.ts'
 import { asTextId } from '../../../base/common/ids.ts'
 
+/** An event that is made under another version than the preceding one of its part names its version; `null` if it is unknown. */
+const eventSchema = z.union([z.string(), z.tuple([z.string(), z.number().nullable()])])
+
 const partSchema = z.object({
   step: z.string(),
   item: z.string(),
@@ -15,27 +18,67 @@
   text: z.string().transform(asTextId),
   /** Number of events of the text that precede these. */
   from: z.number().int().nonnegative(),
-  events: z.array(z.string()),
+  events: z.array(eventSchema),
   /** Number that the target assigned to the last of the events. */
   last: z.number().int(),
-  /** Versions of the weights that generated any event so far. */
-  versions: z.array(z.number())
+  /** Versions of all events of the text so far, in records of hosts that do not name the version of each event. */
+  versions: z.array(z.number()).optional()
 })
 
 const entrySchema = z.array(partSchema)
 
+type EncodedEvent = z.infer<typeof eventSchema>
+type EncodedPart = z.infer<typeof partSchema>
+
+/** One event of a text. */
+export interface TextEvent {
+  readonly data: string
+  /** Version of the weights that generated it; `undefined` if the engine names none. */
+  readonly version: number | undefined
+}
+
 /** Events of one item since the previous save. */
-export type ProgressPart = z.infer<typeof partSchema>
+export interface ProgressPart extends Pick<EncodedPart, 'step' | 'item' | 'text' | 'from' | 'last'> {
+  readonly events: readonly TextEvent[]
+}
 
 /** Saved text of an unfinished item. */
 export interface SavedText {
-  readonly events: readonly string[]
+  readonly events: readonly TextEvent[]
+  /** Id of the last event. */
   readonly last: number
-  readonly versions: readonly number[]
+}
+
+/** Returns the versions of the weights that generated the events, without duplicates, in the order of their first event. */
+export function versionsOf (events: readonly TextEvent[]): number[] {
+  return [...new Set(events.flatMap(({ version }) => version ?? []))]
+}
+
+/** Returns a text without its newest events. */
+export function withoutNewestEvents ({ events, last }: SavedText, count: number): SavedText {
+  return { events: events.slice(0, Math.max(0, events.length - count)), last: last - Math.min(count, events.length) }
 }
 
 export function encodeProgress (parts: readonly ProgressPart[]): string {
-  return JSON.stringify(parts)
+  return JSON.stringify(parts.map(({ events, ...part }) => ({ ...part, events: events.map((event, index) => encodeEvent(event, events[index - 1])) })))
+}
+
+function encodeEvent ({ data, version }: TextEvent, preceding: TextEvent | undefined): EncodedEvent {
+  return preceding !== undefined && preceding.version === version ? data : [data, version ?? null]
+}
+
+/** Returns the part with the version of each event; `undefined` if the record does not tell which event has which version. */
+function decodePart ({ events, versions, ...part }: EncodedPart): ProgressPart | undefined {
+  if (versions === undefined ? typeof events[0] === 'string' : versions.length > 1) return undefined
+  let version = versions?.[0]
+  return {
+    ...part,
+    events: events.map((event): TextEvent => {
+      if (typeof event === 'string') return { data: event, version }
+      version = event[1] ?? undefined
+      return { data: event[0], version }
+    })
+  }
 }
 
 /** How long saved progress is retained: longer than most items run, as steps are due within 8 s and dropped within 12 s. */
@@ -72,6 +115,11 @@
   return records.map(encodeProgress)
 }
 
+function encodedCharacters (events: readonly TextEvent[], begin: number, index: number): number {
+  const event = events[index]
+  return event === undefined ? 0 : JSON.stringify(encodeEvent(event, index === begin ? undefined : events[index - 1])).length + 1
+}
+
 /** Splits a part into pieces that each fit into one record. */
 function splitPart (part: ProgressPart, limit: number): ProgressPart[] {
   if (encodeProgress([part]).length <= limit) return [part]
@@ -81,7 +129,7 @@
   while (begin < part.events.length) {
     let end = begin
     for (let size = 0; end < part.events.length; end++) {
-      size += JSON.stringify(part.events[end]).length + 1
+      size += encodedCharacters(part.events, begin, end)
       if (size > eventCharacters) break
     }
     if (end === begin) break
@@ -116,10 +164,10 @@
 }
 
 /** Appends a part to a text; returns the text unchanged if the part adds nothing or is not contiguous. */
-function mergePart (known: SavedText | undefined, { from, events, last, versions }: ProgressPart): SavedText | undefined {
+function mergePart (known: SavedText | undefined, { from, events, last }: ProgressPart): SavedText | undefined {
   const before = known?.events ?? []
   if (from > before.length || from + events.length <= before.length) return known
-  return { events: [...before.slice(0, from), ...events], last, versions }
+  return { events: [...before.slice(0, from), ...events], last }
 }
 
 function parseEntry (record: string): ProgressPart[] {
@@ -130,5 +178,5 @@
     return []
   }
   const entry = entrySchema.safeParse(parsed)
-  return entry.success ? entry.data : []
+  return entry.success ? entry.data.flatMap((part) => decodePart(part) ?? []) : []
 }
--- a/test/actors/routes/workAtRestartedTargets.test.ts
+++ b/test/actors/routes/workAtRestartedTargets.test.ts
@@ -91,6 +91,6 @@
     if (engine === undefined) throw new Error('no engine')
     const held = newText()
     const ended = await run.measureWithRestart(runItem(run.services, engine, newItem('i', 'g'), held, { workspace: undefined, host: 'h', model: 'm', minimumVersion: 1, payload: newItem('i', 'g'), firstEventTimeoutMs: 1000, silenceTimeoutMs: 500, cancelled: new AbortController().signal, onFirstEvent: () => undefined }))
-    expect([ended.value, ended.tookMs, held.text, [...held.versions]]).to.deep.equal([{ type: 'restarted' }, RESTART_MS, 'd0\nd1', [3]])
+    expect([ended.value, ended.tookMs, held.text, held.versions]).to.deep.equal([{ type: 'restarted' }, RESTART_MS, 'd0\nd1', [3]])
   })
 })
--- a/test/actors/steps/headStarts.test.ts
+++ b/test/actors/steps/headStarts.test.ts
@@ -19,7 +19,7 @@
 import type { ScriptedAnswer } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
 import { newItem } from '../../support/steps.ts'
-import { newText, newStepWork } from '../../support/texts.ts'
+import { newText, newStepWork, textEvents } from '../../support/texts.ts'
 import { newTargetEnds } from '../../support/targetEnds.ts'
 
 const responseHeaders = { 'bulrushvalve-request-id': 'long', 'bulrushvalve-response-seal': 's', 'bulrushvalve-weight-versions': '5' }
@@ -74,7 +74,7 @@
     await scene.clock.advance(125)
     scene.replan()
     expect(scene.client.sent.map(({ path }) => path)).to.deep.equal(['/items/long'])
-    expect(scene.consume()).to.deep.equal({ events: Array.from({ length: 12 }, (_, index) => `d${index}`), last: 11, versions: [5] })
+    expect(scene.consume()).to.deep.equal({ events: textEvents(5, ...Array.from({ length: 12 }, (_, index) => `d${index}`)), last: 11 })
     expect(scene.client.sent[0]?.cancelledAt).to.equal(scene.clock.now)
     expect(scene.consume()).to.equal(undefined)
   })
@@ -85,7 +85,20 @@
     await scene.clock.advance(200)
     scene.replan()
     expect(scene.client.sent).to.have.length(1)
-    expect(scene.consume()).to.deep.equal({ events: ['d0', 'd1'], last: 1, versions: [5] })
+    expect(scene.consume()).to.deep.equal({ events: textEvents(5, 'd0', 'd1'), last: 1 })
+  })
+
+  it('pass on no version of an event that they leave to the later step', async () => {
+    // Guards against a sample that names a version which generated none of its events: the engine had loaded it before the
+    // last event, which the step that resumed the text requested from an engine with the version before.
+    const scene = new HeadStartFixture([{ afterMs: 5, headers: responseHeaders, events: [...events(2), { afterMs: 10, raw: `bulrushvalve-weight-versions: 6\n${event(2)}` }] }])
+    scene.replan()
+    await scene.clock.advance(200)
+    scene.replan()
+    const text = newText()
+    const resumed = scene.consume()
+    if (resumed !== undefined) text.restore(resumed)
+    expect([text.text, text.versions]).to.deep.equal(['d0\nd1', [5]])
   })
 
   it('resume after a broken stream, but not after a failure of the item', async () => {
@@ -95,7 +108,7 @@
     broken.replan()
     await broken.clock.advance(100)
     expect(broken.client.sent.map(({ headers }) => headers.includes('1'))).to.deep.equal([false, true])
-    expect(broken.consume()?.events).to.deep.equal(['d0', 'd1'])
+    expect(broken.consume()?.events).to.deep.equal(textEvents(5, 'd0', 'd1'))
     const failing = new HeadStartFixture([{ afterMs: 5, status: 500, headers: responseHeaders }])
     for (let look = 0; look < 5; look++) {
       failing.replan()
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -9,7 +9,8 @@
 import { TargetTable } from '../../../src/actors/common/routes/targetTable.ts'
 import { RouteTable } from '../../../src/core/common/routes/routeConfiguration.ts'
 import { asTextId } from '../../../src/base/common/ids.ts'
-import { PROGRESS_RETENTION_MS, FULL_SAVE_AGE_MS, encodeProgress, progressKey, parseProgress } from '../../../src/core/common/steps/progress.ts'
+import type { ProgressPart, TextEvent } from '../../../src/core/common/steps/progress.ts'
+import { PROGRESS_RETENTION_MS, FULL_SAVE_AGE_MS, encodeProgress, progressKey, parseProgress, withoutNewestEvents } from '../../../src/core/common/steps/progress.ts'
 import { targetProtocol } from '../../../platform/index.ts'
 import { noopStateLog } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
@@ -17,7 +18,7 @@
 import type { ScriptedAnswer, SentRequest } from '../../support/scriptedClient.ts'
 import { ScriptedClient } from '../../support/scriptedClient.ts'
 import { newItem } from '../../support/steps.ts'
-import { newText } from '../../support/texts.ts'
+import { newText, textEvents } from '../../support/texts.ts'
 import { newTargetEnds } from '../../support/targetEnds.ts'
 
 const responseHeaders = { 'bulrushvalve-request-id': 'i', 'bulrushvalve-response-seal': 's', 'bulrushvalve-weight-versions': '3' }
@@ -67,23 +68,23 @@
 
   it('collects events and the versions that produced them', async () => {
     const { end, text, version } = await run({ afterMs: 5, headers: responseHeaders, events: [{ afterMs: 5, raw: event(1) }, { afterMs: 5, raw: event(2, 4) }, { afterMs: 5, raw: event(3) }] })
-    expect([end.type, text.text, [...text.versions], version]).to.deep.equal(['complete', 'd1\nd2\nd3', [3, 4], 4])
+    expect([end.type, text.text, text.versions, version]).to.deep.equal(['complete', 'd1\nd2\nd3', [3, 4], 4])
   })
 
   it('requests the events after the last known one', async () => {
     const text = newText()
-    text.restore({ events: ['d1', 'd2'], last: 2, versions: [2] })
+    text.restore({ events: textEvents(2, 'd1', 'd2'), last: 2 })
     const { end, sent } = await run({ afterMs: 5, headers: responseHeaders, events: events(3, 4) }, { text })
     expect(sent?.headers.join(' ')).to.include('last-event-id 2')
-    expect([end.type, text.text, [...text.versions]]).to.deep.equal(['complete', 'd1\nd2\nd3\nd4', [2, 3]])
+    expect([end.type, text.text, text.versions]).to.deep.equal(['complete', 'd1\nd2\nd3\nd4', [2, 3]])
   })
 
   for (const [name, numbers] of [['after a later event than requested', [4, 5]], ['from the first event against the request', [1, 2, 3]], ['with the event it should follow', [2, 3]]] as const) {
     it(`accepts no event from an engine that resumes ${name}`, async () => {
       const text = newText()
-      text.restore({ events: ['d1', 'd2'], last: 2, versions: [2] })
+      text.restore({ events: textEvents(2, 'd1', 'd2'), last: 2 })
       const { end } = await run({ afterMs: 5, headers: responseHeaders, events: events(...numbers) }, { text })
-      expect([end.type, text.text, [...text.versions], text.last]).to.deep.equal(['broken', 'd1\nd2', [2], 2])
+      expect([end.type, text.text, text.versions, text.last]).to.deep.equal(['broken', 'd1\nd2', [2], 2])
     })
   }
 
@@ -122,24 +123,24 @@
 })
 
 describe('the progress of an item', () => {
-  const part = (from: number, events: string[], last: number, versions = [1], text = 't') => ({ step: 's', item: 'i', text: asTextId(text), from, events, last, versions })
+  const part = (from: number, events: readonly string[] | readonly TextEvent[], last: number, text = 't'): ProgressPart => ({ step: 's', item: 'i', text: asTextId(text), from, events: events.flatMap((event) => typeof event === 'string' ? textEvents(1, event) : event), last })
   const known = (...records: string[]) => parseProgress(records).get(progressKey('s', 'i'))
 
   it('is assembled from the saved parts', () => {
-    expect(known(encodeProgress([part(0, ['a', 'b'], 1)]), encodeProgress([part(2, ['c'], 2, [1, 2])]))).to.deep.equal({ events: ['a', 'b', 'c'], last: 2, versions: [1, 2] })
+    expect(known(encodeProgress([part(0, ['a', 'b'], 1)]), encodeProgress([part(2, textEvents(2, 'c'), 2)]))).to.deep.equal({ events: [...textEvents(1, 'a', 'b'), ...textEvents(2, 'c')], last: 2 })
   })
 
   it('follows a run that was restarted', () => {
-    expect(known(encodeProgress([part(0, ['a', 'b', 'c'], 2)]), encodeProgress([part(0, ['x'], 0, [3], 'u')]))).to.deep.equal({ events: ['x'], last: 0, versions: [3] })
+    expect(known(encodeProgress([part(0, ['a', 'b', 'c'], 2)]), encodeProgress([part(0, textEvents(3, 'x'), 0, 'u')]))).to.deep.equal({ events: textEvents(3, 'x'), last: 0 })
   })
 
   it('is not shortened by a repeated or late part', () => {
-    const whole = { events: ['a', 'b', 'c'], last: 2, versions: [1, 2] }
-    expect(known(encodeProgress([part(0, ['a', 'b'], 1)]), encodeProgress([part(1, ['b', 'c'], 2, [1, 2])]), encodeProgress([part(0, ['a', 'b'], 1)]))).to.deep.equal(whole)
+    const whole = { events: [...textEvents(1, 'a', 'b'), ...textEvents(2, 'c')], last: 2 }
+    expect(known(encodeProgress([part(0, ['a', 'b'], 1)]), encodeProgress([part(1, [...textEvents(1, 'b'), ...textEvents(2, 'c')], 2)]), encodeProgress([part(0, ['a', 'b'], 1)]))).to.deep.equal(whole)
   })
 
   it('consists of one text, even if its parts are interleaved with those of another', () => {
-    expect(known(encodeProgress([part(0, ['a'], 0)]), encodeProgress([part(0, ['a', 'b'], 1, [1], 'u')]), encodeProgress([part(1, ['x', 'y'], 2)]), encodeProgress([part(2, ['c'], 2, [1], 'u')]))?.events).to.deep.equal(['a', 'b', 'c'])
+    expect(known(encodeProgress([part(0, ['a'], 0)]), encodeProgress([part(0, ['a', 'b'], 1, 'u')]), encodeProgress([part(1, ['x', 'y'], 2)]), encodeProgress([part(2, ['c'], 2, 'u')]))?.events).to.deep.equal(textEvents(1, 'a', 'b', 'c'))
   })
 
   it('is saved in full again before its first part expires', () => {
@@ -156,11 +157,32 @@
 
   it('ends before a gap', () => {
     // Guards against a text with missing events in the middle: one save was lost, and the next was appended as if it followed.
-    expect(known(encodeProgress([part(0, ['a'], 0)]), encodeProgress([part(2, ['c'], 2)]))).to.deep.equal({ events: ['a'], last: 0, versions: [1] })
+    expect(known(encodeProgress([part(0, ['a'], 0)]), encodeProgress([part(2, ['c'], 2)]))).to.deep.equal({ events: textEvents(1, 'a'), last: 0 })
   })
 
   it('skips records that cannot be parsed', () => {
-    expect(known('{', '[{"step":1}]', encodeProgress([part(0, ['a'], 0)]))?.events).to.deep.equal(['a'])
+    expect(known('{', '[{"step":1}]', encodeProgress([part(0, ['a'], 0)]))?.events).to.deep.equal(textEvents(1, 'a'))
+  })
+
+  it('names no version of an event that was left out', () => {
+    // Guards against a sample that names a version of the weights which generated none of its events.
+    const events = [...textEvents(5, 'a', 'b'), ...textEvents(6, 'c')]
+    const text = newText()
+    text.restore(withoutNewestEvents({ events, last: 2 }, 1))
+    expect(text.versions).to.deep.equal([5])
+    text.beginRun(5)
+    text.add({ id: 2, data: 'c', version: undefined })
+    expect(text.versions).to.deep.equal([5])
+  })
+
+  it('is read from records that name the versions of all events of a text, as far as these are certain', () => {
+    // Guards against an item that starts over, or names a wrong version, after a host of a former release has saved its text.
+    const former = (from: number, data: readonly string[], last: number, versions: readonly number[]): string => JSON.stringify([{ step: 's', item: 'i', text: 't', from, events: data, last, versions }])
+    const prefix = { events: textEvents(5, 'a', 'b'), last: 1 }
+    expect(known(former(0, ['a', 'b'], 1, [5]))).to.deep.equal(prefix)
+    expect(known(former(0, ['a', 'b'], 1, [5]), former(2, ['c', 'd'], 3, [5, 6]), former(4, ['e'], 4, [5, 6]))).to.deep.equal(prefix)
+    expect(known(former(0, ['a', 'b', 'c'], 2, [5, 6]))).to.equal(undefined)
+    expect(known(former(0, ['a'], 0, []))).to.deep.equal({ events: [{ data: 'a', version: undefined }], last: 0 })
   })
 
   it('is saved once', () => {
@@ -169,14 +191,14 @@
     text.beginRun(1)
     for (const id of [4, 5]) text.add({ id, data: `d${id}`, version: undefined })
     const first = text.unsavedPart(0)
-    expect(first).to.deep.equal({ text: 't0', from: 0, events: ['d4', 'd5'], last: 5, versions: [1] })
+    expect(first).to.deep.equal({ text: 't0', from: 0, events: textEvents(1, 'd4', 'd5'), last: 5 })
     if (first !== undefined) text.markSaved(first, 0)
     expect(text.unsavedPart(1)).to.equal(undefined)
     text.add({ id: 6, data: 'd6', version: 2 })
-    expect(text.unsavedPart(1)).to.deep.equal({ text: 't0', from: 2, events: ['d6'], last: 6, versions: [1, 2] })
+    expect(text.unsavedPart(1)).to.deep.equal({ text: 't0', from: 2, events: textEvents(2, 'd6'), last: 6 })
     text.clear()
     expect(text.unsavedPart(1)).to.equal(undefined)
     text.add({ id: 4, data: 'd4', version: 2 })
-    expect(text.unsavedPart(1)).to.deep.equal({ text: 't1', from: 0, events: ['d4'], last: 4, versions: [2] })
+    expect(text.unsavedPart(1)).to.deep.equal({ text: 't1', from: 0, events: textEvents(2, 'd4'), last: 4 })
   })
 })
--- a/test/actors/steps/leavingEngines.test.ts
+++ b/test/actors/steps/leavingEngines.test.ts
@@ -78,7 +78,7 @@
     scene.work.items.get('i-0')?.text.add({ id: 0, data: 'd0', version: 5 })
     scene.announce(LEFT_MS)
     expect(scene.check()).to.deep.equal(['i-0', 'i-2'])
-    expect(scene.work.items.get('i-0')?.text.events).to.deep.equal(['d0'])
+    expect(scene.work.items.get('i-0')?.text.events).to.deep.equal([{ data: 'd0', version: 5 }])
     expect([...scene.work.items.values()].map(({ state }) => state)).to.deep.equal(['waiting', 'running', 'waiting', 'running'])
     expect(scene.log.detailsOf('run moved off a leaving engine')).to.have.length(2)
   })
--- a/test/actors/steps/progressStore.test.ts
+++ b/test/actors/steps/progressStore.test.ts
@@ -10,6 +10,7 @@
 import type { UnkeyedLog } from '../../../src/ports/common/unkeyedLog.ts'
 import { noopStateLog, noopMetrics } from '../../support/fakeHost.ts'
 import { ManualClock } from '../../support/manualClock.ts'
+import { textEvents } from '../../support/texts.ts'
 
 const RECORD_BYTES = 3000
 
@@ -37,7 +38,9 @@
 }
 
 describe('saved progress', () => {
-  const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, text: asTextId(`text of ${item}`), from, events: Array.from({ length: count }, (_, index) => `${from + index}:`.padEnd(size, 'é')), last: 100 + from + count - 1, versions: [1] })
+  /** The weights change at some events, so that a record may end before a change. */
+  const versionAt = (event: number): number => 1 + Math.floor(event / 4)
+  const part = (item: string, count: number, size: number, from = 0): ProgressPart => ({ step: 's', item, text: asTextId(`text of ${item}`), from, events: Array.from({ length: count }, (_, index) => ({ data: `${from + index}:`.padEnd(size, 'é'), version: versionAt(from + index) })), last: 100 + from + count - 1 })
   const createStore = (history: UnkeyedLog) => new ProgressStore({ history, clock: new ManualClock(), metrics: noopMetrics, stateLog: noopStateLog }, { saveIntervalMs: 400, maxRecordBytes: RECORD_BYTES, enabled: true })
 
   it('fits into the records of the store, however many items run at once', async () => {
@@ -49,7 +52,7 @@
     expect(await store.save(parts)).to.equal(true)
     expect(history.refused).to.equal(0)
     const saved = await store.load()
-    for (const { item, events, last } of parts) expect(saved.get(progressKey('s', item))).to.deep.equal({ events, last, versions: [1] })
+    for (const { item, events, last } of parts) expect(saved.get(progressKey('s', item))).to.deep.equal({ events, last })
   })
 
   it('is complete or a prefix of each text, for any sizes', async () => {
@@ -101,10 +104,10 @@
   it('omits an event that exceeds the record size, and all later events', async () => {
     const history = new BoundedHistory()
     const store = createStore(history)
-    const long = { ...part('i', 3, 10), events: ['a', 'x'.repeat(2 * RECORD_BYTES), 'c'] }
+    const long = { ...part('i', 3, 10), events: textEvents(1, 'a', 'x'.repeat(2 * RECORD_BYTES), 'c') }
     expect(await store.save([long, part('j', 2, 10)])).to.equal(true)
     const saved = await store.load()
-    expect(saved.get(progressKey('s', 'i'))).to.deep.equal({ events: ['a'], last: 100, versions: [1] })
+    expect(saved.get(progressKey('s', 'i'))).to.deep.equal({ events: textEvents(1, 'a'), last: 100 })
     expect(saved.get(progressKey('s', 'j'))?.events).to.have.length(2)
   })
 })
--- a/test/actors/steps/unfinishedTexts.test.ts
+++ b/test/actors/steps/unfinishedTexts.test.ts
@@ -9,35 +9,38 @@
 import { ManualClock } from '../../support/manualClock.ts'
 import { newItem } from '../../support/steps.ts'
 import type { AppendOutcome } from '../../support/texts.ts'
-import { ScriptedHistory, itemWorkOf, newHostTexts, newStepWork } from '../../support/texts.ts'
+import { ScriptedHistory, itemWorkOf, newHostTexts, newStepWork, textEvents } from '../../support/texts.ts'
 
 /** Simulates runs on engines. Each event names the run that generated it, and the events that precede each run are recorded. */
 class EngineRuns {
   private readonly precedingEvents: (readonly string[])[] = []
 
-  /** Simulates a run that resumes after the events of `text`. The number of the run determines the model version. */
+  /** Simulates a run that resumes after the events of `text`. The number of the run and the event determine the model version. */
   run (text: ItemText, count: number): void {
-    const run = this.precedingEvents.push([...text.events]) - 1
-    text.beginRun(this.versionOf(run))
+    const run = this.precedingEvents.push(text.events.map(({ data }) => data)) - 1
+    text.beginRun(this.versionOf(run, 0))
     for (let event = 0; event < count; event++) {
       const id = (text.last ?? 0) + 1
-      text.add({ id, data: `${run}:${id}`, version: undefined })
+      const version = this.versionOf(run, id)
+      text.add({ id, data: `${run}:${id}`, version: version === this.versionOf(run, event === 0 ? 0 : id - 1) ? undefined : version })
     }
   }
 
   /** Checks that each event comes from the run of the preceding event, or from a run that resumed exactly there. */
-  expectChain ({ events, last, versions }: SavedText): void {
+  expectChain ({ events: generated, last }: SavedText): void {
+    const events = generated.map(({ data }) => data)
     expect(events.map((event) => Number(event.split(':')[1]))).to.deep.equal(events.map((_, index) => index + 1))
     const runs = events.map((event) => Number(event.split(':')[0]))
     for (const [index, run] of runs.entries()) {
       if (run !== runs[index - 1]) expect(this.precedingEvents[run], `the run of event ${index + 1} in ${events.join(' ')}`).to.deep.equal(events.slice(0, index))
     }
     expect(last).to.equal(events.length)
-    expect([...versions].sort((a, b) => a - b)).to.deep.equal([...new Set(runs.map((run) => this.versionOf(run)))].sort((a, b) => a - b))
+    expect(generated.map(({ version }) => version)).to.deep.equal(runs.map((run, index) => this.versionOf(run, index + 1)))
   }
 
-  private versionOf (run: number): number {
-    return 1 + run % 4
+  /** The engine of a run changes its weights at one event of the run. */
+  private versionOf (run: number, event: number): number {
+    return 1 + run % 4 + (event > run % 5 ? 1 : 0)
   }
 }
 
@@ -145,8 +148,8 @@
     runs.run(second.itemWork.text, 10)
     await second.save()
     await third.takeOver()
-    const { events, last, versions } = third.itemWork.text
-    runs.expectChain({ events, last: last ?? 0, versions: [...versions] })
+    const { events, last } = third.itemWork.text
+    runs.expectChain({ events, last: last ?? 0 })
     expect(events).to.deep.equal(second.itemWork.text.events)
   })
 
@@ -170,7 +173,7 @@
     await holder.save()
     const text = (await newHostTexts(history, clock).progress.load()).get(key)
     expect(text?.events).to.deep.equal(holder.itemWork.text.events)
-    runs.expectChain(text ?? { events: [], last: 0, versions: [] })
+    runs.expectChain(text ?? { events: [], last: 0 })
   })
 
   it('is reused only for an identical request, and is saved in full for the new step', async () => {
@@ -211,8 +214,8 @@
     held.retain(own)
     for (const [saved, expected] of [[2, 3], [5, 5]] as const) {
       const again = newStepWork(STEP, items)
-      const events = Array.from({ length: saved }, (_, index) => `9:${index + 1}`)
-      held.restore(again, itemWorkOf(again, 'i'), new Map([[key, { events, last: saved, versions: [1] }]]), false)
+      const events = textEvents(1, ...Array.from({ length: saved }, (_, index) => `9:${index + 1}`))
+      held.restore(again, itemWorkOf(again, 'i'), new Map([[key, { events, last: saved }]]), false)
       expect(itemWorkOf(again, 'i').text.events).to.have.length(expected)
     }
   })
--- a/test/core/steps/unreadableRecords.test.ts
+++ b/test/core/steps/unreadableRecords.test.ts
@@ -47,7 +47,7 @@
   it('do not prevent progress from being parsed', () => {
     fc.assert(fc.property(fc.array(text), (records) => {
       const part = JSON.stringify([{ step: 's', item: 'i', text: 't', from: 0, events: ['e'], last: 1, versions: [1] }])
-      expect(parseProgress([...records, part]).get('s/i')?.events).to.deep.equal(['e'])
+      expect(parseProgress([...records, part]).get('s/i')?.events).to.deep.equal([{ data: 'e', version: 1 }])
     }))
   })
 
--- a/test/support/texts.ts
+++ b/test/support/texts.ts
@@ -8,6 +8,7 @@
 import { asTextId } from '../../src/base/common/ids.ts'
 import type { Result } from '../../src/base/common/resultCode.ts'
 import { failure, success } from '../../src/base/common/resultCode.ts'
+import type { TextEvent } from '../../src/core/common/steps/progress.ts'
 import { MoveConfirmation } from '../../src/core/common/steps/engineChoice.ts'
 import type { SubmittedItem, TrainerSubmission } from '../../src/core/common/steps/step.ts'
 import { StepFold } from '../../src/core/common/steps/stepFold.ts'
@@ -71,6 +72,11 @@
   return { held: new UnfinishedTexts({ progress, clock, metrics: noopMetrics, nonce: () => `n${nextTextNumber++}` }), progress }
 }
 
+/** Creates events that were generated under one version of the weights. */
+export function textEvents (version: number, ...data: readonly string[]): TextEvent[] {
+  return data.map((event) => ({ data: event, version }))
+}
+
 export function newText (): ItemText {
   return new ItemText(() => asTextId(`n${nextTextNumber++}`))
 }
