Let no unexpected error keep an item, or a slot of an engine

What trainers saw: an entry of another writer with the address 127.0.0.1:81640 kept up to as many items of a step as it had slots.

Cause: opening a request to such an address throws; the run catches this and asks the crash detector, where `new URL` throws again, out of the handler. The scheduler only logged a run that ended this way: the item stayed `running`, and the engine's count of runs was never lowered. The same holds for any unexpected error between the payload of an item and its result.

Change: a run never rejects and frees its slot itself. After an error, the scheduler requeues the item, scoring, reading of payloads and writing of results are repeated after a delay, and a takeover goes on without saved progress. The client reports an invalid address as a request that was not sent. Streams free their slot if their run throws, and an address of another host that cannot be parsed is left out of the answers to callers.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -98,9 +98,12 @@
       }
       this.triedTargets.add(target.definition.id)
       target.recordSend()
-      end = await this.runAtTarget(target)
-      target.inFlight--
-      this.services.queues?.released(target)
+      try {
+        end = await this.runAtTarget(target)
+      } finally {
+        target.inFlight--
+        this.services.queues?.released(target)
+      }
       if (end !== 'not-run') runs++
       this.updateQuarantine(end)
       if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && !route.resumable)) break
--- a/src/actors/common/routes/targetCrashDetector.ts
+++ b/src/actors/common/routes/targetCrashDetector.ts
@@ -12,7 +12,7 @@
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Fingerprints, RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
-import type { TargetClient } from '../../../ports/common/targetClient.ts'
+import type { Listening, TargetClient } from '../../../ports/common/targetClient.ts'
 import type { KnownTarget, TargetTable } from './targetTable.ts'
 
 /** A crashed target process, with the fingerprints of the requests that ran there unanswered. */
@@ -110,7 +110,7 @@
   }
 
   private async probe (target: KnownTarget, watched: WatchedTarget): Promise<boolean> {
-    const listening = await this.services.client.listens(target.definition.address)
+    const listening = await this.services.client.listens(target.definition.address).catch((): Listening => 'unknown')
     watched.pendingProbe = undefined
     if (listening === 'yes') watched.firstBreakAt = undefined
     // A process that shuts down as planned stops listening before its last requests are complete.
--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -167,15 +167,18 @@
     if (payload === undefined) return
     const cancel = new AbortController()
     start.cancel = cancel
-    engine.running++
     this.services.metrics.count('steps.head_starts')
     this.services.stateLog.decided('head start begins', { item: start.item.id, step: start.step, engine: engine.id, minimumVersion, events: start.text.events.length })
     runItem(this.services, engine, start.item, start.text, { host, workspace, model, minimumVersion, payload, ...this.settings, cancelled: cancel.signal, onFirstEvent: () => undefined }).then((end) => {
-      engine.running--
       if (cancel.signal.aborted) return
       start.cancel = undefined
       this.handleRunEnd(start, engine, end)
-    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: start.item.id, error: String(error) }) })
+    }).catch((error: unknown) => {
+      this.services.stateLog.alarm('run of an item failed', { item: start.item.id, error: String(error) })
+      // Otherwise the head start would count as running for good.
+      if (start.cancel === cancel) start.cancel = undefined
+      start.failed = true
+    })
   }
 
   /** Updates the engine's state as after a run of an open step. The item is retried unless an engine reported that it fails or can never be completed. */
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -79,8 +79,22 @@
   readonly previousMaxEvents: number
 }
 
-/** Runs an item and appends the received events to its text. */
+/**
+ * Runs an item and appends the received events to its text. The run counts as running at the engine until it has ended. It
+ * never rejects: an unexpected error ends it as `broken`, so that no error can keep the item or a slot of the engine.
+ */
 export async function runItem (services: ItemRunServices, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions): Promise<RunOutcome> {
+  engine.running++
+  try {
+    return await runAtEngine(services, engine, item, text, options)
+  } catch (error) {
+    return { type: 'broken', why: `internal error: ${String(error)}` }
+  } finally {
+    engine.running--
+  }
+}
+
+async function runAtEngine (services: ItemRunServices, engine: Engine, item: StepItem, text: ItemText, options: ItemRunOptions): Promise<RunOutcome> {
   const silence = new SilenceTimeout(services.clock, options)
   const { target } = engine
   const restarted = new AbortController()
--- a/src/actors/common/steps/resultWriter.ts
+++ b/src/actors/common/steps/resultWriter.ts
@@ -19,6 +19,8 @@
 
 /** Longer than an outage of the store. After this time, the result is written again from the start. */
 const WRITE_TIMEOUT_MS = 60_000
+/** Delay before a write that ended with an unexpected error is repeated. */
+const ERROR_RETRY_DELAY_MS = 1000
 
 export class ResultWriter {
   constructor (private readonly services: ResultWriterServices) {}
@@ -33,7 +35,10 @@
       if (written.ok || itemWork.cancel.signal.aborted) return
       stateLog.alarm('result not taken by the store', { step, item: result.item, error: written.message })
       this.write(work, itemWork, result)
-    }).catch((error: unknown) => { stateLog.alarm('listing failed', { step, item: result.item, error: String(error) }) })
+    }).catch((error: unknown) => {
+      stateLog.alarm('listing failed', { step, item: result.item, error: String(error) })
+      clock.after(ERROR_RETRY_DELAY_MS, () => { if (!itemWork.cancel.signal.aborted) this.write(work, itemWork, result) })
+    })
   }
 
   private async appendResult (step: string, { text, ...result }: SampleResult, { cancel, phases }: ItemWork): Promise<Result<unknown>> {
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -39,6 +39,8 @@
 const RETRY_DELAY_MS = 100
 /** Longest delay before a call that was held back is tried again. */
 const MAX_HELD_RETRY_DELAY_MS = 1000
+/** Delay before a call that ended with an unexpected error is repeated. */
+const ERROR_RETRY_DELAY_MS = 1000
 const MIN_SUCCESS_STATUS = 200
 const SUCCESS_STATUS_END = 300
 
@@ -77,13 +79,16 @@
         this.queue.push(next)
         continue
       }
-      this.sendCall(next, route).catch((error: unknown) => { this.services.stateLog.alarm('call to a scorer failed', { request: next.call.requestId, error: String(error) }) })
+      this.sendCall(next, route).catch((error: unknown) => {
+        this.services.stateLog.alarm('call to a scorer failed', { request: next.call.requestId, error: String(error) })
+        this.retryLater(next, ERROR_RETRY_DELAY_MS)
+      })
     }
   }
 
   private async sendCall (waiting: QueuedCall, route: Route): Promise<void> {
     const { call, cancelled } = waiting
-    const { calls, protocol, clock } = this.services
+    const { calls, protocol } = this.services
     const answer = await calls.call({
       route,
       requestId: call.requestId,
@@ -105,8 +110,12 @@
       if (waiting.failures >= route.attempts) return waiting.resolve({ type: 'gave-up' })
     }
     const heldMs = answer.ok || answer.code !== 'requestHeld' ? 0 : Math.min(answer.retryAfterMs ?? 0, MAX_HELD_RETRY_DELAY_MS)
-    clock.after(Math.max(RETRY_DELAY_MS, heldMs), () => {
-      this.queue.push(waiting)
+    this.retryLater(waiting, Math.max(RETRY_DELAY_MS, heldMs))
+  }
+
+  private retryLater (call: QueuedCall, delayMs: number): void {
+    this.services.clock.after(delayMs, () => {
+      this.queue.push(call)
       this.processQueue()
     })
   }
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -45,11 +45,11 @@
 
 export interface StepSchedulerServices extends ItemRunServices {
   readonly topic: StepTopic
-  readonly duty: DutyLeaseManager
+  readonly duty: Pick<DutyLeaseManager, 'holds' | 'term' | 'onChange' | 'onClaim'>
   readonly board: EngineRegistry
   readonly appender: GroupAppender
   readonly contents: StepContents
-  readonly scorer: SampleScorer
+  readonly scorer: Pick<SampleScorer, 'score'>
   readonly progress: ProgressStore
   readonly clock: Clock
   readonly metrics: Metrics
@@ -73,6 +73,8 @@
 const SCHEDULE_INTERVAL_MS = 50
 /** Delay before payloads that the store did not deliver are read again. */
 const PAYLOADS_RETRY_DELAY_MS = 200
+/** Delay before an operation that ended with an unexpected error is repeated. */
+const ERROR_RETRY_DELAY_MS = 1000
 
 export class StepScheduler implements Disposable {
   private readonly disposables = new DisposableStore()
@@ -168,7 +170,10 @@
 
   /** Continues the steps of the former holder from the progress that it saved. */
   private async takeOver (): Promise<void> {
-    const saved = await this.unfinishedTexts.loadSaved(this.openSteps().length > 0)
+    const saved = await this.unfinishedTexts.loadSaved(this.openSteps().length > 0).catch((error: unknown): SavedTexts => {
+      this.services.stateLog.alarm('progress of running items cannot be read', { error: String(error) })
+      return new Map()
+    })
     if (!this.services.duty.holds) return
     for (const step of this.openSteps()) this.adopt(step, saved)
     this.schedule()
@@ -204,12 +209,12 @@
   /** Reads the payloads of a step's items, then starts the items, which resume from their saved texts. */
   private readPayloads (work: StepWork, saved: SavedTexts): void {
     const id = work.step.submission.id
+    const retryLater = (): void => { this.services.clock.after(PAYLOADS_RETRY_DELAY_MS, () => { if (this.works.get(id) === work) this.readPayloads(work, saved) }) }
     this.services.contents.payloads(work.step).then((payloads) => {
       if (this.works.get(id) !== work) return
       if (payloads === undefined) {
         this.services.stateLog.alarm('items of a step cannot be read', { step: id, keys: work.step.payloadKeys.length })
-        this.services.clock.after(PAYLOADS_RETRY_DELAY_MS, () => { if (this.works.get(id) === work) this.readPayloads(work, saved) })
-        return
+        return retryLater()
       }
       work.payloads = payloads
       const now = this.services.clock.monotonic()
@@ -219,7 +224,10 @@
         this.reuseEarlierResult(work, itemWork)
       }
       this.schedule()
-    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { step: id, error: String(error) }) })
+    }).catch((error: unknown) => {
+      this.services.stateLog.alarm('items of a step cannot be read', { step: id, error: String(error) })
+      if (work.payloads === undefined) retryLater()
+    })
   }
 
   /** Reuses the text of an earlier step if its model versions are recent enough, and its score if the scorer request is the same. */
@@ -243,7 +251,10 @@
       this.services.metrics.count('steps.reused')
       if (earlier.item.scoredBy === itemWork.item.scoredBy) this.resultWriter.write(work, itemWork, { ...result, text })
       else this.score(work, itemWork, { ...result, text, score: undefined })
-    }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
+    }).catch((error: unknown) => {
+      this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) })
+      if (itemWork.state === 'scoring' && !itemWork.cancel.signal.aborted) this.requeue(work, itemWork, false)
+    })
   }
 
   private routeOf (step: FoldedStep): Route | undefined {
@@ -278,7 +289,6 @@
     itemWork.startedAt = startedAt
     itemWork.eventsAtStart = itemWork.text.events.length
     itemWork.phases.enter('starting', startedAt)
-    engine.running++
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
       workspace: submission.workspace,
@@ -290,13 +300,16 @@
       cancelled: AbortSignal.any([itemWork.cancel.signal, stopRun.signal]),
       onFirstEvent: () => { itemWork.phases.enter('running', this.services.clock.monotonic()) }
     }).then((end) => {
-      engine.running--
       itemWork.engine = undefined
       if (stopRun.signal.aborted && end.type === 'broken') end = { type: 'moved' }
       this.gate.handleRunEnd(submission.host, itemWork, payload, end)
       if (!itemWork.cancel.signal.aborted) this.runEnded(work, route, itemWork, candidate, end, this.services.clock.monotonic() - startedAt)
       this.schedule()
-    }).catch((error: unknown) => { this.services.stateLog.alarm('run of an item failed', { item: itemWork.item.id, error: String(error) }) })
+    }).catch((error: unknown) => {
+      this.services.stateLog.alarm('run of an item failed', { item: itemWork.item.id, error: String(error) })
+      // Otherwise the item would belong to a run that has ended, and would never start again.
+      if (itemWork.runCancellation === stopRun && hasNoRun(work, itemWork)) this.requeue(work, itemWork, false)
+    })
   }
 
   private runEnded (work: StepWork, route: Route, itemWork: ItemWork, { engine }: EngineCandidate, end: RunOutcome, tookMs: number): void {
@@ -346,7 +359,10 @@
       if (itemWork.cancel.signal.aborted) return
       if (outcome.type === 'scored') this.resultWriter.write(work, itemWork, { ...result, score: outcome.score })
       else this.recordItemAsLost(work, itemWork, 'the scorer failed as many times as its route allows attempts')
-    }).catch((error: unknown) => { this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) }) })
+    }).catch((error: unknown) => {
+      this.services.stateLog.alarm('scoring failed', { item: itemWork.item.id, error: String(error) })
+      this.services.clock.after(ERROR_RETRY_DELAY_MS, () => { if (itemWork.state === 'scoring' && !itemWork.cancel.signal.aborted) this.score(work, itemWork, result) })
+    })
   }
 
   private recordItemAsLost (work: StepWork, itemWork: ItemWork, why: string): void {
@@ -435,3 +451,8 @@
     }
   }
 }
+
+/** Returns whether an item waits for a run without being in the queue of its step. */
+function hasNoRun ({ waiting }: StepWork, itemWork: ItemWork): boolean {
+  return (itemWork.state === 'running' || itemWork.state === 'waiting') && !itemWork.cancel.signal.aborted && !waiting.includes(itemWork)
+}
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -6,7 +6,9 @@
 import { connect } from 'node:net'
 import { Client } from 'undici'
 import type { Dispatcher } from 'undici'
-import type { Result } from '../../base/common/resultCode.ts'
+import type { NetworkAddress } from '../../base/common/address.ts'
+import { parseAddress } from '../../base/common/address.ts'
+import type { Failure, Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import type { ConnectionPools } from './connectionPools.ts'
@@ -38,6 +40,7 @@
   constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly keepAlive?: KeepAliveConnections) {}
 
   async exchange (request: TargetRequest): Promise<Result<TargetResponse>> {
+    if (parseAddress(request.address) === undefined) return invalidAddress(request)
     if (request.keepsIdle === true && this.keepAlive !== undefined) return await this.exchangeAndKeep(this.keepAlive, request)
     const dispatcher = this.dispatcher(request)
     try {
@@ -72,6 +75,7 @@
   }
 
   async open (request: TargetRequest): Promise<Result<TargetStream>> {
+    if (parseAddress(request.address) === undefined) return invalidAddress(request)
     if (request.keepsIdle === true && this.keepAlive !== undefined) return await this.openAndKeep(this.keepAlive, request)
     const dispatcher = this.dispatcher(request)
     const cancellation = new AbortController()
@@ -114,9 +118,13 @@
   }
 
   async listens (address: string): Promise<Listening> {
-    const { hostname, port } = new URL(`http://${address}`)
+    const parsed = parseAddress(address)
+    return parsed === undefined ? 'unknown' : await this.probe(parsed)
+  }
+
+  private async probe ({ ip, port }: NetworkAddress): Promise<Listening> {
     return await new Promise((resolve) => {
-      const socket = connect({ host: hostname, port: Number(port), timeout: LISTEN_PROBE_TIMEOUT_MS })
+      const socket = connect({ host: ip, port, timeout: LISTEN_PROBE_TIMEOUT_MS })
       const finish = (listening: Listening): void => {
         socket.destroy()
         resolve(listening)
@@ -141,6 +149,11 @@
   }
 }
 
+/** A request to an invalid address cannot have been sent. */
+function invalidAddress ({ address }: TargetRequest): Failure {
+  return failure('targetUnreachable', `the address ${address} of the target is not IP:PORT`)
+}
+
 function toFailure (error: unknown): Result<never> {
   return isNeverSent(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
 }
--- a/src/host/node/routed/callerAddresses.ts
+++ b/src/host/node/routed/callerAddresses.ts
@@ -36,10 +36,10 @@
 
   /** Returns the addresses to list in an answer to a query from a failure domain. */
   list (place: string | undefined): string[] {
-    if (!this.isSpread) return this.services.membership.available().filter((member) => this.accepts(member)).map(({ address }) => this.addressForCallers(address))
+    if (!this.isSpread) return this.services.membership.available().filter((member) => this.accepts(member)).flatMap(({ address }) => this.addressForCallers(address))
     const { clock, hash } = this.services
     const selected = selectHosts({ members: this.spreadMembers(), place, slice: spreadSlice(clock.wall()), hash, limit: MAX_LISTED_HOSTS })
-    return [...new Set(selected.map(({ id }) => this.addressForCallers(id)))]
+    return [...new Set(selected.flatMap(({ id }) => this.addressForCallers(id)))]
   }
 
   /** Other hosts accept callers if the last load that they reported is below 1; a host whose load is unknown may not be ready. */
@@ -68,7 +68,8 @@
     return [...byAddress.values()]
   }
 
-  private addressForCallers (address: string): string {
-    return `${new URL(address).hostname}:${this.options.port}`
+  /** Returns no address for a member that announces one which cannot be parsed. */
+  private addressForCallers (address: string): readonly string[] {
+    return URL.canParse(address) ? [`${new URL(address).hostname}:${this.options.port}`] : []
   }
 }
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -226,6 +226,17 @@
     expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
   })
 
+  it('frees the slot of its target if its run ends with an unexpected error', async () => {
+    // Guards against a target that counts as busy for good.
+    const { table, client, clock, gone } = createFixture({ a: [good()] })
+    const guards = newCrashGuards(table, client, clock)
+    guards.ends.track = () => { throw new Error('unexpected error') }
+    const calls = new StreamCalls({ targets: table, client, ...guards, protocol: targetProtocol, clock, chance: newSeededChance(3), metrics: noopMetrics, stateLog: noopStateLog, place: 'here', mechanisms: allMechanisms }, CALLER_PAUSE_MS)
+    const ended = calls.call({ route: newRoute({ kind: 'streaming' }), requestId: 'r', method: 'POST', path: '/a/', headers: () => [], body: undefined, waitMs: 9000, configuration: 1, background: false, gone: gone.signal, resumeAfter: undefined }, { writeHead: () => undefined, write: () => undefined, end: () => undefined, abort: () => undefined })
+    expect(await ended.then(() => 'ended', () => 'error')).to.equal('error')
+    expect(table.get('a')?.inFlight).to.equal(0)
+  })
+
   it('is forwarded byte for byte, including bytes that are not text or end within a character', async () => {
     // Guards against a 200 whose body differs from the target's because chunks are decoded as text in between.
     const raw = Buffer.from([0xff, 0xd8, 0x0a, 0x0a, 0x00, 0xe2, 0x82])
--- a/test/actors/steps/sampleScorer.test.ts
+++ b/test/actors/steps/sampleScorer.test.ts
@@ -79,6 +79,17 @@
     expect(outcome).to.deep.equal({ type: 'scored', score: 'seal' })
   })
 
+  it('repeats a call that ended with an unexpected error', async () => {
+    // Guards against a finished sample that is never listed, as its call to the scorer is forgotten.
+    const { clock, scorer } = createScorer({ a: [sealedResponse()] })
+    let errors = 1
+    const request = { ...call('s'), get body () { if (errors-- > 0) throw new Error('unexpected error'); return btoa('text') } }
+    let outcome: ScoreOutcome | undefined
+    scorer.score(request, new AbortController().signal).then((scored) => { outcome = scored }, () => undefined)
+    await clock.advance(2000)
+    expect(outcome).to.deep.equal({ type: 'scored', score: 'seal' })
+  })
+
   it('discards cancelled calls', async () => {
     const { clock, client, scorer } = createScorer({})
     const cancel = new AbortController()
--- a/test/adapters/crashDetection.test.ts
+++ b/test/adapters/crashDetection.test.ts
@@ -5,6 +5,7 @@
 import { expect } from 'chai'
 import { ConnectionPools } from '../../src/adapters/node/connectionPools.ts'
 import { HttpTargetClient } from '../../src/adapters/node/httpTargetClient.ts'
+import { KeepAliveConnections } from '../../src/adapters/node/keepAliveConnections.ts'
 import { sha256Fingerprints } from '../../src/adapters/node/sha256Fingerprints.ts'
 import type { RequestContent } from '../../src/ports/common/fingerprints.ts'
 
@@ -24,6 +25,27 @@
   })
 })
 
+describe('a request to an address that is not IP:PORT', () => {
+  it('fails as a request that was not sent, and its address is not known to be closed', async () => {
+    // Guards against an exception in place of a result, after which the request counts as running for good.
+    const connections = new ConnectionPools(settings)
+    const kept = new KeepAliveConnections(settings)
+    const client = new HttpTargetClient(connections, settings, kept)
+    for (const address of ['127.0.0.1:81640', '127.0.0.1:x', 'a b:80', '']) {
+      for (const ownConnection of [false, true]) {
+        for (const keepsIdle of [false, true]) {
+          const request = { address, method: 'GET', path: '/', headers: [], body: undefined, ownConnection, keepsIdle, signal: new AbortController().signal }
+          const answers = await Promise.all([client.exchange(request), client.open(request)])
+          expect(answers.map((answer) => answer.ok || answer.code), address).to.deep.equal(['targetUnreachable', 'targetUnreachable'])
+        }
+      }
+      expect(await client.listens(address), address).to.equal('unknown')
+    }
+    connections.dispose()
+    kept.dispose()
+  })
+})
+
 describe('the fingerprint of a request', () => {
   const content: RequestContent = { host: 'h', method: 'POST', path: '/a/?b=1', caller: undefined, body: 'text' }
 
--- a/test/host/callerAddresses.test.ts
+++ b/test/host/callerAddresses.test.ts
@@ -41,6 +41,16 @@
     return new CallerAddresses({ membership, clock, hash, isReady: () => isReady }, { host: asHostId(self), port: '8000', spread })
   }
 
+  it('leave out a host whose announced address cannot be parsed', () => {
+    // Guards against a host process that ends on each address query.
+    for (const count of [3, 100]) {
+      const known = newKnownHosts(count)
+      const listed = newAddresses([...known, { name: 'odd/a', ip: '10.0.0.1:99999', place: 'p0', load: 0.1 }]).list('p0')
+      expect(listed.filter((address) => !known.some(({ ip }) => address === `${ip}:8000`))).to.deep.equal([])
+      expect(listed).to.have.length.of.at.least(3)
+    }
+  })
+
   it('are those of all hosts that accept callers, in the order of the member table, while an answer can list them', () => {
     // Guards against a change for deployments of at most 64 hosts: their answers must not depend on place, load or time.
     const known = newKnownHosts(64)
