Answer every request that a stopping host has read

Cause: a stopping host accepts requests for `stop_serving` and then waits for `stop_timeout`, whatever they need. It did not know its grace period and did not check whether a request could be finished.

Change: `limits.grace_seconds`, which the template of the deployment fills in, sets the end of a stop. A request that is not expected to be finished by then is rejected at once as not run; the expectation is the slowest of the recent answers of its route, and its caller's and route's limits bound it. The limit of an accepted request ends with the host's. What is open at the end is answered with 502, or 503 if it has not run. An error during the handover of steps no longer ends the process, and a second signal waits for the first stop.

--- a/src/base/common/logEvents.ts
+++ b/src/base/common/logEvents.ts
@@ -73,6 +73,7 @@
     'run of an item failed': 'internal error',
     'scoring failed': 'internal error',
     'settings cannot be reloaded': 'the settings file has errors; the former settings stay in effect',
+    'steps not handed over': 'internal error; the host goes on with its stop',
     'steps not taken over': 'internal error',
     'step not forgotten': 'internal error',
     'ends of targets not forgotten': 'internal error',
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -3,9 +3,12 @@
 import type { RouteCalls } from '../../../actors/common/routes/routeCalls.ts'
 import type { StreamCalls } from '../../../actors/common/routes/streamCalls.ts'
 import type { Failure } from '../../../base/common/resultCode.ts'
+import { failure } from '../../../base/common/resultCode.ts'
 import type { CallerIdentity } from '../../../core/common/identity/workspaces.ts'
+import { RecentAnswerTimes, canFinish } from '../../../core/common/routes/stopAdmission.ts'
 import { workspaceOf } from '../../../core/common/identity/workspaces.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { FrontRequest, TargetProtocol } from '../../../ports/common/protocols.ts'
 import { waitForDrain } from '../backpressure.ts'
 import { abortResponse } from '../openResponses.ts'
@@ -27,13 +30,27 @@
   readonly calls: RouteCalls
   readonly streams: StreamCalls
   readonly protocol: TargetProtocol
+  readonly clock: Pick<Clock, 'monotonic'>
+  /** Time until this host ends its requests, in milliseconds; infinite unless it is stopping. */
+  readonly remainingMs: () => number
 }
 
 export class ForwardRoutes {
+  private readonly answerTimes = new RecentAnswerTimes()
+
   constructor (private readonly services: ForwardRouteServices) {}
 
   async serve (exchange: FrontExchange, { parsedRequest, route, configuration, caller, body, checkAccess }: ForwardedRequest): Promise<void> {
-    const { calls, streams, protocol } = this.services
+    const { calls, streams, protocol, clock } = this.services
+    const startedAt = clock.monotonic()
+    const remainingMs = this.services.remainingMs()
+    const waitMs = parsedRequest.deadlineMs ?? route.timeoutMs
+    const allowedMs = Math.min(waitMs, route.timeoutMs)
+    if (!canFinish({ remainingMs, allowedMs, expectedMs: this.expectedMs(route, allowedMs) })) {
+      return exchange.sendFailure(failure('leaving', 'this host stops before it could finish the request', { retryAfterMs: 0 }))
+    }
+    exchange.markDispatched()
+    const recordAnswer = (): void => { this.answerTimes.record(route.name, clock.monotonic() - startedAt) }
     const call = {
       route,
       requestId: parsedRequest.requestId,
@@ -41,7 +58,7 @@
       path: exchange.request.url ?? '/',
       headers: (options: Parameters<TargetProtocol['forwardHeaders']>[1]) => protocol.forwardHeaders(exchange.request.rawHeaders, options, caller),
       body: exchange.hasBody ? body : undefined,
-      waitMs: parsedRequest.deadlineMs ?? route.timeoutMs,
+      waitMs: Math.min(waitMs, remainingMs),
       configuration,
       background: false,
       caller: caller.type === 'open' ? exchange.headers['authorization'] : workspaceOf(caller),
@@ -54,7 +71,10 @@
       const failed = await streams.call({ ...call, resumeAfter: parsedRequest.resumeAfter }, {
         writeHead: (status, headers) => { exchange.response.writeHead(status, protocol.responseHeaders(headers)) },
         write: (piece) => exchange.response.write(piece) ? undefined : waitForDrain(exchange.response),
-        end: () => { exchange.response.end() },
+        end: () => {
+          recordAnswer()
+          exchange.response.end()
+        },
         abort: () => { abortResponse(exchange.response) }
       })
       if (failed !== undefined) exchange.sendFailure(failed, true)
@@ -62,7 +82,13 @@
     }
     const answered = await calls.call(call)
     if (!answered.ok) return exchange.sendFailure(answered, true)
+    recordAnswer()
     const { status, headers, body: answerBody } = answered.value.answer
     exchange.send(status, protocol.responseHeaders(headers), answerBody)
   }
+
+  /** Returns how long a request is expected to take at most. The objective of a stream says nothing of its length. */
+  private expectedMs (route: Route, allowedMs: number): number {
+    return this.answerTimes.slowestMs(route.name) ?? (route.kind === 'streaming' ? allowedMs : route.objectiveMs)
+  }
 }
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -31,6 +31,7 @@
   readonly method: string
   readonly path: string
   readonly query: URLSearchParams
+  private isDispatched = false
 
   constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol, private readonly onFailure: (failed: Failure) => void = () => undefined) {
     const abort = new AbortController()
@@ -43,6 +44,11 @@
     this.query = new URLSearchParams(queryIndex < 0 ? '' : url.slice(queryIndex + 1))
   }
 
+  /** Notes that the request may run from now on. */
+  markDispatched (): void {
+    this.isDispatched = true
+  }
+
   get host (): string {
     return this.request.headers.host ?? ''
   }
@@ -81,6 +87,14 @@
     this.response.end(this.method === 'HEAD' ? undefined : body)
   }
 
+  /** Answers a request that this host cannot finish because it stops. A response whose head has been sent stays as it is. */
+  sendStopped (): void {
+    if (this.response.headersSent) return
+    this.sendFailure(this.isDispatched
+      ? failure('unknownOutcome', 'this host stopped before it could finish the request')
+      : failure('leaving', 'this host stops', { retryAfterMs: 0 }))
+  }
+
   /**
    * Sends a failure. The status code indicates whether the request may have been executed.
    * @param logged whether the failure has already been logged
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -68,6 +68,7 @@
   private readonly server: Server
   private readonly bodyBudget: ByteBudget
   private readonly openResponses: OpenResponses
+  private readonly openExchanges = new Set<FrontExchange>()
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
     this.bodyBudget = new ByteBudget(settings.maximumBufferedBytes)
@@ -99,6 +100,11 @@
     this.server.closeIdleConnections()
   }
 
+  /** Answers the requests that have no response yet with a failure. Their work goes on until the server is disposed of. */
+  failOpenRequests (): void {
+    for (const exchange of this.openExchanges) exchange.sendStopped()
+  }
+
   dispose (): void {
     this.server.close()
     this.openResponses.abortStarted()
@@ -116,6 +122,8 @@
 
   private receive (request: IncomingMessage, response: ServerResponse): void {
     const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.reportRejection(exchange, failed) })
+    this.openExchanges.add(exchange)
+    response.once('close', () => { this.openExchanges.delete(exchange) })
     if (this.settings.isStopping()) response.shouldKeepAlive = false
     this.serve(exchange).catch((error: unknown) => {
       this.services.stateLog.alarm('request failed', { path: exchange.path, error: String((error as Error).stack ?? error) })
--- a/src/entry/node/front/stepRoutes.ts
+++ b/src/entry/node/front/stepRoutes.ts
@@ -19,6 +19,7 @@
     if (requestId === undefined) return exchange.sendFailure(failure('malformed', 'a submission must have a request id'))
     const submission = this.protocol.submission(requestId, new TextDecoder().decode(body))
     if (!submission.ok) return exchange.sendFailure(submission)
+    exchange.markDispatched()
     const accepted = await this.submissionApi.submit({ ...submission.value, host: exchange.host, path: exchange.path, workspace: workspaceOf(caller) })
     if (accepted.ok) exchange.send(ACCEPTED, {}, '')
     else exchange.sendFailure(accepted)
@@ -39,6 +40,7 @@
         return exchange.send(OK, { 'content-type': 'application/octet-stream' }, Buffer.from(body.value, 'base64'))
       }
       case 'end-step': {
+        exchange.markDispatched()
         const ended = await this.submissionApi.end({ id: parsedRequest.step, workspace })
         return ended.ok ? exchange.send(OK, {}, '') : exchange.sendFailure(ended)
       }
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -37,19 +37,22 @@
 import type { HostUsage } from './routed/hostUsage.ts'
 import { createHostUsage } from './routed/hostUsage.ts'
 import { probeLoad } from './routed/probeLoad.ts'
+import { StopSchedule } from './routed/stopSchedule.ts'
 import { createStoreAccess } from './routed/storeAccess.ts'
 import { SettingsReloader } from './settingsReloader.ts'
 
 export interface RoutedHost {
   /** Reads the settings again and applies them if they have changed. */
   reloadSettings (): void
-  /** Stops gracefully. */
+  /** Stops gracefully. A second call waits for the first to complete. */
   stop (): Promise<void>
 }
 
 /** Closes connections to targets that send nothing for this long. The time limits that callers set are shorter. */
 const TARGET_IDLE_TIMEOUT_MS = 30_000
 const STOP_POLL_INTERVAL_MS = 50
+/** Longest wait for the last answers to be sent before connections are closed. */
+const LAST_ANSWERS_TIMEOUT_MS = 50
 /** Longest wait before exit for buffered log lines to be written. */
 const OUTPUT_DRAIN_TIMEOUT_MS = 200
 /** The settings file is polled because it may change without a signal. */
@@ -74,9 +77,9 @@
 
   startHostFleet(context, otherHosts, topics, steps)
   const reporter = usage?.startReporting(steps.duty)
-  let isStopping = false
-  const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol })
-  const servers = createHostServers(context, { others: otherHosts, topics, steps, forward, isStopping: () => isStopping })
+  const stopSchedule = new StopSchedule(clock, settings.limits)
+  const forward = new ForwardRoutes({ calls, streams: new StreamCalls(callServices, settings.limits.caller_pause), protocol: targetProtocol, clock, remainingMs: () => stopSchedule.remainingMs })
+  const servers = createHostServers(context, { others: otherHosts, topics, steps, forward, isStopping: () => stopSchedule.isStopping })
   const eventLoopLoad = new EventLoopLoad(clock)
   const load = (): number => probeLoad({
     isReady: servers.isReady,
@@ -100,11 +103,12 @@
 
   const reloader = new SettingsReloader(settings, rereadSettings, (changed) => { otherHosts.membership.setListedAddresses(changed.membership.seeds) }, stateLog)
   disposables.add(clock.every(SETTINGS_POLL_INTERVAL_MS, () => { reloader.reloadIfChanged() }))
+  let stopping: Promise<void> | undefined
   return {
     reloadSettings: () => { reloader.reloadIfChanged() },
     stop: async () => {
-      isStopping = true
-      await stop(context, { others: otherHosts, steps, servers, usage, queues })
+      stopping ??= stop(context, { schedule: stopSchedule, others: otherHosts, steps, servers, usage, queues })
+      await stopping
     }
   }
 }
@@ -128,6 +132,7 @@
 }
 
 interface StopDependencies {
+  readonly schedule: StopSchedule
   readonly others: OtherHosts
   readonly steps: HostSteps
   readonly servers: HostServers
@@ -135,19 +140,30 @@
   readonly queues: CallQueues | undefined
 }
 
-/** Hands over the steps and goes on serving callers that still know this host. Ends what is left after a time limit. */
-async function stop ({ settings: { limits }, services, output, disposables }: HostContext, { others: { membership }, steps: { duty, home, backlog: stepBacklog }, servers: { front }, usage, queues }: StopDependencies): Promise<void> {
+/**
+ * Hands over the steps and goes on serving callers that still know this host. Before the process would be ended by force, the
+ * requests that are left get an answer that says so.
+ */
+async function stop ({ services, output, disposables }: HostContext, { schedule, others: { membership }, steps: { duty, home, backlog: stepBacklog }, servers: { front }, usage, queues }: StopDependencies): Promise<void> {
   const { clock, stateLog } = services
   const backlog = (): number => stepBacklog() + (usage?.meter.backlog ?? 0)
-  const startedAtMs = clock.monotonic()
+  schedule.begin()
   stateLog.changed('stop begins', { requests: front.requests, items: home.activeItemCount, records: backlog() })
   membership.leave()
   queues?.stop()
-  await Promise.all([pause(clock, limits.stop_serving), home.handOver().then(async () => { await duty.release() })])
+  const handover = { isPending: true }
+  home.handOver().then(async () => { await duty.release() })
+    .catch((error: unknown) => { stateLog.alarm('steps not handed over', { error: String(error) }) })
+    .finally(() => { handover.isPending = false })
+  await pause(clock, schedule.servingMs)
   front.closeIdle()
   usage?.meter.flushWithoutPauses()
-  while ((front.requests > 0 || backlog() > 0) && clock.monotonic() - startedAtMs < limits.stop_serving + limits.stop_timeout) await pause(clock, STOP_POLL_INTERVAL_MS)
-  stateLog.changed('stop ends', { requests: front.requests, records: backlog(), tookMs: Math.round(clock.monotonic() - startedAtMs) })
+  while ((front.requests > 0 || backlog() > 0 || handover.isPending) && schedule.remainingMs > 0) await pause(clock, Math.min(STOP_POLL_INTERVAL_MS, schedule.remainingMs))
+  stateLog.changed('stop ends', { requests: front.requests, records: backlog(), tookMs: Math.round(schedule.elapsedMs) })
+  if (front.requests > 0) {
+    front.failOpenRequests()
+    await pause(clock, LAST_ANSWERS_TIMEOUT_MS)
+  }
   disposables.dispose()
   await output.drained(OUTPUT_DRAIN_TIMEOUT_MS)
 }
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -43,6 +43,16 @@
   rest: milliseconds(3200, 'how long a new holder waits after the lease of the former one has expired before it sends orders: slightly longer than the time within which two holders must not both send orders')
 })
 
+/** Part of the grace period that is left for the last answers, for closing connections and for writing the log. */
+const EXIT_RESERVE_MS = 300
+/** Shortest time between the signal to stop and the end of requests in which a host can hand over its work. */
+const MIN_STOP_MS = 500
+
+/** Returns the time between the signal to stop and the end of the requests that are left, in milliseconds. */
+export function stopEndMs (limits: { readonly stop_serving: number, readonly stop_timeout: number, readonly grace_seconds?: number | undefined }): number {
+  return limits.grace_seconds === undefined ? limits.stop_serving + limits.stop_timeout : limits.grace_seconds * 1000 - EXIT_RESERVE_MS
+}
+
 const limitsSchema = z.strictObject({
   connections: positiveInteger(4000, 'maximum number of open connections from callers'),
   head_bytes: positiveInteger(65_536, 'maximum size of a request head, in bytes'),
@@ -53,7 +63,10 @@
   target_connections: positiveInteger(64, 'maximum number of connections to one target'),
   caller_pause: milliseconds(10_000, 'longest time for which a caller of a stream may read no data'),
   stop_serving: milliseconds(5500, 'how long a stopping host goes on serving callers that still use its address'),
-  stop_timeout: milliseconds(1500, 'longest wait for requests in flight after `stop_serving`')
+  stop_timeout: milliseconds(1500, 'longest wait for requests in flight after `stop_serving`, if `grace_seconds` is absent'),
+  grace_seconds: z.number().positive().optional().describe('time between the signal to stop and the forced end of the process, in seconds; requests in flight may use it up to the last 0.3 s')
+}).superRefine((limits, context) => {
+  if (limits.grace_seconds !== undefined && stopEndMs(limits) < MIN_STOP_MS) context.addIssue({ code: 'custom', path: ['grace_seconds'], message: `must be at least ${(MIN_STOP_MS + EXIT_RESERVE_MS) / 1000}` })
 })
 
 const stepsSchema = z.strictObject({
--- a/test/settings/settings.test.ts
+++ b/test/settings/settings.test.ts
@@ -42,6 +42,32 @@
     expect(parsed.ok ? [] : parsed.message.split('\n')).toMatchSnapshot()
   })
 
+  it('reject a grace period in which a host cannot stop, and accept any other', () => {
+    // Guards against a host that is ended by force in the middle of its stop.
+    const routed = (limits: string): string => `
+[host]
+name = "a"
+place = "p"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+peers = "127.0.0.1:3"
+directory = "127.0.0.1:4"
+[store]
+address = "http://127.0.0.1:5"
+[peers]
+key = "a-long-peer-key"
+[limits]
+${limits}
+`
+    const errorOf = (limits: string): string => {
+      const parsed = parseSettings(routed(limits))
+      return parsed.ok ? '' : parsed.message
+    }
+    expect(['', 'grace_seconds = 8', 'grace_seconds = 1.5', 'stop_serving = 1\nstop_timeout = 1'].map(errorOf)).to.deep.equal(['', '', '', ''])
+    expect(errorOf('grace_seconds = 0.7')).to.equal('line 15: limits.grace_seconds: must be at least 0.8')
+  })
+
   it('report the line of a TOML syntax error', () => {
     const parsed = parseSettings('[host]\nname = \n')
     expect(parsed.ok ? '' : parsed.message).to.match(/^line 2: /)
