Run items and their scorer calls again after a burst of crashes

What trainers saw: after several engines had crashed while they ran the same sound item, the item was never placed again, though the engines were idle. The same with targets that score it.

Cause: items and scorer calls went through the quarantine of callers' requests: after two crashes they ran only as trials, 4 s apart and then 300 s.

Change: the quarantine applies to callers' requests only, and no crash counts against items. They run again at once after two crashes in a row, then after 0.1 s, doubled up to 1 s, and behind the other items.

The bound of runs of callers' requests is unchanged.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -11,6 +11,7 @@
 import { classifyAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
+import type { HoldState } from '../../../core/common/routes/heldRequestFold.ts'
 import { isSaturated, hedgeDelayMs, MAX_HEDGE_POSTPONEMENTS } from '../../../core/common/routes/hedging.ts'
 import { hasRoom } from '../../../core/common/routes/targetEstimate.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
@@ -147,7 +148,7 @@
 
   private tryNext (): void {
     if (this.settled || !this.canTryAnother) return
-    if (this.trial === undefined && this.services.held.standing(this.content).type === 'held') return this.requestTrial()
+    if (this.trial === undefined && this.holdState.type === 'held') return this.requestTrial()
     const { request } = this
     const { service, known, target } = this.selectTarget()
     if (target !== undefined && this.mayStart(target)) return this.startAttempt(target, !this.repeatable)
@@ -171,6 +172,10 @@
     return this.ticket === undefined || this.trial !== undefined || !this.isUnsent || this.ticket.mayStart(definition.service)
   }
 
+  private get holdState (): HoldState {
+    return this.request.background ? { type: 'free' } : this.services.held.standing(this.content)
+  }
+
   private unknownOutcome (): Result<RoutedAnswer> {
     return failure('unknownOutcome', `no target gave a usable answer (targets that may have run it: ${this.sendsByTarget.size})`)
   }
@@ -244,7 +249,7 @@
 
   private startAttempt (target: KnownTarget, fresh: boolean): void {
     const { services, request } = this
-    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: describeLoad(target), fresh, run: services.ends.track(target, this.content, request.requestId), holdsSlot: true, refused: false, hedgePostponements: 0 }
+    const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: describeLoad(target), fresh, run: services.ends.track(target, request.background ? undefined : this.content, request.requestId), holdsSlot: true, refused: false, hedgePostponements: 0 }
     this.running.add(attempt)
     this.mayHaveRun.add(attempt)
     this.sendsByTarget.set(target.definition.id, (this.sendsByTarget.get(target.definition.id) ?? 0) + 1)
@@ -289,7 +294,7 @@
   private hedge (attempt: Attempt): void {
     if (this.settled || !this.running.has(attempt)) return
     // The request may be about to crash its target, and a hedge would crash a second one.
-    if (this.services.held.standing(this.content).type !== 'free') return
+    if (this.holdState.type !== 'free') return
     const busy = isSaturated(attempt.target)
     if (busy && this.postponeHedge(attempt)) return
     // A background call passes its slot to the hedge; otherwise silent attempts would occupy all background slots.
@@ -378,7 +383,7 @@
 
   /** Clears the request, as its answer shows that it does not crash targets. */
   private recordAnswer (): void {
-    this.services.held.answered(this.content)
+    if (!this.request.background) this.services.held.answered(this.content)
     this.trial = undefined
   }
 
@@ -444,7 +449,7 @@
     const { request, services } = this
     services.metrics.timing('calls.answer', this.elapsedMs)
     const isHeld = !result.ok && result.code === 'requestHeld'
-    if (isHeld && !request.background) services.metrics.count('front.refused.requestHeld')
+    if (isHeld) services.metrics.count('front.refused.requestHeld')
     if (request.background && result.ok && this.sendsByTarget.size === 1) return
     services.stateLog.decided('call ended', {
       request: request.requestId ?? '',
--- a/src/actors/common/routes/routedRequest.ts
+++ b/src/actors/common/routes/routedRequest.ts
@@ -26,7 +26,7 @@
   readonly waitMs: number
   /** Version of the configuration that defines the route. */
   readonly configuration: number
-  /** Background calls leave one slot of each target free for waiting callers. */
+  /** Background calls belong to items of steps. They leave one slot of each target free for waiting callers, and the quarantine of requests does not apply to them. */
   readonly background: boolean
   /** Identity of the caller, which is the same for each repeat of the request; absent if callers do not identify themselves. */
   readonly caller?: string | undefined
--- a/src/actors/common/routes/targetCrashDetector.ts
+++ b/src/actors/common/routes/targetCrashDetector.ts
@@ -15,7 +15,7 @@
 import type { Listening, TargetClient } from '../../../ports/common/targetClient.ts'
 import type { KnownTarget, TargetTable } from './targetTable.ts'
 
-/** A crashed target process, with the fingerprints of the requests that ran there unanswered. */
+/** A crashed target process, with the fingerprints of the requests that ran there unanswered and may be the cause. */
 export interface TargetCrash {
   readonly instance: TargetIncarnationId
   readonly under: readonly RequestFingerprint[]
@@ -46,7 +46,8 @@
 }
 
 interface TrackedRun {
-  readonly content: RequestContent
+  /** `undefined` for a request that is never the cause of a crash. */
+  readonly content: RequestContent | undefined
   readonly requestId: string
   /** Monotonic time. */
   readonly beganAt: number
@@ -75,8 +76,11 @@
     this.subscription = services.targets.onGone((target) => { if (!target.definition.draining) this.onEntryGone(target) })
   }
 
-  /** Starts tracking a request that is sent to a target. */
-  track (target: KnownTarget, content: RequestContent, requestId: string | undefined): RunTracker {
+  /**
+   * Starts tracking a request that is sent to a target.
+   * @param content identifies the request among its repeats; `undefined` for items of steps and their scorer calls, which are never the cause of a crash
+   */
+  track (target: KnownTarget, content: RequestContent | undefined, requestId: string | undefined): RunTracker {
     const watched = this.watchedTarget(target)
     const run: TrackedRun = { content, requestId: requestId ?? '', beganAt: this.services.clock.monotonic(), broken: false }
     watched.runs.add(run)
@@ -135,10 +139,10 @@
     if (runs.length === 0) return true
     const { id, incarnation, service, address } = target.definition
     const crashedInstance = targetIncarnationId(id, incarnation)
-    const under = [...new Set(runs.map(({ content }) => this.services.fingerprints.of(content)))]
+    const under = [...new Set(runs.flatMap(({ content }) => content === undefined ? [] : [this.services.fingerprints.of(content)]))]
     this.services.metrics.count('targets.ended')
     this.services.stateLog.decided('target ended under requests', { target: crashedInstance, service, address, requests: runs.slice(0, MAX_LOGGED_REQUESTS).map(({ requestId }) => requestId).join(' '), fingerprints: under.slice(0, MAX_LOGGED_REQUESTS).join(' '), underWay: runs.length })
-    this.ends.fire({ instance: crashedInstance, under })
+    if (under.length > 0) this.ends.fire({ instance: crashedInstance, under })
     return true
   }
 
--- a/src/actors/common/steps/headStarts.ts
+++ b/src/actors/common/steps/headStarts.ts
@@ -6,6 +6,7 @@
  */
 
 import { minimumVersionAfterStep, maxHeadStarts, planHeadStarts } from '../../../core/common/steps/headStart.ts'
+import { CrashBackoff } from '../../../core/common/steps/crashBackoff.ts'
 import type { ItemLengthEstimator } from '../../../core/common/steps/itemLengthEstimator.ts'
 import type { SavedText } from '../../../core/common/steps/progress.ts'
 import { versionsOf, withoutNewestEvents } from '../../../core/common/steps/progress.ts'
@@ -16,9 +17,8 @@
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
 import { itemRequestKey } from './unfinishedTexts.ts'
 import type { ItemPlacement } from './itemPlacement.ts'
-import type { ItemGate } from './itemGate.ts'
 import type { ItemRunServices, RunOutcome } from './itemRun.ts'
-import { runItem } from './itemRun.ts'
+import { hasEngineCrashed, runItem } from './itemRun.ts'
 import type { ItemText } from './itemText.ts'
 import type { Engine } from './engineRegistry.ts'
 import type { StepWork } from './stepWork.ts'
@@ -28,7 +28,6 @@
   readonly placement: ItemPlacement
   readonly metrics: Metrics
   readonly stateLog: StateLog
-  readonly gate: Pick<ItemGate, 'isUnrestricted'>
   readonly createText: () => ItemText
   readonly lengths: ItemLengthEstimator
   readonly topic: Pick<StepTopic, 'steps'>
@@ -46,6 +45,7 @@
   readonly model: string
   readonly item: StepItem
   readonly text: ItemText
+  readonly crashBackoff: CrashBackoff
   /** Present while a run is active. */
   cancel: AbortController | undefined
   /** Whether the text is complete. */
@@ -93,16 +93,17 @@
   /** Starts planned head starts as far as slots allow; `hasWaitingItems` tells that items of open steps compete for the slots. */
   startPlanned (hasWaitingItems: boolean): void {
     const full = new Set<StepWork>()
+    const now = this.services.clock.monotonic()
     this.planned = this.planned.filter(({ work, route, asked: requestKey, item, minimumVersion }) => {
       const payload = work.payloads?.get(item.id)
-      if (full.has(work) || payload === undefined || !this.services.gate.isUnrestricted(work.step.submission.host, payload)) return true
+      if (full.has(work) || payload === undefined || this.starts.get(requestKey)?.crashBackoff.mayStart(now) === false) return true
       const { id, model } = work.step.submission
       const { candidate, slots } = this.services.placement.chooseForHeadStart(work, route, item.group, minimumVersion)
       if (candidate === undefined || this.runningCount(model) >= maxHeadStarts(slots, hasWaitingItems)) {
         full.add(work)
         return true
       }
-      const start = this.starts.get(requestKey) ?? { step: id, model, item, text: this.services.createText(), cancel: undefined, complete: false, failed: false, stepClosedAt: undefined }
+      const start = this.starts.get(requestKey) ?? { step: id, model, item, text: this.services.createText(), crashBackoff: new CrashBackoff(), cancel: undefined, complete: false, failed: false, stepClosedAt: undefined }
       this.starts.set(requestKey, start)
       this.run(start, work, candidate.engine, minimumVersion)
       return false
@@ -167,11 +168,13 @@
     if (payload === undefined) return
     const cancel = new AbortController()
     start.cancel = cancel
+    const maxEventsAtStart = start.text.maxEvents
     this.services.metrics.count('steps.head_starts')
     this.services.stateLog.decided('head start begins', { item: start.item.id, step: start.step, engine: engine.id, minimumVersion, events: start.text.events.length })
     runItem(this.services, engine, start.item, start.text, { host, workspace, model, minimumVersion, payload, ...this.settings, cancelled: cancel.signal, onFirstEvent: () => undefined }).then((end) => {
       if (cancel.signal.aborted) return
       start.cancel = undefined
+      start.crashBackoff.recordRun({ crashed: hasEngineCrashed(end), progressed: start.text.maxEvents > maxEventsAtStart }, this.services.clock.monotonic())
       this.handleRunEnd(start, engine, end)
     }).catch((error: unknown) => {
       this.services.stateLog.alarm('run of an item failed', { item: start.item.id, error: String(error) })
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -11,15 +11,14 @@
 import type { TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetClient, TargetStream } from '../../../ports/common/targetClient.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
-import type { RequestContent } from '../../../ports/common/fingerprints.ts'
-import type { RunTracker, TargetCrashDetector } from '../routes/targetCrashDetector.ts'
+import type { TargetCrashDetector } from '../routes/targetCrashDetector.ts'
 import type { Engine } from './engineRegistry.ts'
 import type { ItemText } from './itemText.ts'
 
 export type RunOutcome =
   | { readonly type: 'complete' }
-  /** The stream broke, timed out or was invalid; the item can resume on another engine. */
-  | { readonly type: 'broken', readonly why: string }
+  /** The stream broke, timed out or was invalid; the item can resume on another engine. `crashed` tells whether the engine's process ended. */
+  | { readonly type: 'broken', readonly why: string, readonly crashed: boolean }
   /** The run was stopped by this host in order to continue on another engine. */
   | { readonly type: 'moved' }
   /** The engine was restarted, so that this run produces no more events. */
@@ -74,9 +73,6 @@
   readonly text: ItemText
   readonly options: ItemRunOptions
   readonly silence: SilenceTimeout
-  readonly run: RunTracker
-  /** Highest event count that earlier runs of the item reached. */
-  readonly previousMaxEvents: number
 }
 
 /**
@@ -88,7 +84,7 @@
   try {
     return await runAtEngine(services, engine, item, text, options)
   } catch (error) {
-    return { type: 'broken', why: `internal error: ${String(error)}` }
+    return { type: 'broken', why: `internal error: ${String(error)}`, crashed: false }
   } finally {
     engine.running--
   }
@@ -98,14 +94,14 @@
   const silence = new SilenceTimeout(services.clock, options)
   const { target } = engine
   const restarted = new AbortController()
-  const run = services.ends.track(target, itemRequestContent(options.host, options.payload), item.id)
+  const run = services.ends.track(target, undefined, item.id)
   const restartListener = target.onRestart(() => { restarted.abort() })
   const signal = AbortSignal.any([options.cancelled, silence.signal, restarted.signal])
-  const interruptedEnd = (why: string): RunOutcome => target.isSuperseded ? { type: 'restarted' } : { type: 'broken', why }
+  const interruptedEnd = (why: string, crashed: boolean): RunOutcome => target.isSuperseded ? { type: 'restarted' } : { type: 'broken', why, crashed }
   const endBroken = async (why: string): Promise<RunOutcome> => {
     // The next run waits until it is known whether the engine terminated during this one.
-    if (!signal.aborted) await run.connectionBroke()
-    return interruptedEnd(why)
+    const crashed = !signal.aborted && await run.connectionBroke()
+    return interruptedEnd(why, crashed)
   }
   try {
     const { address, id } = target.definition
@@ -121,10 +117,10 @@
     })
     if (!answer.ok && answer.code === 'targetUnreachable') {
       run.finish()
-      return interruptedEnd(answer.message)
+      return interruptedEnd(answer.message, false)
     }
     if (!answer.ok) return await endBroken(silence.signal.aborted ? `no response within ${options.firstEventTimeoutMs} ms` : answer.message)
-    const outcome = await readResponse({ services, engine, item, text, options, silence, run, previousMaxEvents: text.maxEvents }, answer.value)
+    const outcome = await readResponse({ services, engine, item, text, options, silence }, answer.value)
     run.finish()
     return outcome
   } catch (error) {
@@ -136,11 +132,6 @@
   }
 }
 
-/** Content of the request that an engine receives for an item. */
-export function itemRequestContent (host: string, { path, body }: ItemPayload): RequestContent {
-  return { host, method: 'POST', path, caller: undefined, body }
-}
-
 async function readResponse (context: RunContext, stream: TargetStream): Promise<RunOutcome> {
   const { services, engine, item, text, options } = context
   const head = services.protocol.responseHead(stream.status, stream.headers)
@@ -148,12 +139,12 @@
     stream.cancel()
     return ended
   }
-  if (head.requestId !== undefined && head.requestId !== item.id) return endRun({ type: 'broken', why: `the response belongs to request ${head.requestId}` })
+  if (head.requestId !== undefined && head.requestId !== item.id) return endRun({ type: 'broken', why: `the response belongs to request ${head.requestId}`, crashed: false })
   engine.recordHead(head)
   if (head.notRun) return endRun({ type: 'refused' })
   if (head.status === STATUS_IMPOSSIBLE) return endRun({ type: 'impossible' })
   if (head.status === STATUS_ENGINE_FAILED) return endRun({ type: 'failed' })
-  if (head.status !== STATUS_OK || head.seal === undefined) return endRun({ type: 'broken', why: `status ${head.status}` })
+  if (head.status !== STATUS_OK || head.seal === undefined) return endRun({ type: 'broken', why: `status ${head.status}`, crashed: false })
   if (head.version !== undefined) {
     engine.recordVersion({ model: options.model, version: head.version })
     if (head.version < options.minimumVersion) return endRun({ type: 'too-old' })
@@ -162,7 +153,7 @@
   return await readEvents(context, stream)
 }
 
-async function readEvents ({ services, engine, item, text, options, silence, run, previousMaxEvents }: RunContext, stream: TargetStream): Promise<RunOutcome> {
+async function readEvents ({ services, engine, item, text, options, silence }: RunContext, stream: TargetStream): Promise<RunOutcome> {
   const reader = new ServerSentEventReader()
   let firstAt: number | undefined
   let lastAt: number | undefined
@@ -172,11 +163,9 @@
       const event = services.protocol.event(fields)
       if (event === undefined || !text.add(event)) {
         stream.cancel()
-        return { type: 'broken', why: 'an event is missing, duplicated or malformed' }
+        return { type: 'broken', why: 'an event is missing, duplicated or malformed', crashed: false }
       }
       if (event.version !== undefined) engine.recordVersion({ model: options.model, version: event.version })
-      // An item that crashes engines does so at the same event each time. A run that gets further than all before is not to blame if the engine terminates later.
-      if (text.maxEvents > previousMaxEvents) run.finish()
       const now = services.clock.monotonic()
       if (firstAt === undefined) {
         engine.recordPrompt(item.group)
@@ -192,7 +181,7 @@
     }
   }
   if (firstAt !== undefined && lastAt !== undefined) engine.pace.recordRun(lastAt - firstAt, timedEvents + 1)
-  return new TextDecoder().decode(reader.rest).trim() !== '' ? { type: 'broken', why: 'the stream ended in the middle of an event' } : { type: 'complete' }
+  return new TextDecoder().decode(reader.rest).trim() !== '' ? { type: 'broken', why: 'the stream ended in the middle of an event', crashed: false } : { type: 'complete' }
 }
 
 /** Aborts a run that receives no event for too long because its connection or its engine hangs. */
@@ -217,3 +206,17 @@
     this.timer.dispose()
   }
 }
+
+/** Returns whether the engine ended during a run. */
+export function hasEngineCrashed (end: RunOutcome): boolean {
+  switch (end.type) {
+    case 'broken': return end.crashed
+    case 'restarted': return true
+    case 'complete':
+    case 'moved':
+    case 'refused':
+    case 'failed':
+    case 'impossible':
+    case 'too-old': return false
+  }
+}
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -7,6 +7,7 @@
 import { decodeBase64 } from '../../../base/common/base64.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Route, RouteTable } from '../../../core/common/routes/routeConfiguration.ts'
+import { crashBackoffMs } from '../../../core/common/steps/crashBackoff.ts'
 import type { ScorerCall } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
@@ -30,6 +31,8 @@
   readonly call: ScorerCall
   readonly cancelled: AbortSignal
   failures: number
+  /** Number of calls in a row without an answer. */
+  unanswered: number
   readonly resolve: (outcome: ScoreOutcome) => void
 }
 
@@ -37,8 +40,6 @@
 const QUEUE_CHECK_INTERVAL_MS = 20
 /** Delay before a call without a successful response is repeated. */
 const RETRY_DELAY_MS = 100
-/** Longest delay before a call that was held back is tried again. */
-const MAX_HELD_RETRY_DELAY_MS = 1000
 /** Delay before a call that ended with an unexpected error is repeated. */
 const ERROR_RETRY_DELAY_MS = 1000
 const MIN_SUCCESS_STATUS = 200
@@ -53,7 +54,7 @@
   /** Scores a sample. Waits without a time limit unless cancelled. */
   async score (call: ScorerCall, cancelled: AbortSignal): Promise<ScoreOutcome> {
     return await new Promise((resolve) => {
-      this.queue.push({ call, cancelled, failures: 0, resolve })
+      this.queue.push({ call, cancelled, failures: 0, unanswered: 0, resolve })
       this.processQueue()
     })
   }
@@ -109,8 +110,8 @@
       waiting.failures += Math.max(1, answer.value.failures)
       if (waiting.failures >= route.attempts) return waiting.resolve({ type: 'gave-up' })
     }
-    const heldMs = answer.ok || answer.code !== 'requestHeld' ? 0 : Math.min(answer.retryAfterMs ?? 0, MAX_HELD_RETRY_DELAY_MS)
-    this.retryLater(waiting, Math.max(RETRY_DELAY_MS, heldMs))
+    waiting.unanswered = answer.ok || answer.code !== 'unknownOutcome' ? 0 : waiting.unanswered + 1
+    this.retryLater(waiting, Math.max(RETRY_DELAY_MS, crashBackoffMs(waiting.unanswered)))
   }
 
   private retryLater (call: QueuedCall, delayMs: number): void {
--- a/src/actors/common/steps/stepScheduler.ts
+++ b/src/actors/common/steps/stepScheduler.ts
@@ -18,7 +18,6 @@
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { DutyLeaseManager } from '../duties/dutyLeaseManager.ts'
 import type { Mechanisms } from '../../../core/common/mechanisms.ts'
-import type { RequestQuarantine } from '../routes/requestQuarantine.ts'
 import type { NamedVersion } from '../routes/operatorTopic.ts'
 import type { GroupAppender } from '../store/groupAppender.ts'
 import type { StepTopic } from '../store/stepTopic.ts'
@@ -28,9 +27,8 @@
 import { ItemPlacement } from './itemPlacement.ts'
 import type { SavedTexts } from './unfinishedTexts.ts'
 import { UnfinishedTexts } from './unfinishedTexts.ts'
-import { ItemGate } from './itemGate.ts'
 import type { ItemRunServices, RunOutcome } from './itemRun.ts'
-import { runItem } from './itemRun.ts'
+import { hasEngineCrashed, runItem } from './itemRun.ts'
 import { LeavingEngines } from './leavingEngines.ts'
 import { ModelDemands } from './modelDemand.ts'
 import type { ProgressStore } from './progressStore.ts'
@@ -61,7 +59,6 @@
   readonly mechanisms: Mechanisms
   /** Whether targets of a service are rented. */
   readonly isRented: (service: string) => boolean
-  readonly held: RequestQuarantine
 }
 
 export interface StepSchedulerSettings {
@@ -82,7 +79,6 @@
   private readonly modelDemands: ModelDemands
   private readonly unfinishedTexts: UnfinishedTexts
   private readonly placement: ItemPlacement
-  private readonly gate: ItemGate
   private readonly headStarts: HeadStarts
   private readonly leavingEngines: LeavingEngines
   private readonly lengths = new ItemLengthEstimator()
@@ -94,12 +90,11 @@
 
   constructor (private readonly services: StepSchedulerServices, private readonly settings: StepSchedulerSettings) {
     this.placement = new ItemPlacement(services)
-    this.gate = new ItemGate({ ...services, onAdmitted: () => { this.schedule() } })
     this.resultWriter = new ResultWriter(services)
     this.leavingEngines = new LeavingEngines({ ...services, placement: this.placement, lengths: this.lengths })
     this.modelDemands = new ModelDemands({ ...services, routeOf: (step) => this.routeOf(step) })
     this.unfinishedTexts = new UnfinishedTexts({ ...services, nonce: () => services.contents.nonce() })
-    this.headStarts = new HeadStarts({ ...services, placement: this.placement, gate: this.gate, createText: () => this.unfinishedTexts.createText(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
+    this.headStarts = new HeadStarts({ ...services, placement: this.placement, createText: () => this.unfinishedTexts.createText(), lengths: this.lengths, routeOf: (step) => this.routeOf(step) }, settings)
     this.disposables.add(services.topic.onChange((change) => { this.handleStepChange(change) }))
     this.disposables.add(services.duty.onChange(() => { this.handleDutyChange() }))
     this.disposables.add(services.duty.onClaim(() => { this.prefetch() }))
@@ -264,9 +259,10 @@
   /** Starts waiting items of all steps. If no engine has a slot for one item of a step, the other items of that step are skipped. */
   private startItems (works: readonly StepWork[]): void {
     const full = new Set<StepWork>()
+    const now = this.services.clock.monotonic()
     for (const { work, route, itemWork } of inStartOrder(works, (step) => this.routeOf(step), this.lengths, this.services.mechanisms.start_order)) {
       const payload = work.payloads?.get(itemWork.item.id)
-      if (payload === undefined || full.has(work) || !this.gate.mayStart(work.step.submission.host, route, itemWork, payload)) continue
+      if (payload === undefined || full.has(work) || !itemWork.crashBackoff.mayStart(now)) continue
       const engine = this.placement.choose(work, route, itemWork)
       if (engine === undefined) {
         full.add(work)
@@ -289,6 +285,7 @@
     itemWork.startedAt = startedAt
     itemWork.eventsAtStart = itemWork.text.events.length
     itemWork.phases.enter('starting', startedAt)
+    const maxEventsAtStart = itemWork.text.maxEvents
     runItem(this.services, engine, itemWork.item, itemWork.text, {
       host: submission.host,
       workspace: submission.workspace,
@@ -302,7 +299,7 @@
     }).then((end) => {
       itemWork.engine = undefined
       if (stopRun.signal.aborted && end.type === 'broken') end = { type: 'moved' }
-      this.gate.handleRunEnd(submission.host, itemWork, payload, end)
+      itemWork.crashBackoff.recordRun({ crashed: hasEngineCrashed(end), progressed: itemWork.text.maxEvents > maxEventsAtStart }, this.services.clock.monotonic())
       if (!itemWork.cancel.signal.aborted) this.runEnded(work, route, itemWork, candidate, end, this.services.clock.monotonic() - startedAt)
       this.schedule()
     }).catch((error: unknown) => {
@@ -342,12 +339,13 @@
     }
   }
 
-  /** Puts the item back at the front of the queue, as it is later than the other items. */
+  /** Puts the item back at the front of the queue, as it is later than the other items, or at the end if engines keep crashing under it. */
   private requeue (work: StepWork, itemWork: ItemWork, fromStart: boolean): void {
     if (fromStart) itemWork.text.clear()
     itemWork.state = 'waiting'
     itemWork.phases.enter('waiting', this.services.clock.monotonic())
-    work.waiting.unshift(itemWork)
+    if (itemWork.crashBackoff.hasLostPrecedence) work.waiting.push(itemWork)
+    else work.waiting.unshift(itemWork)
   }
 
   private score (work: StepWork, itemWork: ItemWork, result: SampleResult): void {
--- a/src/core/common/steps/startOrder.ts
+++ b/src/core/common/steps/startOrder.ts
@@ -14,7 +14,7 @@
 /** An item that waits for a slot. */
 export interface WaitingItem {
   readonly rank: ItemRank
-  /** Whether a run of the item was interrupted, which puts it behind the other items of its step. */
+  /** Whether a run of the item was interrupted, which puts it behind the other items of its step. An item under which engines keep crashing does not count. */
   readonly ranBefore: boolean
   /** Expected time to generate the rest of its text, in milliseconds. */
   readonly remainingMs: number
--- a/test/actors/steps/sampleScorer.test.ts
+++ b/test/actors/steps/sampleScorer.test.ts
@@ -79,6 +79,17 @@
     expect(outcome).to.deep.equal({ type: 'scored', score: 'seal' })
   })
 
+  it('scores a sample after several targets have crashed under its call, whatever the route allows', async () => {
+    // Guards against a sound sample that is never scored because targets crashed while they ran its call.
+    const crash: ScriptedAnswer = { afterMs: 20, failure: 'unknownOutcome' }
+    const { clock, client, scorer } = createScorer({ a: [crash, crash, crash, sealedResponse()], b: [crash, crash, crash, sealedResponse()] })
+    for (const address of ['a', 'b']) client.closedAddresses.add(address)
+    let outcome: ScoreOutcome | undefined
+    scorer.score(call('s'), new AbortController().signal).then((scored) => { outcome = scored }, () => undefined)
+    await clock.advance(3000)
+    expect([client.sent.length, outcome]).to.deep.equal([7, { type: 'scored', score: 'seal' }])
+  })
+
   it('repeats a call that ended with an unexpected error', async () => {
     // Guards against a finished sample that is never listed, as its call to the scorer is forgotten.
     const { clock, scorer } = createScorer({ a: [sealedResponse()] })
