Bound what a target may send without end, in time and in memory

What callers saw: a stream that began with 200 and whose body never completed an event was held until the caller left, after 12 to 15 s, and the memory of a host grew by up to 218 MB while targets sent bodies without end.

Cause: each piece restarted the silence timer of a stream, an unfinished event was buffered without limit and copied with each piece, empty lines counted as events, and complete answers were bounded one by one (33 MB) only.

Change: only completed events end a silence. An unfinished event may have 1 MB, in a buffer that doubles; empty lines belong to the next event. The complete answers that are being received may have `answer_bytes` together, and the largest one fails beyond that; the default is 4 MB, as it was 33 MB for each. Reports, orders, the store and the platform's duties have limits of their own. Streams are no longer cut after `answer_bytes` in all.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -10,7 +10,7 @@
 import { classifyAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ServerSentEvent } from '../../../core/common/streams/eventReader.ts'
-import { ServerSentEventReader, contiguousBytes } from '../../../core/common/streams/eventReader.ts'
+import { ServerSentEventReader, contiguousBytes, isBlank } from '../../../core/common/streams/eventReader.ts'
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routedRequest.ts'
 import { contentOf } from './routedRequest.ts'
@@ -163,6 +163,7 @@
     const run = this.services.ends.track(target, this.content, request.requestId)
     const silenceAbort = new AbortController()
     const silenceTimeoutMs = Math.max(MIN_SILENCE_TIMEOUT_MS, request.route.objectiveMs * SILENCE_TIMEOUT_FACTOR)
+    let progressAt = clock.monotonic()
     let timer = clock.after(Math.min(silenceTimeoutMs, this.remainingMs), () => { silenceAbort.abort() })
     // A former incarnation sends no more events, and the caller would wait until the silence timeout.
     const restartListener = target.onRestart(() => { silenceAbort.abort() })
@@ -194,15 +195,20 @@
       this.headSent = true
       const reader = new ServerSentEventReader()
       for await (const piece of chunks) {
+        const events = reader.push(piece)
+        // A target that sends bytes without completing an event is as silent for the caller as one that sends nothing.
+        if (events.length === 0) continue
         timer.dispose()
-        await this.forwardEvents(reader.push(piece))
-        timer = clock.after(silenceTimeoutMs, () => { silenceAbort.abort() })
+        const { callerPausedMs } = this
+        await this.forwardEvents(events)
+        progressAt = events.some(({ fields }) => fields.size > 0) ? clock.monotonic() : progressAt + this.callerPausedMs - callerPausedMs
+        timer = clock.after(Math.max(0, progressAt + silenceTimeoutMs - clock.monotonic()), () => { silenceAbort.abort() })
       }
       run.finish()
       target.recordAnswerTime(clock.monotonic() - this.startedAt - this.callerPausedMs, head.load)
       if (reader.rest.length === 0) return 'whole'
-      // A body that is not an event stream is forwarded unchanged.
-      if (this.last === request.resumeAfter) {
+      // A body that is not an event stream is forwarded unchanged, as are empty lines at the end of one.
+      if (this.last === request.resumeAfter || isBlank(reader.rest)) {
         await this.write(reader.rest)
         return 'whole'
       }
--- a/src/actors/common/weights/weightLoadController.ts
+++ b/src/actors/common/weights/weightLoadController.ts
@@ -52,6 +52,8 @@
 const RESPONSE_TIMEOUT_MS = 600
 /** A hundred times the usual duration. After this time, the connection is assumed to be dead. */
 const REPORT_TIMEOUT_MS = 200
+/** Largest report, or answer to an order, that is read. A report lists some models and the runs of an engine. */
+const MAX_REPORT_BYTES = 1_048_576
 /** Usual duration of a load. A report before that time is not worth its cost. */
 const EXPECTED_LOAD_MS = 850
 /** Interval of report requests to a loading engine. Its reports are some hundred milliseconds old anyway. */
@@ -230,7 +232,7 @@
     const { definition: { address }, keepsIdle } = engine.target
     const timeout = new AbortController()
     const timer = clock.after(timeoutMs, () => { timeout.abort() })
-    const answer = await client.exchange({ ...message, address, ownConnection: false, keepsIdle, signal: timeout.signal })
+    const answer = await client.exchange({ ...message, address, ownConnection: false, keepsIdle, maximumAnswerBytes: MAX_REPORT_BYTES, signal: timeout.signal })
     timer.dispose()
     if (timeout.signal.aborted) client.retireConnections(address, timeoutMs)
     return answer
--- a/src/adapters/node/connectionPools.ts
+++ b/src/adapters/node/connectionPools.ts
@@ -14,11 +14,15 @@
   readonly connectTimeoutMs: number
   /** Longest wait for the head of a response and between parts of its body. */
   readonly inactivityTimeoutMs: number
-  readonly maximumAnswerBytes: number
+  /** Size limit of each response, in bytes. Absent if responses are streamed, and so not limited as a whole. */
+  readonly maximumAnswerBytes?: number
   /** Called for each connection that has been opened. */
   readonly onConnected?: () => void
 }
 
+/** Value that disables a limit of the client library. */
+export const UNLIMITED = -1
+
 export class ConnectionPools implements Disposable {
   private readonly pools = new Map<string, Pool>()
   private readonly createdAt = new WeakMap<Pool, number>()
@@ -35,7 +39,7 @@
       connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected),
       headersTimeout: this.settings.inactivityTimeoutMs,
       bodyTimeout: this.settings.inactivityTimeoutMs,
-      maxResponseSize: this.settings.maximumAnswerBytes
+      maxResponseSize: this.settings.maximumAnswerBytes ?? UNLIMITED
     })
     this.pools.set(address, pool)
     this.createdAt.set(pool, performance.now())
--- a/src/adapters/node/httpEngine.ts
+++ b/src/adapters/node/httpEngine.ts
@@ -8,6 +8,7 @@
 import { z } from 'zod'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
+import { MAX_EVENT_BYTES } from '../../core/common/streams/eventReader.ts'
 import type { CompletionPart, CompletionRequest, CompletionStream, Engine, EngineOrder, EngineReport } from '../../ports/common/targets.ts'
 import { StreamBrokenError } from '../../ports/common/targets.ts'
 import type { ConnectionPools } from './connectionPools.ts'
@@ -89,7 +90,11 @@
 
   private async * parts (address: string, pool: Pool, body: AsyncIterable<Uint8Array>, requestId: string): AsyncGenerator<CompletionPart> {
     const pending: CompletionPart[] = []
-    const parser = createParser({ onEvent: ({ data }) => { if (data !== END_OF_STREAM) pending.push(readPart(data, requestId)) } })
+    const parser = createParser({
+      maxBufferSize: MAX_EVENT_BYTES,
+      onEvent: ({ data }) => { if (data !== END_OF_STREAM) pending.push(readPart(data, requestId)) },
+      onError: (error) => { if (error.type === 'max-buffer-size-exceeded') throw new StreamBrokenError(error.message) }
+    })
     const decoder = new TextDecoder()
     try {
       for await (const chunk of body) {
--- a/src/adapters/node/httpPlatformDuties.ts
+++ b/src/adapters/node/httpPlatformDuties.ts
@@ -8,6 +8,8 @@
 
 /** Must not exceed the time that a new duty holder waits before it acts, so that no request of the former holder is still in flight then. */
 const RESPONSE_TIMEOUT_MS = 1500
+/** Largest answer that is read; only its status counts. */
+export const MAX_DUTY_ANSWER_BYTES = 65_536
 
 export class HttpPlatformDuties implements PlatformDuties {
   /** @param address origin (URL) of the duty interface */
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -11,6 +11,7 @@
 import type { Failure, Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
+import { AnswerBuffers } from './answerBuffers.ts'
 import type { ConnectionPools } from './connectionPools.ts'
 import { createConnector, isNeverSent, isConnectionRefused } from './connectionPools.ts'
 import type { KeepAliveConnections } from './keepAliveConnections.ts'
@@ -29,15 +30,19 @@
 export interface TargetClientSettings {
   /** Longest time to establish a connection, in milliseconds. */
   readonly connectTimeoutMs: number
-  /** Size limit of a complete response, in bytes. */
+  /** Size limit of a complete response, and of all responses that are being received together, in bytes. */
   readonly maximumAnswerBytes: number
   /** Called for each connection that this client opens itself. */
   readonly onConnected?: () => void
 }
 
 export class HttpTargetClient implements TargetClient, IdleConnections {
+  private readonly buffers: AnswerBuffers
+
   /** @param keepAlive connections for requests that keep them while idle; without it such requests use the pools */
-  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly keepAlive?: KeepAliveConnections) {}
+  constructor (private readonly connections: ConnectionPools, private readonly settings: TargetClientSettings, private readonly keepAlive?: KeepAliveConnections) {
+    this.buffers = new AnswerBuffers(settings.maximumAnswerBytes)
+  }
 
   async exchange (request: TargetRequest): Promise<Result<TargetResponse>> {
     if (parseAddress(request.address) === undefined) return invalidAddress(request)
@@ -45,7 +50,7 @@
     const dispatcher = this.dispatcher(request)
     try {
       const response = await this.send(dispatcher, request)
-      const body = await response.body.bytes()
+      const body = await this.buffers.read(response.body, request.maximumAnswerBytes)
       if (request.ownConnection) dispatcher.close().catch(() => undefined)
       return success({ status: response.statusCode, headers: response.headers, body })
     } catch (error) {
@@ -61,7 +66,7 @@
     const kept = request.ownConnection ? keepAlive.open(origin) : keepAlive.acquire(origin)
     try {
       const { statusCode: status, headers, body: stream } = await this.send(kept.client, request)
-      const body = await stream.bytes()
+      const body = await this.buffers.read(stream, request.maximumAnswerBytes)
       keepAlive.release(origin, kept, headers)
       return success({ status, headers, body })
     } catch (error) {
@@ -141,7 +146,7 @@
   private dispatcher ({ address, ownConnection }: TargetRequest): Dispatcher {
     const origin = `http://${address}`
     if (!ownConnection) return this.connections.poolFor(origin)
-    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected), maxResponseSize: this.settings.maximumAnswerBytes })
+    return new Client(origin, { connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected) })
   }
 
   private async send (dispatcher: Dispatcher, { method, path, headers, body, signal }: TargetRequest, options: { readonly highWaterMark?: number } = {}): Promise<Dispatcher.ResponseData> {
--- a/src/adapters/node/keepAliveConnections.ts
+++ b/src/adapters/node/keepAliveConnections.ts
@@ -12,7 +12,7 @@
 import { Client } from 'undici'
 import type { Disposable } from '../../base/common/lifecycle.ts'
 import type { ConnectionPoolSettings } from './connectionPools.ts'
-import { createConnector } from './connectionPools.ts'
+import { UNLIMITED, createConnector } from './connectionPools.ts'
 
 /** How much earlier than announced an idle connection is closed: a request sent while the other process closes it would break. */
 const IDLE_MARGIN_MS = 1000
@@ -73,7 +73,7 @@
       connect: createConnector(this.settings.connectTimeoutMs, this.settings.onConnected),
       headersTimeout: this.settings.inactivityTimeoutMs,
       bodyTimeout: this.settings.inactivityTimeoutMs,
-      maxResponseSize: this.settings.maximumAnswerBytes,
+      maxResponseSize: this.settings.maximumAnswerBytes ?? UNLIMITED,
       keepAliveTimeout: DEFAULT_IDLE_MS,
       keepAliveTimeoutThreshold: IDLE_MARGIN_MS
     })
--- a/src/core/common/streams/eventReader.ts
+++ b/src/core/common/streams/eventReader.ts
@@ -8,7 +8,7 @@
 
 /** A complete event. */
 export interface ServerSentEvent {
-  /** The event as received, including the empty line that terminates it. */
+  /** The event as received, including empty lines before it and the one that terminates it. */
   readonly raw: Uint8Array
   /** Fields by lower-case name; the values of repeated fields are joined by line feeds. */
   readonly fields: ReadonlyMap<string, string>
@@ -19,32 +19,66 @@
 /** Maximum number of bytes at the end of the searched data that may be the beginning of an event's terminator. */
 const MAX_PARTIAL_TERMINATOR_BYTES = 3
 
+/** Largest unfinished event that is buffered, in bytes: several times the largest text that a store keeps in one record. */
+export const MAX_EVENT_BYTES = 1_048_576
+
 const decoder = new TextDecoder()
 
+/** Thrown when an event does not end within the limit. */
+export class EventTooLargeError extends Error {
+  constructor (maximumBytes: number) {
+    super(`an event is larger than ${maximumBytes} bytes`)
+  }
+}
+
 /** Splits a byte stream into events. */
 export class ServerSentEventReader {
-  private held = new Uint8Array(0)
+  /** Holds the bytes after the last complete event, which take up its first `heldLength` bytes. */
+  private buffer = new Uint8Array(0)
+  private heldLength = 0
   /** Length of the prefix of the buffered bytes that contains no end of an event. */
   private searchedLength = 0
 
-  /** Adds a chunk of the stream and returns the events that it completes. */
+  constructor (private readonly maximumEventBytes = MAX_EVENT_BYTES) {}
+
+  /**
+   * Adds a chunk of the stream and returns the events that it completes.
+   * @throws EventTooLargeError if what follows the last complete event exceeds the limit
+   */
   push (chunk: Uint8Array): ServerSentEvent[] {
-    const bytes = this.held.length === 0 ? chunk : concatenate(this.held, chunk)
+    const bytes = this.heldLength === 0 ? chunk : this.append(chunk)
     const events: ServerSentEvent[] = []
     let eventStart = 0
-    for (let end = findEventEnd(bytes, this.searchedLength); end !== undefined; end = findEventEnd(bytes, eventStart)) {
+    const findEnd = (from: number): number | undefined => findEventEnd(bytes, Math.max(from, skipLineBreaks(bytes, eventStart)))
+    for (let end = findEnd(this.searchedLength); end !== undefined; end = findEnd(eventStart)) {
       const raw = bytes.subarray(eventStart, end)
       events.push({ raw, fields: parseFields(decoder.decode(raw)) })
       eventStart = end
     }
-    this.held = new Uint8Array(bytes.subarray(eventStart))
-    this.searchedLength = Math.max(0, this.held.length - MAX_PARTIAL_TERMINATOR_BYTES)
+    const isBuffered = this.heldLength > 0
+    this.heldLength = bytes.length - eventStart
+    if (this.heldLength > this.maximumEventBytes) throw new EventTooLargeError(this.maximumEventBytes)
+    // The events refer to the bytes in which they were found, so that these are not used again.
+    if (!isBuffered || events.length > 0) this.buffer = new Uint8Array(bytes.subarray(eventStart))
+    this.searchedLength = Math.max(0, this.heldLength - MAX_PARTIAL_TERMINATOR_BYTES)
     return events
   }
 
   /** Bytes after the last complete event. */
   get rest (): Uint8Array {
-    return this.held
+    return this.buffer.subarray(0, this.heldLength)
+  }
+
+  /** Adds a chunk to the buffer and returns all buffered bytes. The buffer doubles, so that many small chunks are not copied each time. */
+  private append (chunk: Uint8Array): Uint8Array {
+    const length = this.heldLength + chunk.length
+    if (length > this.buffer.length) {
+      const larger = new Uint8Array(Math.max(length, 2 * this.buffer.length))
+      larger.set(this.rest)
+      this.buffer = larger
+    }
+    this.buffer.set(chunk, this.heldLength)
+    return this.buffer.subarray(0, length)
   }
 }
 
@@ -54,11 +88,16 @@
   return new Uint8Array(first.buffer, first.byteOffset, events.reduce((sum, { raw }) => sum + raw.length, 0))
 }
 
-function concatenate (first: Uint8Array, second: Uint8Array): Uint8Array {
-  const whole = new Uint8Array(first.length + second.length)
-  whole.set(first)
-  whole.set(second, first.length)
-  return whole
+/** Whether bytes contain nothing but line breaks. */
+export function isBlank (bytes: Uint8Array): boolean {
+  return skipLineBreaks(bytes, 0) === bytes.length
+}
+
+/** Returns the index of the first byte at or after `from` that is no line break. Empty lines before an event belong to it. */
+function skipLineBreaks (bytes: Uint8Array, from: number): number {
+  let at = from
+  while (bytes[at] === LINE_FEED || bytes[at] === CARRIAGE_RETURN) at++
+  return at
 }
 
 /** Returns the index after the first empty line at or after `from`. */
--- a/src/host/node/routed/hostFleet.ts
+++ b/src/host/node/routed/hostFleet.ts
@@ -2,7 +2,7 @@
 
 import { FleetController } from '../../../actors/common/fleet/fleetController.ts'
 import { ConnectionPools } from '../../../adapters/node/connectionPools.ts'
-import { HttpPlatformDuties } from '../../../adapters/node/httpPlatformDuties.ts'
+import { HttpPlatformDuties, MAX_DUTY_ANSWER_BYTES } from '../../../adapters/node/httpPlatformDuties.ts'
 import type { RoutedSettings } from '../../../settings/common/routedSettings.ts'
 import { dutyProtocol } from '../../../../platform/index.ts'
 import type { FollowedTopics } from './followedTopics.ts'
@@ -23,7 +23,7 @@
 export function startHostFleet (context: HostContext, { membership }: OtherHosts, { operator, targets, targetTopic }: FollowedTopics, { duty, home }: HostSteps): FleetController | undefined {
   const { settings, services, machine, disposables } = context
   if (settings.fleet === undefined || !ordersTargets(settings)) return undefined
-  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: settings.limits.answer_bytes, connectTimeoutMs: settings.limits.connect_timeout, connections: MAX_ORDER_CONNECTIONS, inactivityTimeoutMs: ORDER_IDLE_TIMEOUT_MS }))
+  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: MAX_DUTY_ANSWER_BYTES, connectTimeoutMs: settings.limits.connect_timeout, connections: MAX_ORDER_CONNECTIONS, inactivityTimeoutMs: ORDER_IDLE_TIMEOUT_MS }))
   return disposables.add(new FleetController({
     ...services,
     duty,
--- a/src/host/node/routed/hostUsage.ts
+++ b/src/host/node/routed/hostUsage.ts
@@ -4,7 +4,7 @@
 import { UsageMeter } from '../../../actors/common/usage/usageMeter.ts'
 import { UsageReporter } from '../../../actors/common/usage/usageReporter.ts'
 import { ConnectionPools } from '../../../adapters/node/connectionPools.ts'
-import { HttpPlatformDuties } from '../../../adapters/node/httpPlatformDuties.ts'
+import { HttpPlatformDuties, MAX_DUTY_ANSWER_BYTES } from '../../../adapters/node/httpPlatformDuties.ts'
 import type { UsageTimes } from '../../../core/common/usage/usagePlan.ts'
 import type { RoutedSettings } from '../../../settings/common/routedSettings.ts'
 import { dutyProtocol } from '../../../../platform/index.ts'
@@ -32,7 +32,7 @@
   return {
     meter,
     startReporting: (duty) => {
-      const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_REPORT_CONNECTIONS, inactivityTimeoutMs: REPORT_IDLE_TIMEOUT_MS }))
+      const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: MAX_DUTY_ANSWER_BYTES, connectTimeoutMs: limits.connect_timeout, connections: MAX_REPORT_CONNECTIONS, inactivityTimeoutMs: REPORT_IDLE_TIMEOUT_MS }))
       const duties = new HttpPlatformDuties(connections, dutyProtocol, usage.address)
       return disposables.add(new UsageReporter({ ...services, duty, log, duties, machine }, times))
     }
--- a/src/host/node/routed/otherHosts.ts
+++ b/src/host/node/routed/otherHosts.ts
@@ -13,6 +13,9 @@
 export const PEER_IDLE_TIMEOUT_MS = 5000
 const MAX_PEER_CONNECTIONS = 16
 
+/** Largest answer of another host: several pages of records or contents of steps. */
+const MAX_PEER_ANSWER_BYTES = 33_554_432
+
 export interface OtherHosts {
   readonly peers: JsonRpcPeers
   readonly handlers: JsonRpcHandlers
@@ -22,7 +25,7 @@
 
 export function createOtherHosts ({ settings, host, ownAddress, processor, services, disposables }: HostContext): OtherHosts {
   const { limits, membership: membershipSettings, mechanisms } = settings
-  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_PEER_CONNECTIONS, inactivityTimeoutMs: PEER_IDLE_TIMEOUT_MS }))
+  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: MAX_PEER_ANSWER_BYTES, connectTimeoutMs: limits.connect_timeout, connections: MAX_PEER_CONNECTIONS, inactivityTimeoutMs: PEER_IDLE_TIMEOUT_MS }))
   const peers = new JsonRpcPeers(connections, connections, settings.peers.key, services.metrics)
   const handlers = new JsonRpcHandlers()
   const membership = disposables.add(new Membership({ ...services, peers, handlers }, {
--- a/src/host/node/routed/storeAccess.ts
+++ b/src/host/node/routed/storeAccess.ts
@@ -17,6 +17,8 @@
 
 /** Leaves room for three concurrent long polls and several appends. */
 const MAX_STORE_CONNECTIONS = 16
+/** A page of records is at most as large as an append, and larger by a third in base64. */
+const MAX_PAGES_PER_ANSWER = 2
 /** Longer than a slow store takes to answer, shorter than an outage. */
 const STORE_PROBE_TIMEOUT_MS = 500
 
@@ -31,7 +33,7 @@
 export function createStoreAccess ({ settings, services, disposables }: HostContext, { peers, handlers, membership }: OtherHosts): StoreAccess {
   const { store, limits, mechanisms } = settings
   const { clock, metrics } = services
-  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_STORE_CONNECTIONS, inactivityTimeoutMs: store.timeout + store.long_poll * OPERATOR_WAIT_FACTOR }))
+  const connections = disposables.add(new ConnectionPools({ maximumAnswerBytes: MAX_PAGES_PER_ANSWER * store.call_bytes, connectTimeoutMs: limits.connect_timeout, connections: MAX_STORE_CONNECTIONS, inactivityTimeoutMs: store.timeout + store.long_poll * OPERATOR_WAIT_FACTOR }))
   const probeClient = new KeyedLogClient(new StoreClient(connections, metrics, store.address, STORE_PROBE_TIMEOUT_MS), storeProtocol, store.topic)
   const reachability = disposables.add(new StoreReachability(clock, async () => (await probeClient.newest(LAST_KEY)).ok))
   const caller = new StoreClient(connections, metrics, store.address, store.timeout)
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -114,10 +114,10 @@
 }
 
 function createTargetClient ({ settings: { limits }, services: { metrics }, disposables }: HostContext, targets: TargetTable): HttpTargetClient {
-  const answers = { maximumAnswerBytes: limits.answer_bytes, connectTimeoutMs: limits.connect_timeout, onConnected: () => { metrics.count('connections.opened') } }
-  const connectionSettings = { ...answers, connections: limits.target_connections, inactivityTimeoutMs: TARGET_IDLE_TIMEOUT_MS }
+  const connecting = { connectTimeoutMs: limits.connect_timeout, onConnected: () => { metrics.count('connections.opened') } }
+  const connectionSettings = { ...connecting, connections: limits.target_connections, inactivityTimeoutMs: TARGET_IDLE_TIMEOUT_MS }
   const connections = disposables.add(new ConnectionPools(connectionSettings))
-  const client = new HttpTargetClient(connections, answers, disposables.add(new KeepAliveConnections(connectionSettings)))
+  const client = new HttpTargetClient(connections, { ...connecting, maximumAnswerBytes: limits.answer_bytes }, disposables.add(new KeepAliveConnections(connectionSettings)))
   // Pooled connections lead to the former incarnation, or to another process that now has its address.
   disposables.add(targets.onRestart(({ former, present }) => {
     metrics.count('targets.restarted')
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -22,6 +22,8 @@
   readonly ownConnection: boolean
   /** Whether the connection stays open while idle for as long as the target announces. */
   readonly keepsIdle?: boolean
+  /** Size limit of a complete response in bytes, if it is below that of the client. */
+  readonly maximumAnswerBytes?: number
   /** Aborting the signal cancels the request. */
   readonly signal: AbortSignal
 }
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -58,7 +58,7 @@
   head_bytes: positiveInteger(65_536, 'maximum size of a request head, in bytes'),
   held_bytes: positiveInteger(67_108_864, 'maximum total size of request bodies buffered at the same time, in bytes'),
   valid_for: milliseconds(2000, 'how long callers may cache an address answer'),
-  answer_bytes: positiveInteger(33_554_432, 'maximum size of an unstreamed answer from a target, in bytes'),
+  answer_bytes: positiveInteger(4_194_304, 'maximum size of an unstreamed answer from a target, and of all that are being received together, in bytes'),
   connect_timeout: milliseconds(400, 'time limit for opening a connection to a target'),
   target_connections: positiveInteger(64, 'maximum number of connections to one target'),
   caller_pause: milliseconds(10_000, 'longest time for which a caller of a stream may read no data'),
--- a/test/core/streams/eventReader.test.ts
+++ b/test/core/streams/eventReader.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { ServerSentEventReader } from '../../../src/core/common/streams/eventReader.ts'
+import { EventTooLargeError, MAX_EVENT_BYTES, ServerSentEventReader } from '../../../src/core/common/streams/eventReader.ts'
 
 const stream = 'id: 1\ndata: one\n\nversion-of: 2\nid: 2\ndata: two\ndata: more\n\n: a comment\n\nid: 3\r\ndata: three: 3\r\n\r\n'
 
@@ -38,6 +38,25 @@
     }
   })
 
+  it('rejects an event that does not end within the limit, in time that grows with the bytes alone', () => {
+    // Guards against a stream that fills the memory of a host, and against copying all buffered bytes for each small chunk.
+    const reader = new ServerSentEventReader()
+    const chunk = Buffer.from('x'.repeat(16))
+    const chunks = MAX_EVENT_BYTES / chunk.length
+    const startedAt = performance.now()
+    for (let index = 0; index < chunks; index++) expect(reader.push(chunk)).to.have.length(0)
+    expect(performance.now() - startedAt).to.be.below(5000)
+    expect(reader.rest).to.have.length(MAX_EVENT_BYTES)
+    expect(() => reader.push(chunk)).to.throw(EventTooLargeError)
+  })
+
+  it('counts empty lines towards the next event', () => {
+    // Guards against an endless series of line breaks that is read as millions of events.
+    const { fields, raw, rest } = read(['\n\n', '\r\n\nid: 1\n\n\n', '\n'])
+    expect([fields, raw, rest]).to.deep.equal([[{ id: '1' }], '\n\n\r\n\nid: 1\n\n', '\n\n'])
+    expect(() => read(Array(17).fill('\n'.repeat(65_536)))).to.throw(EventTooLargeError)
+  })
+
   it('does not return a truncated event', () => {
     // Failure: half an event became part of a text. The target died while sending it, after its id and some of its data.
     const { fields, rest } = read(['id: 1\ndata: one\n\nid: 2\ndata: tw'])
