--- a/test/actors/steps/unluckyItems.test.ts
+++ b/test/actors/steps/itemsUnderCrashes.test.ts
@@ -6,7 +6,7 @@
 import { SchedulerHarness } from '../../support/schedulerHarness.ts'
 import { newItem } from '../../support/steps.ts'
 
-const items = ['a', 'b', 'c', 'unlucky'].map((id) => newItem(id, 'g'))
+const items = ['a', 'b', 'c', 'crashed'].map((id) => newItem(id, 'g'))
 const RUN_MS = 50
 /** Longest time after the last crash until the item has run again. */
 const PLACED_AGAIN_MS = 1500
@@ -21,7 +21,7 @@
   async open ({ address, headers }: TargetRequest): ReturnType<TargetClient['open']> {
     const id = headers[headers.indexOf('bulrushvalve-request-id') + 1] ?? ''
     await this.pause(RUN_MS)
-    if (id === 'unlucky' && this.crashedAt.length < this.crashes) {
+    if (id === 'crashed' && this.crashedAt.length < this.crashes) {
       this.crashedAt.push(this.now())
       this.closed.add(address)
       return failure('unknownOutcome', 'reset')
@@ -42,7 +42,7 @@
   retireConnections (): void {}
 }
 
-describe('an unlucky item', () => {
+describe('an item under which engines crash', () => {
   for (const crashes of [2, 4, 6, 12]) {
     it(`completes after ${crashes} engines have crashed under it, and the other items complete before`, async () => {
       // Guards against a sound item that is never placed again because engines crashed while they ran it.
@@ -57,7 +57,7 @@
       expect(harness.results('s').map(({ item }) => item)).to.include.members(['a', 'b', 'c'])
       while ((client?.crashedAt.length ?? 0) < crashes) await harness.clock.advance(50)
       await harness.clock.advance(PLACED_AGAIN_MS)
-      expect(harness.results('s').map(({ item, state }) => `${item} ${state}`)).to.include('unlucky complete')
+      expect(harness.results('s').map(({ item, state }) => `${item} ${state}`)).to.include('crashed complete')
       harness.dispose()
     })
   }
