Test hosts against clients that do not keep to the limits

The users ask that no process ends or hangs whatever its clients send. The cases start one host as deployed (--max-old-space-size=160) and let a fixed crowd of 400 or 600 clients in for 3 s, at each address at which a host listens. They check that the process lives, that its peak memory stays below the 210 MB and its descriptors below the 2,875 sockets of the smallest machine in use, and that ordinary requests are answered.

--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -18,6 +18,9 @@
   /** URL of the address for callers. */
   readonly address: string
   readonly directory: string
+  readonly readiness: string
+  readonly peers: string
+  readonly metrics: string
   readonly settingsPath: string
 }
 
@@ -57,6 +60,8 @@
 export interface FleetOptions {
   /** Returns the address at which a host reaches its store endpoint, in place of the endpoint's own address. */
   readonly storeAddressFor?: (endpoint: string, host: number) => Promise<string>
+  /** Command and leading arguments that run the program. */
+  readonly program?: readonly string[]
 }
 
 export class Fleet {
@@ -66,11 +71,11 @@
   private constructor (readonly store: StoreStandIn, readonly hosts: readonly FleetHost[], private readonly folder: string) {}
 
   /** Starts a number of hosts and waits until all of them are ready. */
-  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { storeAddressFor: wayToStore }: FleetOptions = {}): Promise<Fleet> {
+  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { storeAddressFor: wayToStore, program = PROGRAM }: FleetOptions = {}): Promise<Fleet> {
     const store = new StoreStandIn()
     const folder = mkdtempSync(join(tmpdir(), 'fleet-'))
     const ip = (index: number): string => `127.0.1.${index + 1}`
-    const [callers = 0, readiness = 0, peers = 0, directory = 0] = await freePorts(4, Array.from({ length: count }, (_, index) => ip(index)))
+    const [callers = 0, readiness = 0, peers = 0, directory = 0, metrics = 0] = await freePorts(5, Array.from({ length: count }, (_, index) => ip(index)))
     const hosts = await Promise.all(Array.from({ length: count }, async (_, index): Promise<FleetHost> => {
       const name = `host-${index}`
       const endpoint = await store.openEndpoint()
@@ -86,11 +91,12 @@
         duty: { ...settings.duty },
         steps: { ...settings.steps },
         identity: { ...settings.identity },
+        metrics: { listen: `${ip(index)}:${metrics}` },
         ...(settings.usage === undefined ? {} : { usage: settings.usage }),
         ...(settings.fleet === undefined ? {} : { fleet: settings.fleet }),
         ...(settings.deployment === undefined ? {} : { deployment: settings.deployment })
       } as unknown as Record<string, Record<string, unknown>>))
-      return { name, storeEndpoint: endpoint, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, process: new HostProcess(name, '', '', settingsPath, PROGRAM) }
+      return { name, storeEndpoint: endpoint, settingsPath, address: `http://${ip(index)}:${callers}`, directory: `http://${ip(index)}:${directory}`, readiness: `http://${ip(index)}:${readiness}`, peers: `http://${ip(index)}:${peers}`, metrics: `http://${ip(index)}:${metrics}`, process: new HostProcess(name, '', '', settingsPath, program) }
     }))
     const fleet = new Fleet(store, hosts, folder)
     store.put('keyed.op', 'config', configuration(1))
--- /dev/null
+++ b/test/platform/uncontrolledClients.test.ts
@@ -0,0 +1,273 @@
+/**
+ * Clients that ignore what a host expects of its callers, at each address at which a host listens. The process stays within the memory and
+ * the descriptors of the smallest machine in use, and ordinary requests are answered.
+ */
+
+import { readFileSync, readdirSync } from 'node:fs'
+import { createServer } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import { request } from 'undici'
+import { pause } from '../../standins/httpStandIn.ts'
+import { waitUntil } from '../support/hostProcess.ts'
+import type { CrowdOptions } from './support/crowd.ts'
+import { Crowd } from './support/crowd.ts'
+import type { FleetHost } from './support/fleet.ts'
+import { CALLS_HOST, Fleet } from './support/fleet.ts'
+
+/** Memory of the smallest machine in use. */
+const MACHINE_MEMORY_MB = 210
+/** Sockets of the smallest machine in use. */
+const MACHINE_SOCKETS = 2875
+/** The program is started as in deploy/system.toml. */
+const PROGRAM = [process.execPath, '--max-old-space-size=160', 'dist/bulrushvalve.cjs']
+/** Fewer places for callers than the crowds that fill them have clients. */
+const CALLER_CONNECTIONS = 500
+const CROWD_STAYS_MS = 3000
+/** Long enough for a host that answers at all. */
+const ANSWER_TIMEOUT_MS = 30_000
+const SAMPLE_INTERVAL_MS = 50
+/** Time after which a host knows of a changed entry. */
+const REGISTRATION_MS = 1200
+const LARGE_ANSWER_BYTES = 2_000_000
+
+type ListenerName = 'callers' | 'readiness' | 'directory' | 'peers' | 'metrics'
+const listeners: readonly ListenerName[] = ['callers', 'readiness', 'directory', 'peers', 'metrics']
+
+const addressOf: Readonly<Record<ListenerName, (host: FleetHost) => string>> = {
+  callers: ({ address }) => address,
+  readiness: ({ readiness }) => readiness,
+  directory: ({ directory }) => directory,
+  peers: ({ peers }) => peers,
+  metrics: ({ metrics }) => metrics
+}
+
+/** Request line of an ordinary request to each listener. */
+const ordinaryLine: Readonly<Record<ListenerName, string>> = {
+  callers: 'GET /look-up/ahead HTTP/1.1',
+  readiness: 'GET /ready HTTP/1.1',
+  directory: `GET /resolve?name=${CALLS_HOST} HTTP/1.1`,
+  peers: 'POST /peer HTTP/1.1',
+  metrics: 'GET /metrics HTTP/1.1'
+}
+
+const rpc = JSON.stringify({ jsonrpc: '2.0', id: 1, method: 'unknown' })
+
+/** Sends one ordinary request over a connection of its own, and returns the status of its answer. */
+async function ordinaryStatus (fleet: Fleet, host: FleetHost, listener: ListenerName): Promise<number> {
+  const [method = 'GET', path = '/'] = ordinaryLine[listener].split(' ')
+  const headers: Readonly<Record<ListenerName, Record<string, string>>> = {
+    callers: { host: CALLS_HOST, 'bulrushvalve-request-id': fleet.newId(), 'bulrushvalve-deadline-ms': '2000' },
+    readiness: {},
+    directory: {},
+    peers: { authorization: 'Bearer between-the-hosts', 'content-type': 'application/json' },
+    metrics: {}
+  }
+  const answer = await request(`${addressOf[listener](host)}${path}`, { method: method as 'GET', headers: { ...headers[listener], connection: 'close' }, body: listener === 'peers' ? rpc : null, signal: AbortSignal.timeout(ANSWER_TIMEOUT_MS) })
+  await answer.body.dump()
+  return answer.statusCode
+}
+
+function peakMemoryMb ({ process }: FleetHost): number {
+  return Number(/VmHWM:\s+(?<kilobytes>\d+)/.exec(readFileSync(`/proc/${process.pid}/status`, 'utf8'))?.groups?.['kilobytes']) / 1024
+}
+
+function descriptors ({ process }: FleetHost): number {
+  return readdirSync(`/proc/${process.pid}/fd`).length
+}
+
+/** Registers a target that answers each call with a large body, in place of the others. Returns how to stop it. */
+async function registerLargeAnswers ({ store, targets }: Fleet): Promise<() => void> {
+  const body = 'x'.repeat(LARGE_ANSWER_BYTES)
+  const server = createServer((received, response) => {
+    const id = String(received.headers['bulrushvalve-request-id'])
+    received.resume()
+    response.writeHead(200, { 'bulrushvalve-request-id': id, 'bulrushvalve-response-seal': `seal-of-${id}`, 'content-length': body.length }).end(body)
+  })
+  await new Promise<void>((resolve) => { server.listen(0, '127.0.0.1', resolve) })
+  store.put('keyed.servers', 'large', { service: 'app', addr: `127.0.0.1:${(server.address() as AddressInfo).port}`, zone: 'place-0', version: 'v1', slots: 400, state: 'ready', cold_left_ms: 0, seq: 1 })
+  for (const target of targets) target.deregister()
+  await pause(REGISTRATION_MS)
+  return () => {
+    server.close()
+    server.closeAllConnections()
+  }
+}
+
+interface Case {
+  readonly name: string
+  readonly listeners: readonly ListenerName[]
+  readonly crowd: (listener: ListenerName) => CrowdOptions
+  /** Whether ordinary requests are answered also while the crowd stays. */
+  readonly isAnsweredMeanwhile?: boolean
+  readonly hasLargeAnswers?: boolean
+}
+
+const ordinary = { clients: 400, connectionsPerClient: 3 }
+const chunkedHead = (line: string, headers = ''): string => `${line}\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: chunked\r\n${headers}transfer-encoding: chunked\r\n\r\n`
+const PEER_KEY = 'authorization: Bearer between-the-hosts\r\n'
+const LARGE_CHUNK = `${(49_000).toString(16)}\r\n${'x'.repeat(49_000)}\r\n`
+const SMALL_CHUNK = '1\r\nx\r\n'
+const unreadLine = (listener: ListenerName): string => listener === 'peers' ? `POST /peer HTTP/1.1\r\nhost: a\r\n${PEER_KEY}content-length: ${rpc.length}\r\n\r\n${rpc}` : `${ordinaryLine[listener]}\r\nhost: ${CALLS_HOST}\r\n\r\n`
+
+const cases: readonly Case[] = [
+  {
+    name: 'calls in large chunks that stop short of their end',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, opening: chunkedHead('POST /look-up/chunked HTTP/1.1'), piece: LARGE_CHUNK, pieces: 4 })
+  },
+  {
+    name: 'calls in chunks of one byte that stop short of their end',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, opening: chunkedHead('POST /look-up/chunked HTTP/1.1'), piece: SMALL_CHUNK, pieces: 180_000 })
+  },
+  {
+    name: 'submissions in chunks of one byte that stop short of their end',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, opening: chunkedHead('POST /steps/chunked HTTP/1.1'), piece: SMALL_CHUNK, pieces: 180_000 })
+  },
+  {
+    name: 'bodies in large chunks that stop short of their end',
+    listeners: ['readiness', 'directory', 'peers', 'metrics'],
+    crowd: (listener) => ({ ...ordinary, opening: chunkedHead(ordinaryLine[listener], PEER_KEY), piece: LARGE_CHUNK, pieces: 40 })
+  },
+  {
+    name: 'bodies in chunks of one byte that stop short of their end',
+    listeners: ['readiness', 'directory', 'peers', 'metrics'],
+    crowd: (listener) => ({ ...ordinary, opening: chunkedHead(ordinaryLine[listener], PEER_KEY), piece: SMALL_CHUNK, pieces: 180_000 })
+  },
+  {
+    name: 'requests sent ahead without a host, their answers unread',
+    listeners,
+    crowd: (listener) => ({ ...ordinary, piece: `${ordinaryLine[listener]}\r\n\r\n`, pieces: 8000 })
+  },
+  {
+    name: 'requests sent ahead, their answers unread',
+    listeners,
+    crowd: (listener) => ({ ...ordinary, piece: unreadLine(listener), pieces: 8000 })
+  },
+  {
+    name: 'requests with a short head sent ahead, their answers unread',
+    listeners,
+    crowd: () => ({ ...ordinary, piece: 'GET / HTTP/1.1\r\nhost: a\r\n\r\n', pieces: 8000 })
+  },
+  {
+    name: 'requests sent ahead that expect to be told to continue, their answers unread',
+    listeners,
+    crowd: () => ({ ...ordinary, piece: 'GET / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n\r\n', pieces: 8000 })
+  },
+  {
+    name: 'requests sent ahead with an unknown expectation, their answers unread',
+    listeners,
+    crowd: () => ({ ...ordinary, piece: 'GET / HTTP/1.1\r\nhost: a\r\nexpect: b\r\n\r\n', pieces: 8000 })
+  },
+  {
+    name: 'requests of HTTP/1.0 sent ahead, their answers unread',
+    listeners,
+    crowd: () => ({ ...ordinary, piece: 'GET / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n', pieces: 8000 })
+  },
+  {
+    name: 'whole calls with a short body sent ahead, their answers unread',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, piece: `POST /look-up/whole HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\ncontent-length: 3\r\n\r\nabc`, pieces: 4000 })
+  },
+  {
+    name: 'whole calls with a large body sent ahead, their answers unread',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, piece: `POST /look-up/whole HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\ncontent-length: 40000\r\n\r\n${'x'.repeat(40_000)}`, pieces: 40 })
+  },
+  {
+    name: 'whole calls with a short body sent ahead by fewer clients, their answers unread',
+    listeners: ['callers'],
+    crowd: () => ({ clients: 100, connectionsPerClient: 1, piece: `POST /look-up/whole HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\ncontent-length: 3\r\n\r\nabc`, pieces: 8000 })
+  },
+  {
+    name: 'calls with large answers sent ahead, their answers unread',
+    listeners: ['callers'],
+    crowd: () => ({ ...ordinary, piece: `GET /look-up/large HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nbulrushvalve-deadline-ms: 2000\r\n\r\n`, pieces: 4 }),
+    hasLargeAnswers: true
+  },
+  {
+    name: 'more idle connections than there are places',
+    listeners,
+    crowd: () => ({ clients: CALLER_CONNECTIONS + 100, connectionsPerClient: 3, piece: '', pieces: 0 }),
+    isAnsweredMeanwhile: true
+  },
+  {
+    name: 'more connections than there are places, each with a part of a head',
+    listeners,
+    crowd: () => ({ clients: CALLER_CONNECTIONS + 100, connectionsPerClient: 3, opening: 'GET / HTTP/1.1\r\n', piece: 'x: y\r\n', pieces: 100 }),
+    isAnsweredMeanwhile: true
+  }
+]
+
+const unusualTargets = ['//', '///', '/\\', '\\', '*', 'http://[', 'http://a:99999/', '/%', '/%zz?%', '?', '/[', 'http:////', '//:0/']
+
+describe('clients that a host does not control', function () {
+  this.timeout(120_000)
+  let fleet: Fleet | undefined
+  let stopLargeAnswers: (() => void) | undefined
+
+  async function start (): Promise<{ fleet: Fleet, host: FleetHost }> {
+    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { limits: { connections: CALLER_CONNECTIONS } }, { program: PROGRAM })
+    const host = fleet.host(0)
+    await waitUntil(async () => await ordinaryStatus(fleet as Fleet, host, 'callers') === 200, 10_000, 'calls are served')
+    return { fleet, host }
+  }
+
+  afterEach(async () => {
+    stopLargeAnswers?.()
+    stopLargeAnswers = undefined
+    await fleet?.stop()
+    fleet = undefined
+  })
+
+  for (const { name, listeners: attacked, crowd: crowdOf, isAnsweredMeanwhile = false, hasLargeAnswers = false } of cases) {
+    for (const listener of attacked) {
+      it(`leave it within its memory and descriptors: ${name}, at the address for ${listener}`, async () => {
+        // Guards against a host that ends or is shut off from ordinary callers because of what other clients send.
+        const { fleet, host } = await start()
+        if (hasLargeAnswers) stopLargeAnswers = await registerLargeAnswers(fleet)
+        const crowd = new Crowd(addressOf[listener](host), crowdOf(listener))
+        let mostDescriptors = 0
+        const sampling = setInterval(() => { if (host.process.isRunning) mostDescriptors = Math.max(mostDescriptors, descriptors(host)) }, SAMPLE_INTERVAL_MS)
+        try {
+          crowd.enter()
+          await pause(CROWD_STAYS_MS)
+          if (isAnsweredMeanwhile) {
+            expect(await ordinaryStatus(fleet, host, listener)).to.equal(200)
+            expect(await ordinaryStatus(fleet, host, 'callers')).to.equal(200)
+          }
+        } finally {
+          clearInterval(sampling)
+          crowd.leave()
+        }
+        expect(host.process.isRunning, `the process lives\n${host.process.output.slice(-2000)}`).to.equal(true)
+        expect(await ordinaryStatus(fleet, host, listener)).to.equal(200)
+        expect(await ordinaryStatus(fleet, host, 'callers')).to.equal(200)
+        expect(host.process.isRunning, 'the process still lives').to.equal(true)
+        expect(peakMemoryMb(host), 'peak memory in MB').to.be.below(MACHINE_MEMORY_MB)
+        expect(mostDescriptors, 'descriptors').to.be.below(MACHINE_SOCKETS)
+      })
+    }
+  }
+
+  for (const listener of listeners) {
+    it(`do not end it with a request target that cannot be parsed, at the address for ${listener}`, async () => {
+      // Guards against an exception in a request handler, which ends the process.
+      const { fleet, host } = await start()
+      for (const target of unusualTargets) {
+        const { hostname, port } = new URL(addressOf[listener](host))
+        await new Promise<void>((resolve) => {
+          const socket = connect({ host: hostname, port: Number(port) }).on('error', () => undefined).once('close', () => { resolve() })
+          socket.resume()
+          socket.end(`GET ${target} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n`)
+        })
+        expect(host.process.isRunning, `the process lives after ${target}\n${host.process.output.slice(-2000)}`).to.equal(true)
+      }
+      expect(await ordinaryStatus(fleet, host, listener)).to.equal(200)
+      expect(await ordinaryStatus(fleet, host, 'callers')).to.equal(200)
+    })
+  }
+})
