Reject request targets that are no paths instead of ending the host

Callers saw a host end: "GET //" at the address for readiness probes or for address queries was enough, once.

Cause: DirectoryServer passed the target to "new URL" in an event handler, where the exception ends the process. EntryServer had the same call in a promise, so that it answered 500.

All listeners now use one parser that returns a result, so that no input can raise an exception there. A target that is no path gets 400.

--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -8,6 +8,7 @@
 import { createServer } from 'node:http'
 import type { Socket } from 'node:net'
 import type { Disposable } from '../../base/common/lifecycle.ts'
+import type { Result } from '../../base/common/resultCode.ts'
 import { failure, failureBody } from '../../base/common/resultCode.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import type { Identities } from '../common/identity.ts'
@@ -15,7 +16,8 @@
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
 import { listenAt } from './listenAt.ts'
-import type { Route, Router } from './router.ts'
+import { parseRequestTarget } from './requestTarget.ts'
+import type { Route, RouteMatch, Router } from './router.ts'
 
 export interface EntryServerSettings extends ExchangeOptions {
   readonly listen: string
@@ -78,12 +80,12 @@
   }
 
   private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
-    const url = new URL(request.url ?? '/', 'http://host')
-    const match = this.services.router.match(request.method ?? '', url.pathname)
+    const target = parseRequestTarget(request.url)
+    const match: Result<RouteMatch> = target.ok ? this.services.router.match(request.method ?? '', target.value.path) : target
     const route = match.ok ? match.value.route : undefined
     const admitted = this.services.identities.authorize(request.headers.authorization, route?.access ?? 'anyone')
     const identity = admitted.ok ? admitted.value : undefined
-    const exchange = new Exchange(request, response, match.ok ? match.value.parameters : {}, url.searchParams, identity, this.settings)
+    const exchange = new Exchange(request, response, match.ok ? match.value.parameters : {}, target.ok ? target.value.query : new URLSearchParams(), identity, this.settings)
     if (!match.ok) return this.reject(exchange, match)
     if (!admitted.ok) return this.reject(exchange, admitted)
     if (route?.internal !== true && this.inFlight >= this.settings.maximumRequests) {
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -8,6 +8,7 @@
 import type { Metrics } from '../../../ports/common/observation.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
 import { listenAt } from '../listenAt.ts'
+import { parseRequestTarget } from '../requestTarget.ts'
 
 export interface DirectoryServerServices {
   readonly protocol: FrontProtocol
@@ -34,10 +35,15 @@
   }
 
   private answer (request: IncomingMessage, response: ServerResponse): void {
-    const url = new URL(request.url ?? '/', 'http://host')
     const { protocol, metrics, isReady, addresses } = this.services
-    const query = protocol.directoryRequest(request.method ?? '', url.pathname, url.searchParams)
-    if (query === undefined) return sendResponse(response, 404, {}, JSON.stringify(failureBody(failure('notFound', `no route for path ${url.pathname}`))))
+    const target = parseRequestTarget(request.url)
+    if (!target.ok) {
+      metrics.count('requests.broken')
+      return sendResponse(response, 400, {}, JSON.stringify(failureBody(target)))
+    }
+    const { path, query: parameters } = target.value
+    const query = protocol.directoryRequest(request.method ?? '', path, parameters)
+    if (query === undefined) return sendResponse(response, 404, {}, JSON.stringify(failureBody(failure('notFound', `no route for path ${path}`))))
     if (query.type === 'readiness') return sendResponse(response, isReady() ? 200 : 503, {}, '')
     const addressesFound = addresses(query.place).slice(0, MAX_LISTED_HOSTS)
     metrics.count('directory.answers')
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -55,7 +55,7 @@
       route,
       requestId: parsedRequest.requestId,
       method: exchange.method,
-      path: exchange.request.url ?? '/',
+      path: exchange.target.ok ? exchange.target.value.pathAndQuery : exchange.path,
       headers: (options: Parameters<TargetProtocol['forwardHeaders']>[1]) => protocol.forwardHeaders(exchange.request.rawHeaders, options, caller),
       body: exchange.hasBody ? body : undefined,
       waitMs: Math.min(waitMs, remainingMs),
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -4,6 +4,8 @@
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, failureBody, resultCodes, success } from '../../../base/common/resultCode.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
+import type { RequestTarget } from '../requestTarget.ts'
+import { parseRequestTarget } from '../requestTarget.ts'
 
 /** Retry delay for failures that do not set one. */
 const DEFAULT_RETRY_AFTER_MS = 300
@@ -29,8 +31,7 @@
   /** Aborted when the caller disconnects before the response is complete. */
   readonly disconnectSignal: AbortSignal
   readonly method: string
-  readonly path: string
-  readonly query: URLSearchParams
+  readonly target: Result<RequestTarget>
   private isDispatched = false
 
   constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol, private readonly onFailure: (failed: Failure) => void = () => undefined) {
@@ -38,10 +39,7 @@
     this.disconnectSignal = abort.signal
     response.once('close', () => { if (!response.writableFinished) abort.abort() })
     this.method = request.method ?? 'GET'
-    const url = request.url ?? '/'
-    const queryIndex = url.indexOf('?')
-    this.path = queryIndex < 0 ? url : url.slice(0, queryIndex)
-    this.query = new URLSearchParams(queryIndex < 0 ? '' : url.slice(queryIndex + 1))
+    this.target = parseRequestTarget(request.url)
   }
 
   /** Notes that the request may run from now on. */
@@ -49,6 +47,11 @@
     this.isDispatched = true
   }
 
+  /** Path as sent, or the whole target if it cannot be parsed. */
+  get path (): string {
+    return this.target.ok ? this.target.value.path : this.request.url ?? ''
+  }
+
   get host (): string {
     return this.request.headers.host ?? ''
   }
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -139,12 +139,16 @@
   }
 
   private requestId (exchange: FrontExchange): string {
-    const parsed = this.services.protocol.request(exchange.method, exchange.path, exchange.query, exchange.headers)
+    const parsed = this.parse(exchange)
     return parsed.ok && parsed.value.type === 'routed' ? parsed.value.requestId ?? '' : ''
   }
 
+  private parse ({ method, target, headers }: FrontExchange): Result<FrontRequest> {
+    return target.ok ? this.services.protocol.request(method, target.value.path, target.value.query, headers) : target
+  }
+
   private async serve (exchange: FrontExchange): Promise<void> {
-    const parsed = this.services.protocol.request(exchange.method, exchange.path, exchange.query, exchange.headers)
+    const parsed = this.parse(exchange)
     if (!parsed.ok) return exchange.sendFailure(parsed)
     await this.services.whenLoaded(parsed.value.type === 'routed' ? 'routes' : 'steps', MAX_LOADING_WAIT_MS)
     if (this.services.operator.routes === undefined) return exchange.sendFailure(failure('stale', 'this host has not loaded a configuration yet'))
