Limit the requests that a client sends ahead, at all addresses of a host

Callers saw a host end ("Reached heap limit") when other clients sent thousands of requests on their connections and read no answers; at the address for callers 100 clients with whole calls were enough.

Cause: nothing bounded the requests of a connection. Node.js passes on all requests of one read, about 4,000 of the shortest, before the connection can be paused or closed, and keeps two objects for each until the end of the turn in which all other connections are read too. Requests without Host and with an unknown expectation reached no handler at all.

All five addresses now use LimitedServer. It counts requests where the parser passes on their heads, before any object is kept for them, and stops parsing and closes the connection above limits.pipelined_requests (4, which clients that send one request at a time never reach). Requests below the limit are served one after the other, so that a request that is dropped with its connection has not run, and no more requests run than connections are open. Handlers that throw are answered with 500 at all addresses.

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -18,6 +18,7 @@
   'claims.unknown': 'once-only calls whose outcome is unknown',
   'completions.whole': 'streams that were completed',
   'connections.opened': 'new connections to targets',
+  'connections.closed_pipelining': 'connections closed because their clients sent too many requests ahead',
   'connections.dropped': 'connections refused because there are too many',
   'directory.answers': 'answers to address queries of callers',
   'fleet.orders': 'orders of rented targets sent to the platform',
--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -5,23 +5,22 @@
  */
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
-import { createServer } from 'node:http'
-import type { Socket } from 'node:net'
 import type { Disposable } from '../../base/common/lifecycle.ts'
 import type { Result } from '../../base/common/resultCode.ts'
-import { failure, failureBody } from '../../base/common/resultCode.ts'
+import { failure } from '../../base/common/resultCode.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import type { Identities } from '../common/identity.ts'
-import { OpenResponses, abortResponse } from './openResponses.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
-import { listenAt } from './listenAt.ts'
+import type { ReceivedRequest } from './limitedServer.ts'
+import { LimitedServer } from './limitedServer.ts'
 import { parseRequestTarget } from './requestTarget.ts'
 import type { Route, RouteMatch, Router } from './router.ts'
 
 export interface EntryServerSettings extends ExchangeOptions {
   readonly listen: string
   readonly maximumConnections: number
+  readonly maximumPipelinedRequests: number
   readonly maximumRequests: number
   readonly bodyTimeoutMs: number
 }
@@ -36,24 +35,16 @@
 const KEEP_ALIVE_TIMEOUT_MS = 30_000
 
 export class EntryServer implements Disposable {
-  private readonly server
-  private readonly openResponses: OpenResponses
+  private readonly server: LimitedServer
   private inFlight = 0
   private internalInFlight = 0
 
   constructor (private readonly services: EntryServerServices, private readonly settings: EntryServerSettings) {
-    this.server = createServer({
-      requestTimeout: settings.bodyTimeoutMs,
-      headersTimeout: settings.bodyTimeoutMs,
-      connectionsCheckingInterval: Math.min(1000, settings.bodyTimeoutMs),
-      keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS
-    }, (request, response) => {
-      this.serve(request, response).catch((error: unknown) => { this.handleUnexpectedError(error, response) })
-    })
-    this.openResponses = new OpenResponses(this.server)
-    this.server.maxConnections = settings.maximumConnections
-    this.server.on('drop', () => { services.metrics.count('connections.dropped') })
-    this.server.on('clientError', (error, socket) => { this.rejectMalformedRequest(error, socket as Socket) })
+    this.server = new LimitedServer({
+      ...services,
+      malformedCounter: 'requests.broken',
+      receive: (request, response) => this.receive(request, response)
+    }, { ...settings, headTimeoutMs: settings.bodyTimeoutMs, requestTimeoutMs: settings.bodyTimeoutMs, keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS })
   }
 
   /** Number of requests from callers, trainers and operators in flight. */
@@ -62,21 +53,20 @@
   }
 
   async listen (): Promise<void> {
-    await listenAt(this.server, this.settings.listen)
+    await this.server.listen(this.settings.listen)
   }
 
   /** Stops accepting connections. Resolves when the last one has closed. */
   async close (): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.server.close(() => { resolve() })
-      this.server.closeIdleConnections()
-    })
+    await this.server.close()
   }
 
   dispose (): void {
-    this.server.close()
-    this.openResponses.abortStarted()
-    this.server.closeAllConnections()
+    this.server.dispose()
+  }
+
+  private receive (request: IncomingMessage, response: ServerResponse): ReceivedRequest {
+    return { serve: async () => { await this.serve(request, response) }, discard: () => undefined }
   }
 
   private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
@@ -111,24 +101,4 @@
     exchange.sendFailure(rejection)
     exchange.request.resume()
   }
-
-  private handleUnexpectedError (error: unknown, response: ServerResponse): void {
-    this.services.metrics.count('requests.crashed')
-    this.services.stateLog.alarm('a request handler failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
-    if (response.headersSent) abortResponse(response)
-    else response.writeHead(500, { 'content-type': 'application/json' }).end(JSON.stringify(failureBody(failure('unknownOutcome', 'internal error while processing the request'))))
-  }
-
-  /** Answers input that does not parse as HTTP with a numbered error if the socket is still writable. */
-  private rejectMalformedRequest (error: NodeJS.ErrnoException, socket: Socket): void {
-    this.services.metrics.count('requests.broken')
-    if (error.code === 'ECONNRESET' || !socket.writable) {
-      socket.destroy()
-      return
-    }
-    const timedOut = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
-    const body = JSON.stringify(failureBody(failure(timedOut ? 'tooSlow' : 'malformed', timedOut ? 'the request did not arrive in time' : 'the request is not valid HTTP')))
-    const status = timedOut ? '408 Request Timeout' : '400 Bad Request'
-    socket.end(`HTTP/1.1 ${status}\r\nconnection: close\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`)
-  }
 }
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -1,37 +1,41 @@
 /** Answers address queries from callers and readiness probes from the platform. */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
 import { MAX_LISTED_HOSTS } from '../../../core/common/routes/callerSpread.ts'
-import type { Metrics } from '../../../ports/common/observation.ts'
+import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
-import { listenAt } from '../listenAt.ts'
+import type { ServerLimits } from '../limitedServer.ts'
+import { LimitedServer } from '../limitedServer.ts'
 import { parseRequestTarget } from '../requestTarget.ts'
 
 export interface DirectoryServerServices {
   readonly protocol: FrontProtocol
   readonly metrics: Pick<Metrics, 'count' | 'gauge'>
+  readonly stateLog: Pick<StateLog, 'alarm'>
   readonly isReady: () => boolean
   /** Returns the addresses for callers of hosts that accept requests, for a query from a failure domain. */
   readonly addresses: (place: string | undefined) => readonly string[]
 }
 
 export class DirectoryServer implements Disposable {
-  private readonly server: Server
+  private readonly server: LimitedServer
 
-  constructor (private readonly services: DirectoryServerServices, private readonly validForMs: number) {
-    this.server = createServer((request, response) => { this.answer(request, response) })
+  constructor (private readonly services: DirectoryServerServices, private readonly validForMs: number, limits: ServerLimits) {
+    this.server = new LimitedServer({
+      ...services,
+      malformedCounter: 'requests.broken',
+      receive: (request, response) => ({ serve: () => { this.answer(request, response) }, discard: () => undefined })
+    }, limits)
   }
 
   async listen (address: string): Promise<void> {
-    await listenAt(this.server, address)
+    await this.server.listen(address)
   }
 
   dispose (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    this.server.dispose()
   }
 
   private answer (request: IncomingMessage, response: ServerResponse): void {
--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -11,7 +11,7 @@
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { FrontRequest, TargetProtocol } from '../../../ports/common/protocols.ts'
 import { waitForDrain } from '../backpressure.ts'
-import { abortResponse } from '../openResponses.ts'
+import { abortResponse } from '../abortResponse.ts'
 import type { FrontExchange } from './frontExchange.ts'
 
 /** A request that has been read, authenticated and matched to a route. */
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -5,12 +5,10 @@
  * the store.
  */
 
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import { createServer } from 'node:http'
-import type { Socket } from 'node:net'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
-import { failure, failureBody } from '../../../base/common/resultCode.ts'
+import { failure } from '../../../base/common/resultCode.ts'
 import { elapsedMs } from '../../../base/common/instant.ts'
 import type { CallerIdentity } from '../../../core/common/identity/workspaces.ts'
 import type { CallerLimits, Route } from '../../../core/common/routes/routeConfiguration.ts'
@@ -20,8 +18,8 @@
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { CallerAuthenticator } from '../../../actors/common/identity/callerAuthenticator.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
-import { OpenResponses } from '../openResponses.ts'
-import { listenAt } from '../listenAt.ts'
+import type { ReceivedRequest } from '../limitedServer.ts'
+import { LimitedServer } from '../limitedServer.ts'
 import { ByteBudget, FrontExchange } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
 import type { StepRoutes } from './stepRoutes.ts'
@@ -42,6 +40,7 @@
 export interface FrontServerSettings {
   readonly listen: string
   readonly maximumConnections: number
+  readonly maximumPipelinedRequests: number
   /** Largest request head that the server reads. The configuration may set a lower limit. */
   readonly maximumHeadBytes: number
   /** Largest total size of request bodies that are buffered at the same time. */
@@ -60,71 +59,64 @@
  * would be rejected during the 50 to 400 ms that loading takes.
  */
 const MAX_LOADING_WAIT_MS = 500
-const CONNECTION_CHECK_INTERVAL_MS = 1000
 /** Idle connections are closed this much later than callers stop reusing them, so that no request arrives during the close. */
 const KEEP_ALIVE_MARGIN_MS = 1000
 
 export class FrontServer implements Disposable {
-  private readonly server: Server
+  private readonly server: LimitedServer
   private readonly bodyBudget: ByteBudget
-  private readonly openResponses: OpenResponses
   private readonly openExchanges = new Set<FrontExchange>()
+  private hasFailedOpenRequests = false
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
     this.bodyBudget = new ByteBudget(settings.maximumBufferedBytes)
-    this.server = createServer({
-      headersTimeout: DEFAULT_LIMITS.headerTimeoutMs,
-      requestTimeout: REQUEST_TIMEOUT_MS,
-      connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
-      keepAliveTimeout: DEFAULT_LIMITS.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS,
-      maxHeaderSize: settings.maximumHeadBytes
-    }, (request, response) => { this.receive(request, response) })
-    this.openResponses = new OpenResponses(this.server)
-    this.server.maxConnections = settings.maximumConnections
-    this.server.on('clientError', (error, socket) => { this.rejectMalformedRequest(error, socket as Socket) })
-    services.operator.onChange(() => { this.applyLimits() })
+    this.server = new LimitedServer({
+      ...services,
+      malformedCounter: 'front.broken_requests',
+      receive: (request, response) => this.receive(request, response)
+    }, { ...settings, ...serverTimeouts(DEFAULT_LIMITS), requestTimeoutMs: REQUEST_TIMEOUT_MS })
+    services.operator.onChange(() => { this.server.setTimeouts(serverTimeouts(this.limits)) })
   }
 
   /** Number of requests in flight. */
   get requests (): number {
-    return this.openResponses.count
+    return this.server.openRequestCount
   }
 
   async listen (): Promise<void> {
-    await listenAt(this.server, this.settings.listen)
+    await this.server.listen(this.settings.listen)
   }
 
   /** Closes idle connections and stops accepting new ones. */
   closeIdle (): void {
-    this.server.close()
-    this.server.closeIdleConnections()
+    this.server.close().catch(() => undefined)
   }
 
   /** Answers the requests that have no response yet with a failure. Their work goes on until the server is disposed of. */
   failOpenRequests (): void {
+    this.hasFailedOpenRequests = true
     for (const exchange of this.openExchanges) exchange.sendStopped()
   }
 
   dispose (): void {
-    this.server.close()
-    this.openResponses.abortStarted()
-    this.server.closeAllConnections()
+    this.server.dispose()
   }
 
   private get limits (): CallerLimits {
     return this.services.operator.routes?.configuration.limits ?? DEFAULT_LIMITS
   }
 
-  private applyLimits (): void {
-    this.server.keepAliveTimeout = this.limits.idleTimeoutMs + KEEP_ALIVE_MARGIN_MS
-    this.server.headersTimeout = this.limits.headerTimeoutMs
+  private receive (request: IncomingMessage, response: ServerResponse): ReceivedRequest {
+    const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.reportRejection(exchange, failed) })
+    return { serve: () => { this.begin(exchange) }, discard: () => undefined }
   }
 
-  private receive (request: IncomingMessage, response: ServerResponse): void {
-    const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.reportRejection(exchange, failed) })
+  private begin (exchange: FrontExchange): void {
+    const { response } = exchange
     this.openExchanges.add(exchange)
     response.once('close', () => { this.openExchanges.delete(exchange) })
     if (this.settings.isStopping()) response.shouldKeepAlive = false
+    if (this.hasFailedOpenRequests) return exchange.sendStopped()
     this.serve(exchange).catch((error: unknown) => {
       this.services.stateLog.alarm('request failed', { path: exchange.path, error: String((error as Error).stack ?? error) })
       exchange.sendFailure(failure('unknownOutcome', 'internal error while processing the request'))
@@ -188,20 +180,10 @@
     if (!await operator.catchUp()) return 'unknown'
     return operator.routes?.findRoute(exchange.host, exchange.path)
   }
+}
 
-  private rejectMalformedRequest (error: Error & { code?: string }, socket: Socket): void {
-    this.services.metrics.count('front.broken_requests')
-    if (!socket.writable || error.code === 'ECONNRESET') {
-      socket.destroy()
-      return
-    }
-    const failed = error.code === 'HPE_HEADER_OVERFLOW'
-      ? failure('headTooLarge', 'the request head is too large')
-      : error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? failure('tooSlow', 'the request did not arrive in time') : failure('malformed', 'the request is not valid HTTP/1.1')
-    const status = failed.code === 'headTooLarge' ? '431 Request Header Fields Too Large' : failed.code === 'tooSlow' ? '408 Request Timeout' : '400 Bad Request'
-    const body = JSON.stringify(failureBody(failed))
-    socket.end(`HTTP/1.1 ${status}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
-  }
+function serverTimeouts ({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): { readonly headTimeoutMs: number, readonly keepAliveTimeoutMs: number } {
+  return { headTimeoutMs: headerTimeoutMs, keepAliveTimeoutMs: idleTimeoutMs + KEEP_ALIVE_MARGIN_MS }
 }
 
 /** Approximates the size of a request head: the URL, and header names and values with their separators. */
--- a/src/entry/node/front/metricsServer.ts
+++ b/src/entry/node/front/metricsServer.ts
@@ -1,36 +1,46 @@
 /** Serves metrics in the Prometheus text format. */
 
-import type { Server } from 'node:http'
-import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { PrometheusMetrics } from '../../../adapters/node/prometheusMetrics.ts'
-import { listenAt } from '../listenAt.ts'
+import type { StateLog } from '../../../ports/common/observation.ts'
+import type { ServerLimits } from '../limitedServer.ts'
+import { LimitedServer } from '../limitedServer.ts'
 
 const METRICS_PATH = '/metrics'
 
+export interface MetricsServerServices {
+  readonly metrics: PrometheusMetrics
+  readonly stateLog: Pick<StateLog, 'alarm'>
+}
+
 export class MetricsServer implements Disposable {
-  private readonly server: Server
+  private readonly server: LimitedServer
 
   /** @param refresh updates the gauges that are computed only for a scrape */
-  constructor (metrics: PrometheusMetrics, refresh: () => void) {
-    this.server = createServer((request, response) => {
-      if (request.method !== 'GET' || request.url !== METRICS_PATH) {
-        response.writeHead(404).end()
-        return
-      }
-      refresh()
-      metrics.text().then((text) => {
-        response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text) }).end(text)
-      }, () => { response.destroy() })
-    })
+  constructor (private readonly services: MetricsServerServices, private readonly refresh: () => void, limits: ServerLimits) {
+    this.server = new LimitedServer({
+      ...services,
+      malformedCounter: 'requests.broken',
+      receive: (request, response) => ({ serve: async () => { await this.answer(request, response) }, discard: () => undefined })
+    }, limits)
   }
 
   async listen (address: string): Promise<void> {
-    await listenAt(this.server, address)
+    await this.server.listen(address)
   }
 
   dispose (): void {
-    this.server.close()
-    this.server.closeAllConnections()
+    this.server.dispose()
+  }
+
+  private async answer (request: IncomingMessage, response: ServerResponse): Promise<void> {
+    if (request.method !== 'GET' || request.url !== METRICS_PATH) {
+      response.writeHead(404).end()
+      return
+    }
+    this.refresh()
+    const text = await this.services.metrics.text()
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4', 'content-length': Buffer.byteLength(text) }).end(text)
   }
 }
--- /dev/null
+++ b/src/entry/node/limitedServer.ts
@@ -0,0 +1,228 @@
+/**
+ * HTTP server that limits what its clients may occupy, whatever they send. It serves the requests of each connection one
+ * after the other. All listeners of a host use it.
+ */
+
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { createServer } from 'node:http'
+import type { Socket } from 'node:net'
+import type { Disposable } from '../../base/common/lifecycle.ts'
+import type { CounterName } from '../../base/common/metricNames.ts'
+import type { Failure } from '../../base/common/resultCode.ts'
+import { failure, failureBody } from '../../base/common/resultCode.ts'
+import type { Metrics, StateLog } from '../../ports/common/observation.ts'
+import { abortResponse } from './abortResponse.ts'
+import { listenAt } from './listenAt.ts'
+import { limitPipelining } from './pipeliningLimit.ts'
+
+export interface ServerLimits {
+  readonly maximumConnections: number
+  /** Largest request head, in bytes; by default that of Node.js. */
+  readonly maximumHeadBytes?: number
+  /** Largest number of requests of one connection whose responses are not complete. */
+  readonly maximumPipelinedRequests: number
+  /** Longest time for a request head to arrive. */
+  readonly headTimeoutMs: number
+  /** Longest time for a whole request to arrive. */
+  readonly requestTimeoutMs: number
+  /** Time after which an idle connection is closed. */
+  readonly keepAliveTimeoutMs: number
+}
+
+/** A request whose head has been received. */
+export interface ReceivedRequest {
+  /** Called once the responses to the former requests of the connection are complete. */
+  serve (): void | Promise<void>
+  /** Called instead of `serve` if the connection is closed before. */
+  discard (): void
+}
+
+export interface LimitedServerServices {
+  readonly metrics: Pick<Metrics, 'count'>
+  readonly stateLog: Pick<StateLog, 'alarm'>
+  /** Counter of input that is not HTTP, too large or too slow. */
+  readonly malformedCounter: CounterName
+  /** Called for each request as soon as its head has been received. */
+  readonly receive: (request: IncomingMessage, response: ServerResponse) => ReceivedRequest
+}
+
+/** A request in the order of its connection. */
+interface Turn {
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  readonly received: ReceivedRequest
+  isServed: boolean
+}
+
+interface Connection {
+  readonly socket: Socket
+  readonly turns: Turn[]
+  /** Requests whose heads have been parsed and whose responses are not complete. */
+  openRequests: number
+}
+
+const MAX_CHECK_INTERVAL_MS = 1000
+const MALFORMED_STATUS_LINES = { headTooLarge: '431 Request Header Fields Too Large', tooSlow: '408 Request Timeout', malformed: '400 Bad Request' } as const
+
+export class LimitedServer implements Disposable {
+  private readonly server: Server
+  private readonly connections = new Map<Socket, Connection>()
+  /** Responses to requests that are being served. */
+  private readonly openResponses = new Set<ServerResponse>()
+
+  constructor (private readonly services: LimitedServerServices, private readonly limits: ServerLimits) {
+    this.server = createServer({
+      headersTimeout: limits.headTimeoutMs,
+      requestTimeout: limits.requestTimeoutMs,
+      connectionsCheckingInterval: Math.min(MAX_CHECK_INTERVAL_MS, limits.requestTimeoutMs),
+      keepAliveTimeout: limits.keepAliveTimeoutMs,
+      // Such requests are rejected here, so that they count towards the limits.
+      requireHostHeader: false,
+      ...(limits.maximumHeadBytes === undefined ? {} : { maxHeaderSize: limits.maximumHeadBytes })
+    })
+    this.server.maxConnections = limits.maximumConnections
+    this.server.on('connection', (socket) => { this.trackConnection(socket) })
+    this.server.on('request', (request, response) => { this.enqueue(request, response, receiveSafely(services.receive, request, response)) })
+    this.server.on('checkExpectation', (request, response) => { this.enqueue(request, response, statusOnly(response, EXPECTATION_FAILED)) })
+    this.server.on('drop', () => { services.metrics.count('connections.dropped') })
+    this.server.on('clientError', (error, socket) => { this.rejectMalformedInput(error, socket as Socket) })
+  }
+
+  /** Number of requests that are being served. */
+  get openRequestCount (): number {
+    return this.openResponses.size
+  }
+
+  async listen (address: string): Promise<void> {
+    await listenAt(this.server, address)
+  }
+
+  setTimeouts ({ headTimeoutMs, keepAliveTimeoutMs }: Pick<ServerLimits, 'headTimeoutMs' | 'keepAliveTimeoutMs'>): void {
+    this.server.headersTimeout = headTimeoutMs
+    this.server.keepAliveTimeout = keepAliveTimeoutMs
+  }
+
+  /** Closes idle connections and stops accepting new ones. Resolves when the last connection has closed. */
+  async close (): Promise<void> {
+    await new Promise<void>((resolve) => {
+      this.server.close(() => { resolve() })
+      this.server.closeIdleConnections()
+    })
+  }
+
+  dispose (): void {
+    this.server.close()
+    for (const response of this.openResponses) if (response.headersSent) abortResponse(response)
+    this.server.closeAllConnections()
+  }
+
+  private trackConnection (socket: Socket): void {
+    const connection: Connection = { socket, turns: [], openRequests: 0 }
+    this.connections.set(socket, connection)
+    socket.once('close', () => {
+      this.connections.delete(socket)
+      for (const turn of connection.turns.splice(0)) if (!turn.isServed) turn.received.discard()
+    })
+    limitPipelining(socket, () => this.acceptRequest(connection))
+  }
+
+  /** Counts a request towards the limit of its connection, and closes the connection if it exceeds the limit. */
+  private acceptRequest (connection: Connection): boolean {
+    if (connection.openRequests >= this.limits.maximumPipelinedRequests) {
+      this.services.metrics.count('connections.closed_pipelining')
+      connection.socket.destroy()
+      return false
+    }
+    connection.openRequests++
+    return true
+  }
+
+  private enqueue (request: IncomingMessage, response: ServerResponse, received: ReceivedRequest): void {
+    const connection = this.connections.get(request.socket)
+    if (connection === undefined) return received.discard()
+    const turn: Turn = { request, response, received: isHostMissing(request) ? hostMissing(response, received) : received, isServed: false }
+    connection.turns.push(turn)
+    response.once('close', () => { this.endTurn(connection, turn) })
+    if (connection.turns[0] === turn) this.beginTurn(turn)
+  }
+
+  private beginTurn (turn: Turn): void {
+    turn.isServed = true
+    this.openResponses.add(turn.response)
+    const serve = async (): Promise<void> => { await turn.received.serve() }
+    serve().catch((error: unknown) => { this.handleUnexpectedError(error, turn.response) })
+  }
+
+  private endTurn (connection: Connection, turn: Turn): void {
+    connection.openRequests--
+    this.openResponses.delete(turn.response)
+    const index = connection.turns.indexOf(turn)
+    if (index >= 0) connection.turns.splice(index, 1)
+    if (!turn.isServed) turn.received.discard()
+    const next = connection.turns[0]
+    if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.beginTurn(next)
+  }
+
+  private handleUnexpectedError (error: unknown, response: ServerResponse): void {
+    this.services.metrics.count('requests.crashed')
+    this.services.stateLog.alarm('a request handler failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
+    if (response.headersSent) abortResponse(response)
+    else sendFailureBody(response, 500, failure('unknownOutcome', 'internal error while processing the request'))
+  }
+
+  /** Answers input that does not parse as HTTP with a numbered error if the socket is still writable. */
+  private rejectMalformedInput (error: NodeJS.ErrnoException, socket: Socket): void {
+    this.services.metrics.count(this.services.malformedCounter)
+    if (error.code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy()
+      return
+    }
+    const failed = malformedFailure(error)
+    const body = JSON.stringify(failureBody(failed))
+    socket.write(`HTTP/1.1 ${MALFORMED_STATUS_LINES[failed.code]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+    socket.destroySoon()
+  }
+}
+
+const BAD_REQUEST = 400
+const EXPECTATION_FAILED = 417
+
+function malformedFailure ({ code }: NodeJS.ErrnoException): Failure & { readonly code: keyof typeof MALFORMED_STATUS_LINES } {
+  if (code === 'HPE_HEADER_OVERFLOW') return { ok: false, code: 'headTooLarge', message: 'the request head is too large' }
+  if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { ok: false, code: 'tooSlow', message: 'the request did not arrive in time' }
+  return { ok: false, code: 'malformed', message: 'the request is not valid HTTP/1.1' }
+}
+
+/** Defers an exception until the request is served, where it is handled. */
+function receiveSafely (receive: LimitedServerServices['receive'], request: IncomingMessage, response: ServerResponse): ReceivedRequest {
+  try {
+    return receive(request, response)
+  } catch (error) {
+    return { serve: async () => await Promise.reject(error), discard: () => undefined }
+  }
+}
+
+function isHostMissing ({ httpVersion, headers }: IncomingMessage): boolean {
+  return httpVersion === '1.1' && headers.host === undefined
+}
+
+/** Rejects a request in place of serving it. */
+function hostMissing (response: ServerResponse, { discard }: ReceivedRequest): ReceivedRequest {
+  return {
+    serve: () => {
+      discard()
+      response.shouldKeepAlive = false
+      sendFailureBody(response, BAD_REQUEST, failure('malformed', 'the request has no host header'))
+    },
+    discard
+  }
+}
+
+function statusOnly (response: ServerResponse, status: number): ReceivedRequest {
+  return { serve: () => { response.writeHead(status, { 'content-length': 0 }).end() }, discard: () => undefined }
+}
+
+function sendFailureBody (response: ServerResponse, status: number, failed: Failure): void {
+  const body = JSON.stringify(failureBody(failed))
+  response.writeHead(status, { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body) }).end(body)
+}
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -152,6 +152,7 @@
   const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), metrics, stateLog }, {
     listen: settings.host.listen,
     maximumConnections: limits.connections,
+    maximumPipelinedRequests: limits.pipelined_requests,
     maximumRequests: limits.requests,
     bodyTimeoutMs: limits.body_timeout,
     maximumBodyBytes: limits.body_bytes,
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -12,6 +12,7 @@
 import { frontProtocol } from '../../../../platform/index.ts'
 import { CallerAddresses } from './callerAddresses.ts'
 import type { FollowedTopics } from './followedTopics.ts'
+import { queryServerLimits } from './queryServerLimits.ts'
 import type { HostContext } from './hostContext.ts'
 import type { HostSteps } from './hostSteps.ts'
 import type { OtherHosts } from './otherHosts.ts'
@@ -48,9 +49,9 @@
     whenLoaded: async (need, limitMs) => { await Promise.all((need === 'routes' ? [operator, targetTopic] : [operator, topic]).map(async (followed) => await followed.whenLoaded(limitMs))) },
     forward,
     steps: new StepRoutes(steps.submissionApi, frontProtocol)
-  }, { listen: listen.callers, maximumConnections: limits.connections, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
+  }, { listen: listen.callers, maximumConnections: limits.connections, maximumPipelinedRequests: limits.pipelined_requests, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
   const callerAddresses = createCallerAddresses(context, others, isReady)
-  const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ protocol: frontProtocol, metrics: services.metrics, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for))) as [DirectoryServer, DirectoryServer]
+  const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ ...services, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings)))) as [DirectoryServer, DirectoryServer]
   const peerServer = createPeerServer(context, others, isStopping)
   return {
     front,
@@ -71,6 +72,7 @@
   return disposables.add(new EntryServer({ ...services, router, identities: new Identities({ peers: settings.peers, callers: [], operators: [] }) }, {
     listen: settings.listen.peers,
     maximumConnections: settings.limits.connections,
+    maximumPipelinedRequests: settings.limits.pipelined_requests,
     maximumRequests: MAX_PEER_REQUESTS,
     bodyTimeoutMs: PEER_IDLE_TIMEOUT_MS,
     maximumBodyBytes: settings.store.call_bytes,
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -37,6 +37,7 @@
 import type { HostUsage } from './routed/hostUsage.ts'
 import { createHostUsage } from './routed/hostUsage.ts'
 import { probeLoad } from './routed/probeLoad.ts'
+import { queryServerLimits } from './routed/queryServerLimits.ts'
 import { StopSchedule } from './routed/stopSchedule.ts'
 import { createStoreAccess } from './routed/storeAccess.ts'
 import { SettingsReloader } from './settingsReloader.ts'
@@ -91,9 +92,9 @@
   otherHosts.membership.setProbePayload({ offset: () => topics.topic.position, load, reachesStore: () => storeAccess.reachability.isReachable, pressures: () => ({}) })
 
   if (settings.metrics?.listen !== undefined) {
-    const metricsServer = disposables.add(new MetricsServer(metrics, () => {
+    const metricsServer = disposables.add(new MetricsServer({ metrics, stateLog }, () => {
       setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, queued: queues?.waiting, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
-    }))
+    }, queryServerLimits(settings)))
     await metricsServer.listen(settings.metrics.listen)
   }
   await servers.listen()
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -6,7 +6,7 @@
 import { z } from 'zod'
 import type { Mechanism } from '../../core/common/mechanisms.ts'
 import { mechanismDescriptions, mechanismNames } from '../../core/common/mechanisms.ts'
-import { positiveInteger, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
+import { clientLimits, positiveInteger, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
 
 const hostSchema = z.strictObject({
   name: name.describe('name of this machine in logs and orders'),
@@ -55,6 +55,7 @@
 
 const limitsSchema = z.strictObject({
   connections: positiveInteger(4000, 'maximum number of open connections from callers'),
+  ...clientLimits,
   head_bytes: positiveInteger(65_536, 'maximum size of a request head, in bytes'),
   held_bytes: positiveInteger(67_108_864, 'maximum total size of request bodies buffered at the same time, in bytes'),
   valid_for: milliseconds(2000, 'how long callers may cache an address answer'),
--- a/src/settings/common/schemas.ts
+++ b/src/settings/common/schemas.ts
@@ -9,6 +9,11 @@
 export const name = z.string().regex(/^[\w.:-]{1,100}$/, 'must be 1 to 100 letters, digits or . : _ -')
 export const key = z.string().min(8, 'must have at least 8 characters').max(200)
 
+/** Limits of clients that apply at all addresses of a host. */
+export const clientLimits = {
+  pipelined_requests: positiveInteger(4, 'maximum number of requests that a client may send on one connection before it has received their answers; a connection with more is closed')
+}
+
 export const membershipSchema = z.strictObject({
   seeds: z.array(origin).default([]).describe('addresses of hosts through which to join the membership, in addition to the host list'),
   probe_period: milliseconds(500, 'interval between probes'),
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -5,7 +5,7 @@
  */
 
 import { z } from 'zod'
-import { positiveInteger, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
+import { clientLimits, positiveInteger, endpoint, key, membershipSchema, milliseconds, name, origin } from './schemas.ts'
 
 const hostSchema = z.strictObject({
   name: name.describe('name of this host in answers and logs'),
@@ -34,6 +34,7 @@
   body_bytes: positiveInteger(1_048_576, 'maximum size of a request body, in bytes'),
   answer_bytes: positiveInteger(67_108_864, 'maximum size of an answer from a target, in bytes'),
   connections: positiveInteger(2000, 'maximum number of open connections'),
+  ...clientLimits,
   requests: positiveInteger(1000, 'maximum number of requests in flight'),
   body_timeout: milliseconds(10_000, 'time limit for a request to arrive completely'),
   valid_for: milliseconds(5000, 'how long callers may cache an address answer'),
--- /dev/null
+++ b/test/entry/limitedServer.test.ts
@@ -0,0 +1,129 @@
+/** Limits of a server on what its clients may occupy, whatever they send. */
+
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { connect } from 'node:net'
+import { expect } from 'chai'
+import type { ReceivedRequest } from '../../src/entry/node/limitedServer.ts'
+import { LimitedServer } from '../../src/entry/node/limitedServer.ts'
+import { freePorts, waitUntil } from '../support/hostProcess.ts'
+
+const MAX_PIPELINED_REQUESTS = 3
+
+describe('a server with limits', () => {
+  const counts: Record<string, number> = {}
+  /** Paths of requests, in the order of the calls. */
+  const received: string[] = []
+  const served: string[] = []
+  const discarded: string[] = []
+  const responses = new Map<string, ServerResponse>()
+  const sockets: Socket[] = []
+  let server: LimitedServer
+  let port = 0
+
+  function receive ({ url = '' }: IncomingMessage, response: ServerResponse): ReceivedRequest {
+    received.push(url)
+    return {
+      serve: () => {
+        served.push(url)
+        responses.set(url, response)
+        if (url === '/throws') throw new Error('thrown by the test')
+        if (url.startsWith('/quick')) response.end('quick')
+      },
+      discard: () => { discarded.push(url) }
+    }
+  }
+
+  beforeEach(async () => {
+    for (const list of [received, served, discarded]) list.length = 0
+    for (const name of Object.keys(counts)) counts[name] = 0
+    responses.clear()
+    server = new LimitedServer({
+      metrics: { count: (name) => { counts[name] = (counts[name] ?? 0) + 1 } },
+      stateLog: { alarm: () => undefined },
+      malformedCounter: 'requests.broken',
+      receive
+    }, { maximumConnections: 10, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000 })
+    port = (await freePorts(1))[0] ?? 0
+    await server.listen(`127.0.0.1:${port}`)
+  })
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy()
+    server.dispose()
+  })
+
+  function open (): { socket: Socket, text: () => string, closed: Promise<void> } {
+    let text = ''
+    const socket = connect({ host: '127.0.0.1', port }).on('error', () => undefined).on('data', (data) => { text += data.toString() })
+    const closed = new Promise<void>((resolve) => { socket.once('close', () => { resolve() }) })
+    sockets.push(socket)
+    return { socket, text: () => text, closed }
+  }
+
+  const get = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a\r\n\r\n`
+  const statuses = (text: string): string[] => [...text.matchAll(/HTTP\/1\.1 (\d+)/g)].map(([, status]) => status ?? '')
+
+  it('serves the requests of a connection one after the other', async () => {
+    // Guards against requests that run at the same time although their client can receive only one response.
+    const { socket, text } = open()
+    socket.write(get('/first') + get('/quick-second') + get('/third'))
+    await waitUntil(() => received.length === 3, 2000, 'three requests are received')
+    expect(served).to.deep.equal(['/first'])
+    expect(server.openRequestCount).to.equal(1)
+    responses.get('/first')?.end('first')
+    await waitUntil(() => served.length === 3, 2000, 'all requests are served')
+    responses.get('/third')?.end('third')
+    await waitUntil(() => statuses(text()).length === 3, 2000, 'all responses arrive')
+    expect(server.openRequestCount).to.equal(0)
+  })
+
+  it('closes a connection with too many requests, and serves none that has not been begun', async () => {
+    // Guards against unbounded memory for requests sent ahead, and against a dropped request that runs all the same.
+    const { socket, closed } = open()
+    socket.write(Array.from({ length: 2000 }, (_, index) => get(`/${index}`)).join(''))
+    await closed
+    await waitUntil(() => discarded.length === MAX_PIPELINED_REQUESTS - 1, 2000, 'waiting requests are discarded')
+    expect(received).to.deep.equal(['/0', '/1', '/2'])
+    expect(served).to.deep.equal(['/0'])
+    expect(discarded).to.deep.equal(['/1', '/2'])
+    expect(counts['connections.closed_pipelining']).to.equal(1)
+    expect(server.openRequestCount).to.equal(0)
+  })
+
+  for (const [name, message] of [
+    ['without a host', 'GET / HTTP/1.1\r\n\r\n'],
+    ['with an unknown expectation', 'GET / HTTP/1.1\r\nhost: a\r\nexpect: b\r\n\r\n'],
+    ['that expect to be told to continue', 'GET / HTTP/1.1\r\nhost: a\r\nexpect: 100-continue\r\n\r\n'],
+    ['that ask for another protocol', 'GET / HTTP/1.1\r\nhost: a\r\nconnection: upgrade\r\nupgrade: b\r\n\r\n'],
+    ['of HTTP/1.0', 'GET / HTTP/1.0\r\nconnection: keep-alive\r\n\r\n']
+  ] as const) {
+    it(`limits requests ${name}`, async () => {
+      // Guards against requests that the limit does not count because Node.js responds to them.
+      const { socket, closed } = open()
+      socket.write(message.repeat(2000))
+      await closed
+      expect(received.length).to.be.at.most(MAX_PIPELINED_REQUESTS)
+    })
+  }
+
+  it('rejects a request without a host and one with an unknown expectation', async () => {
+    const [hostless, expectant] = [open(), open()]
+    hostless.socket.write('GET /quick HTTP/1.1\r\n\r\n')
+    expectant.socket.write('GET /quick HTTP/1.1\r\nhost: a\r\nexpect: b\r\n\r\n')
+    await hostless.closed
+    await waitUntil(() => statuses(expectant.text()).length === 1, 2000, 'the second response arrives')
+    expect(statuses(hostless.text())).to.deep.equal(['400'])
+    expect(statuses(expectant.text())).to.deep.equal(['417'])
+    expect(served).to.deep.equal([])
+  })
+
+  it('answers a request whose handler throws, and goes on', async () => {
+    // Guards against an exception that ends the process.
+    const { socket, text } = open()
+    socket.write(get('/throws') + get('/quick'))
+    await waitUntil(() => statuses(text()).length === 2, 2000, 'both responses arrive')
+    expect(statuses(text())).to.deep.equal(['500', '200'])
+    expect(counts['requests.crashed']).to.equal(1)
+  })
+})
--- a/test/host/callerAddresses.test.ts
+++ b/test/host/callerAddresses.test.ts
@@ -174,12 +174,13 @@
     const server = new DirectoryServer({
       protocol: frontProtocol,
       metrics: { count: (name) => { values[name] = (values[name] ?? 0) + 1 }, gauge: (name, value) => { values[name] = value } },
+      stateLog: { alarm: () => undefined },
       isReady: () => true,
       addresses: (place) => {
         places.push(place)
         return Array.from({ length: known }, (_, index) => `10.0.0.${index}:8000`)
       }
-    }, 2000)
+    }, 2000, { maximumConnections: 10, maximumPipelinedRequests: 2, headTimeoutMs: 1000, requestTimeoutMs: 1000, keepAliveTimeoutMs: 1000 })
     try {
       await server.listen(`127.0.0.1:${port}`)
       const query = async (path: string): Promise<{ status: number, body: unknown }> => {
