Count the memory of request bodies, and read them from their heads on

Callers saw a host end ("Ineffective mark-compacts near heap limit") when 400 clients sent bodies in chunks of one byte, or be silent for 24 s; in large chunks such bodies took 844 MB at the address for other hosts.

Cause: the limit on buffered bodies counted the bytes of the chunks, not the objects that hold them, and did not exist at the address for other hosts. Chunks in the same read as the head were queued before anything could read or refuse them. The parser takes 2 us for each chunk, also a discarded one.

All listeners now read bodies into blocks of 4 KB that are counted and used again. Bodies in very small chunks close their connection, and the parser stops calling for them. When the memory is used up, bodies that have stopped arriving are given up with 408, as they have not run.

--- /dev/null
+++ b/src/core/common/overload/activityOrder.ts
@@ -0,0 +1,38 @@
+/**
+ * Decides which of the clients that occupy a limited resource gives it up: the one that has made no progress for the
+ * longest time, if it has made none for a minimum time. Clients that make progress keep what they have, however slow they are, since
+ * other limits bound the total time of a request.
+ */
+
+export class ActivityOrder<Item> {
+  /** The items, the one that was active last at the end. */
+  private readonly activities = new Map<Item, { readonly progress: number, readonly since: number }>()
+
+  /** @param progressOf returns a number that changes whenever the item makes progress */
+  constructor (private readonly progressOf: (item: Item) => number) {}
+
+  get size (): number {
+    return this.activities.size
+  }
+
+  /** Adds an item, or notes that it has been active. */
+  touch (item: Item, now: number): void {
+    this.activities.delete(item)
+    this.activities.set(item, { progress: this.progressOf(item), since: now })
+  }
+
+  delete (item: Item): void {
+    this.activities.delete(item)
+  }
+
+  /** Returns the item that has made no progress for the longest time, at least for a minimum; `undefined` if there is none. */
+  leastActive (now: number, minimumMs: number): Item | undefined {
+    // An item whose progress is noticed here moves to the end, where its time is too recent for a second visit.
+    for (const [item, { progress, since }] of this.activities) {
+      if (now - since < minimumMs) return undefined
+      if (progress === this.progressOf(item)) return item
+      this.touch(item, now)
+    }
+    return undefined
+  }
+}
--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -8,12 +8,14 @@
 import type { Disposable } from '../../base/common/lifecycle.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure } from '../../base/common/resultCode.ts'
+import type { Clock } from '../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import type { Identities } from '../common/identity.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
 import type { ReceivedRequest } from './limitedServer.ts'
 import { LimitedServer } from './limitedServer.ts'
+import { RequestBodies } from './requestBody.ts'
 import { parseRequestTarget } from './requestTarget.ts'
 import type { Route, RouteMatch, Router } from './router.ts'
 
@@ -23,11 +25,15 @@
   readonly maximumPipelinedRequests: number
   readonly maximumRequests: number
   readonly bodyTimeoutMs: number
+  readonly maximumBodyBytes: number
+  /** Largest total size of request bodies that are buffered at the same time. */
+  readonly maximumBufferedBytes: number
 }
 
 export interface EntryServerServices {
   readonly router: Router
   readonly identities: Identities
+  readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: Metrics
   readonly stateLog: StateLog
 }
@@ -36,10 +42,12 @@
 
 export class EntryServer implements Disposable {
   private readonly server: LimitedServer
+  private readonly bodies: RequestBodies
   private inFlight = 0
   private internalInFlight = 0
 
   constructor (private readonly services: EntryServerServices, private readonly settings: EntryServerSettings) {
+    this.bodies = new RequestBodies(services, settings.maximumBufferedBytes)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
@@ -66,22 +74,25 @@
   }
 
   private receive (request: IncomingMessage, response: ServerResponse): ReceivedRequest {
-    return { serve: async () => { await this.serve(request, response) }, discard: () => undefined }
-  }
-
-  private async serve (request: IncomingMessage, response: ServerResponse): Promise<void> {
     const target = parseRequestTarget(request.url)
     const match: Result<RouteMatch> = target.ok ? this.services.router.match(request.method ?? '', target.value.path) : target
     const route = match.ok ? match.value.route : undefined
     const admitted = this.services.identities.authorize(request.headers.authorization, route?.access ?? 'anyone')
-    const identity = admitted.ok ? admitted.value : undefined
-    const exchange = new Exchange(request, response, match.ok ? match.value.parameters : {}, target.ok ? target.value.query : new URLSearchParams(), identity, this.settings)
+    const isRejected = !match.ok || !admitted.ok
+    const body = isRejected ? undefined : this.bodies.read(request, route?.maximumBodyBytes ?? this.settings.maximumBodyBytes)
+    if (isRejected) this.bodies.discard(request)
+    const exchange = new Exchange(request, response, match.ok ? match.value.parameters : {}, target.ok ? target.value.query : new URLSearchParams(), admitted.ok ? admitted.value : undefined, body, this.settings)
+    return { serve: async () => { await this.serve(exchange, match, admitted) }, discard: () => { body?.release() } }
+  }
+
+  private async serve (exchange: Exchange, match: Result<RouteMatch>, admitted: Result<unknown>): Promise<void> {
     if (!match.ok) return this.reject(exchange, match)
     if (!admitted.ok) return this.reject(exchange, admitted)
-    if (route?.internal !== true && this.inFlight >= this.settings.maximumRequests) {
+    const { route } = match.value
+    if (route.internal !== true && this.inFlight >= this.settings.maximumRequests) {
       return this.reject(exchange, failure('tooManyConnections', `this host has ${this.inFlight} requests in flight, with a limit of ${this.settings.maximumRequests}`))
     }
-    await this.handleCounted(match.value.route, exchange)
+    await this.handleCounted(route, exchange)
   }
 
   private async handleCounted (route: Route, exchange: Exchange): Promise<void> {
@@ -99,6 +110,5 @@
   private reject (exchange: Exchange, rejection: ReturnType<typeof failure>): void {
     this.services.metrics.count(`refused.${rejection.code}`)
     exchange.sendFailure(rejection)
-    exchange.request.resume()
   }
 }
--- a/src/entry/node/exchange.ts
+++ b/src/entry/node/exchange.ts
@@ -7,12 +7,12 @@
 import { jitterRetryAfter } from '../../core/common/requests/retryPolicy.ts'
 import type { RandomSource } from '../../ports/common/clock.ts'
 import type { Identity } from '../common/identity.ts'
+import type { RequestBody } from './requestBody.ts'
 
 /** Retry delay for rejections that do not set one. */
 const DEFAULT_RETRY_AFTER_MS = 500
 
 export interface ExchangeOptions {
-  readonly maximumBodyBytes: number
   readonly chance: RandomSource
   /** Addresses of other hosts to try, included in rejections. */
   readonly alternatives: () => string[]
@@ -30,11 +30,15 @@
     readonly parameters: Readonly<Record<string, string>>,
     readonly query: URLSearchParams,
     readonly identity: Identity | undefined,
+    private readonly body: RequestBody | undefined,
     private readonly options: ExchangeOptions
   ) {
     const abort = new AbortController()
     this.disconnectSignal = abort.signal
-    response.once('close', () => { if (!response.writableFinished) abort.abort() })
+    response.once('close', () => {
+      body?.release()
+      if (!response.writableFinished) abort.abort()
+    })
   }
 
   header (name: string): string | undefined {
@@ -47,22 +51,13 @@
     return this.identity === undefined || this.identity.type === 'peer' ? '' : this.identity.name
   }
 
-  /** Reads the body, up to a limit. */
-  async readText (maximumBytes: number = this.options.maximumBodyBytes): Promise<Result<string>> {
-    const declared = Number(this.header('content-length') ?? 0)
-    if (declared > maximumBytes) return this.bodyTooLarge(maximumBytes)
-    const chunks: Buffer[] = []
-    let size = 0
-    try {
-      for await (const chunk of this.request as AsyncIterable<Buffer>) {
-        size += chunk.length
-        if (size > maximumBytes) return this.bodyTooLarge(maximumBytes)
-        chunks.push(chunk)
-      }
-    } catch {
-      return failure('tooSlow', 'the request body did not arrive completely')
-    }
-    return success(Buffer.concat(chunks).toString('utf8'))
+  /** Resolves with the whole body. */
+  async readText (): Promise<Result<string>> {
+    const body = await this.body?.read() ?? success(new Uint8Array())
+    if (body.ok) return success(Buffer.from(body.value.buffer, body.value.byteOffset, body.value.byteLength).toString('utf8'))
+    // The rest of such a body is not read or does not arrive.
+    if (body.code === 'tooLarge' || body.code === 'tooSlow') this.response.setHeader('connection', 'close')
+    return body
   }
 
   /** Reads a JSON body and validates it against a schema. */
@@ -110,10 +105,4 @@
   connectionHeader (): Record<string, string> {
     return this.options.leaving() ? { connection: 'close' } : {}
   }
-
-  /** Closes the connection after the response, as the rest of an oversized body is not read. */
-  private bodyTooLarge (maximumBytes: number): Failure {
-    this.response.setHeader('connection', 'close')
-    return failure('tooLarge', `the request body exceeds the limit of ${maximumBytes} bytes`)
-  }
 }
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -4,13 +4,16 @@
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import { failure, failureBody } from '../../../base/common/resultCode.ts'
 import { MAX_LISTED_HOSTS } from '../../../core/common/routes/callerSpread.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
 import type { ServerLimits } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
+import { RequestBodies } from '../requestBody.ts'
 import { parseRequestTarget } from '../requestTarget.ts'
 
 export interface DirectoryServerServices {
+  readonly clock: Pick<Clock, 'monotonic'>
   readonly protocol: FrontProtocol
   readonly metrics: Pick<Metrics, 'count' | 'gauge'>
   readonly stateLog: Pick<StateLog, 'alarm'>
@@ -23,10 +26,14 @@
   private readonly server: LimitedServer
 
   constructor (private readonly services: DirectoryServerServices, private readonly validForMs: number, limits: ServerLimits) {
+    const bodies = new RequestBodies(services, 0)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
-      receive: (request, response) => ({ serve: () => { this.answer(request, response) }, discard: () => undefined })
+      receive: (request, response) => {
+        bodies.discard(request)
+        return { serve: () => { this.answer(request, response) }, discard: () => undefined }
+      }
     }, limits)
   }
 
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -4,29 +4,13 @@
 import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, failureBody, resultCodes, success } from '../../../base/common/resultCode.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
+import type { RequestBody } from '../requestBody.ts'
 import type { RequestTarget } from '../requestTarget.ts'
 import { parseRequestTarget } from '../requestTarget.ts'
 
 /** Retry delay for failures that do not set one. */
 const DEFAULT_RETRY_AFTER_MS = 300
 
-/** Limits the total size of request bodies in memory, as many large bodies at once could exhaust it. */
-export class ByteBudget {
-  private held = 0
-
-  constructor (private readonly maximumBytes: number) {}
-
-  /** Adds bytes to the total and returns whether it is within the limit. The bytes count until they are freed. */
-  reserve (bytes: number): boolean {
-    this.held += bytes
-    return this.held <= this.maximumBytes
-  }
-
-  free (bytes: number): void {
-    this.held -= bytes
-  }
-}
-
 export class FrontExchange {
   /** Aborted when the caller disconnects before the response is complete. */
   readonly disconnectSignal: AbortSignal
@@ -34,12 +18,13 @@
   readonly target: Result<RequestTarget>
   private isDispatched = false
 
-  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol, private readonly onFailure: (failed: Failure) => void = () => undefined) {
+  constructor (readonly request: IncomingMessage, readonly response: ServerResponse, private readonly protocol: FrontProtocol, private readonly body: RequestBody | undefined, private readonly onFailure: (failed: Failure) => void = () => undefined) {
     const abort = new AbortController()
     this.disconnectSignal = abort.signal
     response.once('close', () => { if (!response.writableFinished) abort.abort() })
     this.method = request.method ?? 'GET'
     this.target = parseRequestTarget(request.url)
+    response.once('close', () => { body?.release() })
   }
 
   /** Notes that the request may run from now on. */
@@ -61,27 +46,20 @@
   }
 
   get hasBody (): boolean {
-    return this.request.headers['transfer-encoding'] !== undefined || Number(this.request.headers['content-length'] ?? 0) > 0
+    return hasBody(this.request)
   }
 
-  /** Reads the whole body, up to a limit. Its bytes count towards the budget until the response closes. */
-  async readBody (maximumBytes: number, budget: ByteBudget): Promise<Result<Uint8Array>> {
-    if (Number(this.request.headers['content-length'] ?? 0) > maximumBytes) return bodyTooLarge(maximumBytes)
-    const chunks: Buffer[] = []
-    let size = 0
-    this.response.once('close', () => { budget.free(size) })
-    try {
-      for await (const chunk of this.request as AsyncIterable<Buffer>) {
-        size += chunk.length
-        const fits = budget.reserve(chunk.length)
-        if (size > maximumBytes) return bodyTooLarge(maximumBytes)
-        if (!fits) return failure('overloaded', 'the limit of this host on buffered request bodies is reached')
-        chunks.push(chunk)
-      }
-    } catch (error) {
-      return failure('tooSlow', `the request body did not arrive completely: ${String(error)}`)
-    }
-    return success(chunks.length === 1 && chunks[0] !== undefined ? chunks[0] : Buffer.concat(chunks))
+  /** Resolves with the whole body. Its memory is released when the response closes. */
+  async readBody (): Promise<Result<Uint8Array>> {
+    const body = await this.body?.read() ?? success(new Uint8Array())
+    // The rest of such a body is not going to arrive.
+    if (!body.ok && body.code === 'tooSlow') this.response.shouldKeepAlive = false
+    return body
+  }
+
+  /** Releases what a request occupies that is not going to be served. */
+  discard (): void {
+    this.body?.release()
   }
 
   send (status: number, headers: Record<string, string | string[]>, body: Uint8Array | string): void {
@@ -116,6 +94,6 @@
   }
 }
 
-function bodyTooLarge (maximumBytes: number): Failure {
-  return failure('tooLarge', `the request body exceeds the limit of ${maximumBytes} bytes`)
+export function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
 }
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -20,7 +20,8 @@
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
 import type { ReceivedRequest } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
-import { ByteBudget, FrontExchange } from './frontExchange.ts'
+import { RequestBodies } from '../requestBody.ts'
+import { FrontExchange, hasBody } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
 import type { StepRoutes } from './stepRoutes.ts'
 
@@ -64,12 +65,12 @@
 
 export class FrontServer implements Disposable {
   private readonly server: LimitedServer
-  private readonly bodyBudget: ByteBudget
+  private readonly bodies: RequestBodies
   private readonly openExchanges = new Set<FrontExchange>()
   private hasFailedOpenRequests = false
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
-    this.bodyBudget = new ByteBudget(settings.maximumBufferedBytes)
+    this.bodies = new RequestBodies(services, settings.maximumBufferedBytes)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'front.broken_requests',
@@ -107,8 +108,9 @@
   }
 
   private receive (request: IncomingMessage, response: ServerResponse): ReceivedRequest {
-    const exchange = new FrontExchange(request, response, this.services.protocol, (failed) => { this.reportRejection(exchange, failed) })
-    return { serve: () => { this.begin(exchange) }, discard: () => undefined }
+    const body = hasBody(request) ? this.bodies.read(request, this.limits.bodyBytes) : undefined
+    const exchange = new FrontExchange(request, response, this.services.protocol, body, (failed) => { this.reportRejection(exchange, failed) })
+    return { serve: () => { this.begin(exchange) }, discard: () => { exchange.discard() } }
   }
 
   private begin (exchange: FrontExchange): void {
@@ -157,7 +159,7 @@
     if (route === undefined) return exchange.sendFailure(failure('notFound', `no route for host ${exchange.host} and path ${exchange.path}`))
     const caller = await this.admit(exchange, route.isPublic)
     if (!caller.ok) return exchange.sendFailure(caller)
-    const body = await exchange.readBody(this.limits.bodyBytes, this.bodyBudget)
+    const body = await exchange.readBody()
     if (!body.ok) return exchange.sendFailure(body)
     const request = { parsedRequest, route, configuration: this.services.operator.routes?.version ?? 0, caller: caller.value, body: body.value, checkAccess: (current: Route) => this.recheck(exchange, current, caller.value) }
     if (route.kind === 'steps') return await this.services.steps.submit(exchange, request)
--- a/src/entry/node/front/metricsServer.ts
+++ b/src/entry/node/front/metricsServer.ts
@@ -3,13 +3,16 @@
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
 import type { PrometheusMetrics } from '../../../adapters/node/prometheusMetrics.ts'
+import type { Clock } from '../../../ports/common/clock.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
 import type { ServerLimits } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
+import { RequestBodies } from '../requestBody.ts'
 
 const METRICS_PATH = '/metrics'
 
 export interface MetricsServerServices {
+  readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: PrometheusMetrics
   readonly stateLog: Pick<StateLog, 'alarm'>
 }
@@ -19,10 +22,14 @@
 
   /** @param refresh updates the gauges that are computed only for a scrape */
   constructor (private readonly services: MetricsServerServices, private readonly refresh: () => void, limits: ServerLimits) {
+    const bodies = new RequestBodies(services, 0)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
-      receive: (request, response) => ({ serve: async () => { await this.answer(request, response) }, discard: () => undefined })
+      receive: (request, response) => {
+        bodies.discard(request)
+        return { serve: async () => { await this.answer(request, response) }, discard: () => undefined }
+      }
     }, limits)
   }
 
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -13,7 +13,7 @@
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import { abortResponse } from './abortResponse.ts'
 import { listenAt } from './listenAt.ts'
-import { limitPipelining } from './pipeliningLimit.ts'
+import { limitRequests } from './requestParser.ts'
 
 export interface ServerLimits {
   readonly maximumConnections: number
@@ -123,7 +123,7 @@
       this.connections.delete(socket)
       for (const turn of connection.turns.splice(0)) if (!turn.isServed) turn.received.discard()
     })
-    limitPipelining(socket, () => this.acceptRequest(connection))
+    limitRequests(socket, () => this.acceptRequest(connection))
   }
 
   /** Counts a request towards the limit of its connection, and closes the connection if it exceeds the limit. */
--- /dev/null
+++ b/src/entry/node/requestBody.ts
@@ -0,0 +1,191 @@
+/** Reading of request bodies into memory, with limits on each body and on all of them together. */
+
+import type { IncomingMessage } from 'node:http'
+import type { Result } from '../../base/common/resultCode.ts'
+import { failure, success } from '../../base/common/resultCode.ts'
+import { ActivityOrder } from '../../core/common/overload/activityOrder.ts'
+import type { Clock } from '../../ports/common/clock.ts'
+import type { Metrics } from '../../ports/common/observation.ts'
+import { stopParsing } from './requestParser.ts'
+
+/** Size of the parts in which memory is reserved. */
+const BLOCK_BYTES = 4096
+/** Number of unused blocks that are kept while no body is arriving. */
+const MAX_IDLE_BLOCKS = 256
+/** Number of chunks up to which their size does not matter. */
+const MAX_SMALL_CHUNKS = 1024
+/** Smallest average size of the chunks of a body with more chunks. */
+const MIN_CHUNK_BYTES = 16
+/** Time without data after which an incomplete body is given up if its memory is needed. */
+const STALLED_MS = 1000
+
+const EMPTY = new Uint8Array()
+const NOT_NEEDED = failure('cancelled', 'the request body is not needed')
+
+export interface RequestBodiesServices {
+  readonly clock: Pick<Clock, 'monotonic'>
+  readonly metrics: Pick<Metrics, 'count'>
+}
+
+/**
+ * The bodies of all requests of a server. It limits their memory, and gives up bodies that have stopped arriving when
+ * others need it. Blocks are used again instead of left to the garbage collector, which frees them too late for the limit to hold.
+ */
+export class RequestBodies {
+  private heldBytes = 0
+  private readonly unusedBlocks: Buffer[] = []
+  private readonly arriving = new ActivityOrder<RequestBody>((body) => body.receivedBytes)
+
+  /** @param maximumBytes limit on the memory of all bodies */
+  constructor (private readonly services: RequestBodiesServices, private readonly maximumBytes: number) {}
+
+  /** Starts to read the body of a request whose head has just been received. */
+  read (request: IncomingMessage, maximumBytes: number): RequestBody {
+    return new RequestBody(request, this, maximumBytes)
+  }
+
+  /** Discards the body of a request as it arrives. */
+  discard (request: IncomingMessage): void {
+    this.read(request, 0).release()
+  }
+
+  /** Notes that an incomplete body has received data. */
+  noteArrival (body: RequestBody): void {
+    this.arriving.touch(body, this.services.clock.monotonic())
+  }
+
+  noteEnd (body: RequestBody): void {
+    this.arriving.delete(body)
+    if (this.arriving.size === 0) this.unusedBlocks.length = Math.min(this.unusedBlocks.length, MAX_IDLE_BLOCKS)
+  }
+
+  countSmallChunks (): void {
+    this.services.metrics.count('connections.closed_small_chunks')
+  }
+
+  /** Returns a block, or `undefined` if the limit does not allow it. */
+  takeBlock (): Buffer | undefined {
+    if (!this.reserve(BLOCK_BYTES)) return undefined
+    return this.unusedBlocks.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES)
+  }
+
+  returnBlocks (blocks: readonly Buffer[]): void {
+    for (const block of blocks) this.unusedBlocks.push(block)
+    this.free(blocks.length * BLOCK_BYTES)
+  }
+
+  /** Reserves memory until it is freed. Returns false if the limit does not allow it. */
+  reserve (bytes: number): boolean {
+    while (this.heldBytes + bytes > this.maximumBytes) {
+      const stalled = this.arriving.leastActive(this.services.clock.monotonic(), STALLED_MS)
+      if (stalled === undefined) return false
+      stalled.giveUp()
+    }
+    this.heldBytes += bytes
+    return true
+  }
+
+  free (bytes: number): void {
+    this.heldBytes -= bytes
+  }
+}
+
+/**
+ * The body of one request. It is read from the moment the head has been received, as the chunks that arrive together
+ * with the head would otherwise wait as one object each, which takes about a hundred times the memory of a small chunk.
+ */
+export class RequestBody {
+  receivedBytes = 0
+  private chunks = 0
+  private blocks: Buffer[] = []
+  /** Memory reserved for the whole body. */
+  private wholeBytes = 0
+  private outcome: Result<Uint8Array> | undefined
+  private onOutcome: ((outcome: Result<Uint8Array>) => void) | undefined
+
+  constructor (private readonly request: IncomingMessage, private readonly bodies: RequestBodies, private readonly maximumBytes: number) {
+    request.on('data', (chunk: Buffer) => { this.append(chunk) })
+    request.once('end', () => { this.complete() })
+    request.once('close', () => { this.settle(failure('tooSlow', 'the connection was closed before the request body was complete')) })
+    request.on('error', (error) => { this.settle(failure('tooSlow', `the request body did not arrive completely: ${error.message}`)) })
+    if (Number(request.headers['content-length'] ?? 0) > maximumBytes) this.rejectTooLarge()
+    else bodies.noteArrival(this)
+    // Without it, the data of the first read would be queued instead of passed on as it is parsed.
+    request.read(0)
+  }
+
+  /** Resolves with the whole body, or with the limit that it has exceeded. */
+  async read (): Promise<Result<Uint8Array>> {
+    return this.outcome ?? await new Promise((resolve) => { this.onOutcome = resolve })
+  }
+
+  /** Fails if the body is incomplete, because it has stopped arriving and its memory is needed. */
+  giveUp (): void {
+    this.settle(failure('tooSlow', 'the request body stopped arriving'))
+  }
+
+  /** Releases the memory. Data that still arrives is discarded. */
+  release (): void {
+    this.settle(NOT_NEEDED)
+    this.outcome = NOT_NEEDED
+    this.bodies.free(this.wholeBytes)
+    this.wholeBytes = 0
+  }
+
+  private append (chunk: Buffer): void {
+    this.chunks++
+    const size = this.receivedBytes + chunk.length
+    this.receivedBytes = size
+    if (this.chunks > MAX_SMALL_CHUNKS && size < this.chunks * MIN_CHUNK_BYTES) return this.rejectSmallChunks()
+    if (this.outcome !== undefined) return
+    if (size > this.maximumBytes) return this.rejectTooLarge()
+    if (!this.store(chunk, size - chunk.length)) return this.rejectOverloaded()
+    this.bodies.noteArrival(this)
+  }
+
+  /** Copies a chunk to the end of the blocks. Returns false if there is no memory for it. */
+  private store (chunk: Buffer, offset: number): boolean {
+    for (let copied = 0; copied < chunk.length;) {
+      const index = Math.floor((offset + copied) / BLOCK_BYTES)
+      const block = this.blocks[index] ?? this.bodies.takeBlock()
+      if (block === undefined) return false
+      this.blocks[index] = block
+      copied += chunk.copy(block, (offset + copied) % BLOCK_BYTES, copied)
+    }
+    return true
+  }
+
+  private complete (): void {
+    if (this.outcome !== undefined) return
+    if (this.receivedBytes === 0) return this.settle(success(EMPTY))
+    if (!this.bodies.reserve(this.receivedBytes)) return this.rejectOverloaded()
+    this.wholeBytes = this.receivedBytes
+    this.settle(success(Buffer.concat(this.blocks, this.receivedBytes)))
+  }
+
+  private settle (outcome: Result<Uint8Array>): void {
+    if (this.outcome !== undefined) return
+    this.outcome = outcome
+    this.bodies.returnBlocks(this.blocks)
+    this.blocks = []
+    this.bodies.noteEnd(this)
+    this.onOutcome?.(outcome)
+  }
+
+  private rejectTooLarge (): void {
+    this.settle(failure('tooLarge', `the request body exceeds the limit of ${this.maximumBytes} bytes`))
+  }
+
+  private rejectOverloaded (): void {
+    this.settle(failure('overloaded', 'the limit of this host on buffered request bodies is reached'))
+  }
+
+  /** Closes the connection, as parsing the rest would take much more processor time than its size suggests. */
+  private rejectSmallChunks (): void {
+    this.settle(failure('malformed', `the chunks of the request body have less than ${MIN_CHUNK_BYTES} bytes on average`))
+    if (this.request.socket.destroyed) return
+    this.bodies.countSmallChunks()
+    stopParsing(this.request.socket)
+    this.request.socket.destroy()
+  }
+}
--- a/src/entry/node/router.ts
+++ b/src/entry/node/router.ts
@@ -15,6 +15,8 @@
   readonly access: Access
   /** Marks calls within the system, which must continue while this host is stopping or lags behind. */
   readonly internal?: boolean
+  /** Largest body, in bytes, if it differs from that of other routes. */
+  readonly maximumBodyBytes?: number
   readonly handle: Handler
 }
 
--- a/src/entry/node/routes/peerRoutes.ts
+++ b/src/entry/node/routes/peerRoutes.ts
@@ -12,11 +12,11 @@
   constructor (private readonly handlers: JsonRpcHandlers) {}
 
   register (router: Router): void {
-    router.register({ method: 'POST', path: PEER_PATH, access: 'peer', internal: true, handle: async (exchange) => { await this.answer(exchange) } })
+    router.register({ method: 'POST', path: PEER_PATH, access: 'peer', internal: true, maximumBodyBytes: MAX_PEER_BODY_BYTES, handle: async (exchange) => { await this.answer(exchange) } })
   }
 
   private async answer (exchange: Exchange): Promise<void> {
-    const body = await exchange.readText(MAX_PEER_BODY_BYTES)
+    const body = await exchange.readText()
     if (!body.ok) return exchange.sendFailure(body)
     exchange.send(200, 'application/json', await this.handlers.receive(body.value))
   }
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -149,13 +149,14 @@
   new TrainerRoutes({ trainerApi, fold, metrics }, settings.rollouts.pull_wait).register(router)
   new HostRoutes({ fold, membership, operatorApi, metrics }, limits.valid_for).register(router)
   new PeerRoutes(handlers).register(router)
-  const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), metrics, stateLog }, {
+  const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), clock, metrics, stateLog }, {
     listen: settings.host.listen,
     maximumConnections: limits.connections,
     maximumPipelinedRequests: limits.pipelined_requests,
     maximumRequests: limits.requests,
     bodyTimeoutMs: limits.body_timeout,
     maximumBodyBytes: limits.body_bytes,
+    maximumBufferedBytes: limits.held_bytes,
     chance,
     alternatives: () => membership.available().filter((member) => member.host !== host).map((member) => member.address).slice(0, MAX_ALTERNATIVES),
     leaving: () => stop.isStopping
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -76,6 +76,7 @@
     maximumRequests: MAX_PEER_REQUESTS,
     bodyTimeoutMs: PEER_IDLE_TIMEOUT_MS,
     maximumBodyBytes: settings.store.call_bytes,
+    maximumBufferedBytes: settings.limits.held_bytes,
     chance: services.chance,
     alternatives: () => [],
     leaving: isStopping
--- a/test/host/callerAddresses.test.ts
+++ b/test/host/callerAddresses.test.ts
@@ -174,6 +174,7 @@
     const server = new DirectoryServer({
       protocol: frontProtocol,
       metrics: { count: (name) => { values[name] = (values[name] ?? 0) + 1 }, gauge: (name, value) => { values[name] = value } },
+      clock: { monotonic: () => 0 },
       stateLog: { alarm: () => undefined },
       isReady: () => true,
       addresses: (place) => {
