Limit the answers that wait for clients that do not read

Callers saw nothing of it until a host ran out of memory: an answer whose client read nothing stayed in memory for as long as the client liked.

Cause: only streams had a limit on the time for which a caller may read nothing. Whole answers, rejections and the answers at the other addresses had none, in time or in size.

Evidence: "closes a connection whose client reads nothing of its response" and "closes the connection whose client has read nothing for the longest time ..." of limitedServer.test.ts fail with LimitedServer as it was before this change and pass with it.

limits.caller_pause now applies to all answers at all addresses, and begins anew whenever the client takes a part. limits.unread_bytes bounds the large answers that wait at one address. Closed connections are reset, so that no part looks whole.

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -20,6 +20,7 @@
   'connections.opened': 'new connections to targets',
   'connections.closed_pipelining': 'connections closed because their clients sent too many requests ahead',
   'connections.closed_small_chunks': 'connections closed because they sent request bodies in very small chunks',
+  'connections.closed_unread': 'connections closed because their clients did not read their responses',
   'connections.dropped': 'connections refused because there are too many',
   'directory.answers': 'answers to address queries of callers',
   'fleet.orders': 'orders of rented targets sent to the platform',
--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -23,6 +23,8 @@
   readonly listen: string
   readonly maximumConnections: number
   readonly maximumPipelinedRequests: number
+  readonly unreadTimeoutMs: number
+  readonly maximumUnreadBytes: number
   readonly maximumRequests: number
   readonly bodyTimeoutMs: number
   readonly maximumBodyBytes: number
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -42,6 +42,8 @@
   readonly listen: string
   readonly maximumConnections: number
   readonly maximumPipelinedRequests: number
+  readonly unreadTimeoutMs: number
+  readonly maximumUnreadBytes: number
   /** Largest request head that the server reads. The configuration may set a lower limit. */
   readonly maximumHeadBytes: number
   /** Largest total size of request bodies that are buffered at the same time. */
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -10,6 +10,8 @@
 import type { CounterName } from '../../base/common/metricNames.ts'
 import type { Failure } from '../../base/common/resultCode.ts'
 import { failure, failureBody } from '../../base/common/resultCode.ts'
+import { ActivityOrder } from '../../core/common/overload/activityOrder.ts'
+import type { Clock } from '../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import { abortResponse } from './abortResponse.ts'
 import { listenAt } from './listenAt.ts'
@@ -27,6 +29,10 @@
   readonly requestTimeoutMs: number
   /** Time after which an idle connection is closed. */
   readonly keepAliveTimeoutMs: number
+  /** Longest time for which a client may read nothing of a response that waits for it. */
+  readonly unreadTimeoutMs: number
+  /** Largest total size of complete responses that wait for their clients. */
+  readonly maximumUnreadBytes: number
 }
 
 /** A request whose head has been received. */
@@ -38,6 +44,7 @@
 }
 
 export interface LimitedServerServices {
+  readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: Pick<Metrics, 'count'>
   readonly stateLog: Pick<StateLog, 'alarm'>
   /** Counter of input that is not HTTP, too large or too slow. */
@@ -62,11 +69,15 @@
 }
 
 const MAX_CHECK_INTERVAL_MS = 1000
+/** Size from which a response that waits for its client is tracked. */
+const MIN_UNREAD_BYTES = 65_536
 const MALFORMED_STATUS_LINES = { headTooLarge: '431 Request Header Fields Too Large', tooSlow: '408 Request Timeout', malformed: '400 Bad Request' } as const
 
 export class LimitedServer implements Disposable {
   private readonly server: Server
   private readonly connections = new Map<Socket, Connection>()
+  /** Connections with large responses that are complete and wait for their clients. */
+  private readonly unread = new ActivityOrder<Connection>(({ socket }) => socket.bytesWritten - socket.writableLength)
   /** Responses to requests that are being served. */
   private readonly openResponses = new Set<ServerResponse>()
 
@@ -81,6 +92,7 @@
       ...(limits.maximumHeadBytes === undefined ? {} : { maxHeaderSize: limits.maximumHeadBytes })
     })
     this.server.maxConnections = limits.maximumConnections
+    this.server.setTimeout(limits.unreadTimeoutMs, (socket) => { this.closeInactive(socket) })
     this.server.on('connection', (socket) => { this.trackConnection(socket) })
     this.server.on('request', (request, response) => { this.enqueue(request, response, receiveSafely(services.receive, request, response)) })
     this.server.on('checkExpectation', (request, response) => { this.enqueue(request, response, statusOnly(response, EXPECTATION_FAILED)) })
@@ -121,6 +133,7 @@
     this.connections.set(socket, connection)
     socket.once('close', () => {
       this.connections.delete(socket)
+      this.unread.delete(connection)
       for (const turn of connection.turns.splice(0)) if (!turn.isServed) turn.received.discard()
     })
     limitRequests(socket, () => this.acceptRequest(connection))
@@ -142,6 +155,7 @@
     if (connection === undefined) return received.discard()
     const turn: Turn = { request, response, received: isHostMissing(request) ? hostMissing(response, received) : received, isServed: false }
     connection.turns.push(turn)
+    response.once('prefinish', () => { this.limitUnread(connection) })
     response.once('close', () => { this.endTurn(connection, turn) })
     if (connection.turns[0] === turn) this.beginTurn(turn)
   }
@@ -156,6 +170,7 @@
   private endTurn (connection: Connection, turn: Turn): void {
     connection.openRequests--
     this.openResponses.delete(turn.response)
+    this.unread.delete(connection)
     const index = connection.turns.indexOf(turn)
     if (index >= 0) connection.turns.splice(index, 1)
     if (!turn.isServed) turn.received.discard()
@@ -163,6 +178,32 @@
     if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.beginTurn(next)
   }
 
+  /** Closes a connection on which nothing has been sent or received for a while, unless its client waits for a response. */
+  private closeInactive (socket: Socket): void {
+    const isIdle = this.connections.get(socket)?.turns.length === 0
+    if (isIdle) socket.destroy()
+    else if (socket.writableLength > 0) this.closeUnread(socket)
+  }
+
+  /** Closes connections whose clients have read nothing for the longest time while too many responses wait. */
+  private limitUnread (connection: Connection): void {
+    if (connection.socket.writableLength < MIN_UNREAD_BYTES) return
+    const now = this.services.clock.monotonic()
+    this.unread.touch(connection, now)
+    while (this.unread.sum(({ socket }) => socket.writableLength) > this.limits.maximumUnreadBytes) {
+      const oldest = this.unread.leastActive(now, 0)
+      if (oldest === undefined) return
+      this.unread.delete(oldest)
+      this.closeUnread(oldest.socket)
+    }
+  }
+
+  private closeUnread (socket: Socket): void {
+    this.services.metrics.count('connections.closed_unread')
+    // A reset shows that the response is incomplete, and frees what the kernel holds of it.
+    socket.resetAndDestroy()
+  }
+
   private handleUnexpectedError (error: unknown, response: ServerResponse): void {
     this.services.metrics.count('requests.crashed')
     this.services.stateLog.alarm('a request handler failed', { error: error instanceof Error ? error.stack ?? error.message : String(error) })
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -153,6 +153,8 @@
     listen: settings.host.listen,
     maximumConnections: limits.connections,
     maximumPipelinedRequests: limits.pipelined_requests,
+    unreadTimeoutMs: limits.caller_pause,
+    maximumUnreadBytes: limits.unread_bytes,
     maximumRequests: limits.requests,
     bodyTimeoutMs: limits.body_timeout,
     maximumBodyBytes: limits.body_bytes,
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -49,7 +49,7 @@
     whenLoaded: async (need, limitMs) => { await Promise.all((need === 'routes' ? [operator, targetTopic] : [operator, topic]).map(async (followed) => await followed.whenLoaded(limitMs))) },
     forward,
     steps: new StepRoutes(steps.submissionApi, frontProtocol)
-  }, { listen: listen.callers, maximumConnections: limits.connections, maximumPipelinedRequests: limits.pipelined_requests, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
+  }, { listen: listen.callers, maximumConnections: limits.connections, maximumPipelinedRequests: limits.pipelined_requests, unreadTimeoutMs: limits.caller_pause, maximumUnreadBytes: limits.unread_bytes, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
   const callerAddresses = createCallerAddresses(context, others, isReady)
   const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ ...services, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings)))) as [DirectoryServer, DirectoryServer]
   const peerServer = createPeerServer(context, others, isStopping)
@@ -73,6 +73,8 @@
     listen: settings.listen.peers,
     maximumConnections: settings.limits.connections,
     maximumPipelinedRequests: settings.limits.pipelined_requests,
+    unreadTimeoutMs: settings.limits.caller_pause,
+    maximumUnreadBytes: settings.limits.unread_bytes,
     maximumRequests: MAX_PEER_REQUESTS,
     bodyTimeoutMs: PEER_IDLE_TIMEOUT_MS,
     maximumBodyBytes: settings.store.call_bytes,
--- a/src/host/node/routed/queryServerLimits.ts
+++ b/src/host/node/routed/queryServerLimits.ts
@@ -11,6 +11,8 @@
   return {
     maximumConnections: limits.connections,
     maximumPipelinedRequests: limits.pipelined_requests,
+    unreadTimeoutMs: limits.caller_pause,
+    maximumUnreadBytes: limits.unread_bytes,
     headTimeoutMs: HEAD_TIMEOUT_MS,
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -62,7 +62,6 @@
   answer_bytes: positiveInteger(4_194_304, 'maximum size of an unstreamed answer from a target, and of all that are being received together, in bytes'),
   connect_timeout: milliseconds(400, 'time limit for opening a connection to a target'),
   target_connections: positiveInteger(64, 'maximum number of connections to one target'),
-  caller_pause: milliseconds(10_000, 'longest time for which a caller of a stream may read no data'),
   stop_serving: milliseconds(5500, 'how long a stopping host goes on serving callers that still use its address'),
   stop_timeout: milliseconds(1500, 'longest wait for requests in flight after `stop_serving`, if `grace_seconds` is absent'),
   grace_seconds: z.number().positive().optional().describe('time between the signal to stop and the forced end of the process, in seconds; requests in flight may use it up to the last 0.3 s')
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -4,11 +4,15 @@
 import type { Socket } from 'node:net'
 import { connect } from 'node:net'
 import { expect } from 'chai'
+import { pause } from '../../standins/httpStandIn.ts'
 import type { ReceivedRequest } from '../../src/entry/node/limitedServer.ts'
 import { LimitedServer } from '../../src/entry/node/limitedServer.ts'
 import { freePorts, waitUntil } from '../support/hostProcess.ts'
 
 const MAX_PIPELINED_REQUESTS = 3
+const MAX_UNREAD_BYTES = 30_000_000
+/** More than the kernel buffers for a connection whose client does not read. */
+const LARGE_RESPONSE_BYTES = 20_000_000
 
 describe('a server with limits', () => {
   const counts: Record<string, number> = {}
@@ -29,6 +33,7 @@
         responses.set(url, response)
         if (url === '/throws') throw new Error('thrown by the test')
         if (url.startsWith('/quick')) response.end('quick')
+        if (url.startsWith('/large')) response.end(Buffer.alloc(LARGE_RESPONSE_BYTES))
       },
       discard: () => { discarded.push(url) }
     }
@@ -39,11 +44,12 @@
     for (const name of Object.keys(counts)) counts[name] = 0
     responses.clear()
     server = new LimitedServer({
+      clock: { monotonic: () => performance.now() },
       metrics: { count: (name) => { counts[name] = (counts[name] ?? 0) + 1 } },
       stateLog: { alarm: () => undefined },
       malformedCounter: 'requests.broken',
       receive
-    }, { maximumConnections: 10, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000 })
+    }, { maximumConnections: 10, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000, unreadTimeoutMs: 1000, maximumUnreadBytes: MAX_UNREAD_BYTES })
     port = (await freePorts(1))[0] ?? 0
     await server.listen(`127.0.0.1:${port}`)
   })
@@ -126,4 +132,34 @@
     expect(statuses(text())).to.deep.equal(['500', '200'])
     expect(counts['requests.crashed']).to.equal(1)
   })
+
+  it('closes a connection whose client reads nothing of its response', async () => {
+    // Guards against responses that stay in memory for as long as their clients like.
+    const { socket } = open()
+    socket.pause()
+    socket.write(get('/large'))
+    await waitUntil(() => counts['connections.closed_unread'] === 1, 5000, 'the connection is closed')
+    await waitUntil(() => server.openRequestCount === 0, 1000, 'the response is closed')
+  })
+
+  it('closes the connection whose client has read nothing for the longest time when too many responses wait', async () => {
+    // Guards against a crowd whose responses fill the memory before their time is up.
+    const [first, second] = [open(), open()]
+    for (const { socket } of [first, second]) socket.pause()
+    first.socket.write(get('/large-1'))
+    await waitUntil(() => served.length === 1, 2000, 'the first request is served')
+    second.socket.write(get('/large-2'))
+    await waitUntil(() => counts['connections.closed_unread'] === 1, 500, 'a connection is closed before its time is up')
+    second.socket.resume()
+    await waitUntil(() => second.text().length > LARGE_RESPONSE_BYTES, 5000, 'the second response arrives')
+  })
+
+  it('leaves a connection alone whose client waits for a response', async () => {
+    // Guards against the time limit for readers that ends long requests.
+    const { socket, text } = open()
+    socket.write(get('/slow'))
+    await pause(2500)
+    responses.get('/slow')?.end('slow')
+    await waitUntil(() => text().includes('slow'), 1000, 'the response arrives')
+  })
 })
--- a/test/host/callerAddresses.test.ts
+++ b/test/host/callerAddresses.test.ts
@@ -181,7 +181,7 @@
         places.push(place)
         return Array.from({ length: known }, (_, index) => `10.0.0.${index}:8000`)
       }
-    }, 2000, { maximumConnections: 10, maximumPipelinedRequests: 2, headTimeoutMs: 1000, requestTimeoutMs: 1000, keepAliveTimeoutMs: 1000 })
+    }, 2000, { maximumConnections: 10, maximumPipelinedRequests: 2, headTimeoutMs: 1000, requestTimeoutMs: 1000, keepAliveTimeoutMs: 1000, unreadTimeoutMs: 1000, maximumUnreadBytes: 100_000 })
     try {
       await server.listen(`127.0.0.1:${port}`)
       const query = async (path: string): Promise<{ status: number, body: unknown }> => {
