Close inactive connections in favour of new ones at a full address

Callers were shut out while other clients held all places of a host, idle or with a part of a request head, for as long as these stayed or came back.

Cause: a host refused every connection above limits.connections, whatever the connections below the limit did.

A full server now closes the oldest connection that has had no response and makes no progress, then one that is idle after a response. Connections whose request is being served stay.

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -18,6 +18,7 @@
   'claims.unknown': 'once-only calls whose outcome is unknown',
   'completions.whole': 'streams that were completed',
   'connections.opened': 'new connections to targets',
+  'connections.closed_inactive': 'connections closed in favour of new ones, as their clients sent nothing',
   'connections.closed_pipelining': 'connections closed because their clients sent too many requests ahead',
   'connections.closed_small_chunks': 'connections closed because they sent request bodies in very small chunks',
   'connections.closed_unread': 'connections closed because their clients did not read their responses',
--- a/src/core/common/overload/activityOrder.ts
+++ b/src/core/common/overload/activityOrder.ts
@@ -6,10 +6,10 @@
 
 export class ActivityOrder<Item> {
   /** The items, the one that was active last at the end. */
-  private readonly activities = new Map<Item, { readonly progress: number, readonly since: number }>()
+  private readonly activities = new Map<Item, { readonly progress: number | undefined, readonly since: number }>()
 
-  /** @param progressOf returns a number that changes whenever the item makes progress */
-  constructor (private readonly progressOf: (item: Item) => number) {}
+  /** @param progressOf returns a number that changes whenever the item makes progress; `undefined` while it must keep its part */
+  constructor (private readonly progressOf: (item: Item) => number | undefined) {}
 
   get size (): number {
     return this.activities.size
@@ -34,10 +34,12 @@
 
   /** Returns the item that has made no progress for the longest time, at least for a minimum; `undefined` if there is none. */
   leastActive (now: number, minimumMs: number): Item | undefined {
-    // An item whose progress is noticed here moves to the end, where its time is too recent for a second visit.
+    // Items whose progress is noticed here move to the end, and are visited once.
+    let remaining = this.activities.size
     for (const [item, { progress, since }] of this.activities) {
-      if (now - since < minimumMs) return undefined
-      if (progress === this.progressOf(item)) return item
+      if (now - since < minimumMs || remaining-- === 0) return undefined
+      const current = this.progressOf(item)
+      if (current !== undefined && current === progress) return item
       this.touch(item, now)
     }
     return undefined
--- a/src/entry/node/front/frontExchange.ts
+++ b/src/entry/node/front/frontExchange.ts
@@ -5,6 +5,7 @@
 import { failure, failureBody, resultCodes, success } from '../../../base/common/resultCode.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
 import type { RequestBody } from '../requestBody.ts'
+import { hasBody } from '../requestBody.ts'
 import type { RequestTarget } from '../requestTarget.ts'
 import { parseRequestTarget } from '../requestTarget.ts'
 
@@ -93,7 +94,3 @@
     this.send(status, this.protocol.failureHeaders(retryAfterMs), JSON.stringify(failureBody(failed)))
   }
 }
-
-export function hasBody ({ headers }: IncomingMessage): boolean {
-  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
-}
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -20,8 +20,8 @@
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
 import type { ReceivedRequest } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
-import { RequestBodies } from '../requestBody.ts'
-import { FrontExchange, hasBody } from './frontExchange.ts'
+import { RequestBodies, hasBody } from '../requestBody.ts'
+import { FrontExchange } from './frontExchange.ts'
 import type { ForwardRoutes } from './forwardRoutes.ts'
 import type { StepRoutes } from './stepRoutes.ts'
 
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -15,6 +15,7 @@
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import { abortResponse } from './abortResponse.ts'
 import { listenAt } from './listenAt.ts'
+import { hasBody } from './requestBody.ts'
 import { limitRequests } from './requestParser.ts'
 
 export interface ServerLimits {
@@ -69,6 +70,8 @@
 }
 
 const MAX_CHECK_INTERVAL_MS = 1000
+/** Time without data after which a connection of a client that has had a response may be closed in favour of a new one. */
+const MIN_INACTIVE_MS = 1000
 /** Size from which a response that waits for its client is tracked. */
 const MIN_UNREAD_BYTES = 65_536
 const MALFORMED_STATUS_LINES = { headTooLarge: '431 Request Header Fields Too Large', tooSlow: '408 Request Timeout', malformed: '400 Bad Request' } as const
@@ -76,6 +79,9 @@
 export class LimitedServer implements Disposable {
   private readonly server: Server
   private readonly connections = new Map<Socket, Connection>()
+  /** Connections whose clients have had no response yet, and the others. */
+  private readonly newConnections = new ActivityOrder<Connection>(progressOf)
+  private readonly usedConnections = new ActivityOrder<Connection>(progressOf)
   /** Connections with large responses that are complete and wait for their clients. */
   private readonly unread = new ActivityOrder<Connection>(({ socket }) => socket.bytesWritten - socket.writableLength)
   /** Responses to requests that are being served. */
@@ -91,12 +97,10 @@
       requireHostHeader: false,
       ...(limits.maximumHeadBytes === undefined ? {} : { maxHeaderSize: limits.maximumHeadBytes })
     })
-    this.server.maxConnections = limits.maximumConnections
     this.server.setTimeout(limits.unreadTimeoutMs, (socket) => { this.closeInactive(socket) })
     this.server.on('connection', (socket) => { this.trackConnection(socket) })
     this.server.on('request', (request, response) => { this.enqueue(request, response, receiveSafely(services.receive, request, response)) })
     this.server.on('checkExpectation', (request, response) => { this.enqueue(request, response, statusOnly(response, EXPECTATION_FAILED)) })
-    this.server.on('drop', () => { services.metrics.count('connections.dropped') })
     this.server.on('clientError', (error, socket) => { this.rejectMalformedInput(error, socket as Socket) })
   }
 
@@ -131,12 +135,31 @@
   private trackConnection (socket: Socket): void {
     const connection: Connection = { socket, turns: [], openRequests: 0 }
     this.connections.set(socket, connection)
+    this.newConnections.touch(connection, this.services.clock.monotonic())
     socket.once('close', () => {
-      this.connections.delete(socket)
-      this.unread.delete(connection)
+      this.forget(connection)
       for (const turn of connection.turns.splice(0)) if (!turn.isServed) turn.received.discard()
     })
     limitRequests(socket, () => this.acceptRequest(connection))
+    this.makeRoom(connection)
+  }
+
+  private forget (connection: Connection): void {
+    this.connections.delete(connection.socket)
+    this.newConnections.delete(connection)
+    this.usedConnections.delete(connection)
+    this.unread.delete(connection)
+  }
+
+  /** Closes a connection in favour of a new one if there are too many. */
+  private makeRoom (latest: Connection): void {
+    if (this.connections.size <= this.limits.maximumConnections) return
+    const now = this.services.clock.monotonic()
+    // A client that sends a request at once is then shut out only by as many later connections as there are places.
+    const inactive = this.newConnections.leastActive(now, 0) ?? this.usedConnections.leastActive(now, MIN_INACTIVE_MS) ?? latest
+    this.services.metrics.count(inactive === latest ? 'connections.dropped' : 'connections.closed_inactive')
+    this.forget(inactive)
+    inactive.socket.destroy()
   }
 
   /** Counts a request towards the limit of its connection, and closes the connection if it exceeds the limit. */
@@ -157,25 +180,36 @@
     connection.turns.push(turn)
     response.once('prefinish', () => { this.limitUnread(connection) })
     response.once('close', () => { this.endTurn(connection, turn) })
-    if (connection.turns[0] === turn) this.beginTurn(turn)
+    if (connection.turns[0] === turn) this.beginTurn(connection, turn)
   }
 
-  private beginTurn (turn: Turn): void {
+  private beginTurn (connection: Connection, turn: Turn): void {
     turn.isServed = true
     this.openResponses.add(turn.response)
+    if (!hasBody(turn.request)) this.keep(connection)
     const serve = async (): Promise<void> => { await turn.received.serve() }
     serve().catch((error: unknown) => { this.handleUnexpectedError(error, turn.response) })
   }
 
+  /** Keeps a connection from being closed in favour of a new one while its request is served. */
+  private keep (connection: Connection): void {
+    this.newConnections.delete(connection)
+    this.usedConnections.delete(connection)
+  }
+
   private endTurn (connection: Connection, turn: Turn): void {
     connection.openRequests--
     this.openResponses.delete(turn.response)
     this.unread.delete(connection)
+    if (this.connections.has(connection.socket)) {
+      this.newConnections.delete(connection)
+      this.usedConnections.touch(connection, this.services.clock.monotonic())
+    }
     const index = connection.turns.indexOf(turn)
     if (index >= 0) connection.turns.splice(index, 1)
     if (!turn.isServed) turn.received.discard()
     const next = connection.turns[0]
-    if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.beginTurn(next)
+    if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.beginTurn(connection, next)
   }
 
   /** Closes a connection on which nothing has been sent or received for a while, unless its client waits for a response. */
@@ -225,6 +259,11 @@
   }
 }
 
+/** Changes with each byte that a client sends; `undefined` while a whole request is being served. */
+function progressOf ({ socket, turns }: Connection): number | undefined {
+  return turns[0]?.request.complete === true ? undefined : socket.bytesRead
+}
+
 const BAD_REQUEST = 400
 const EXPECTATION_FAILED = 417
 
--- a/src/entry/node/requestBody.ts
+++ b/src/entry/node/requestBody.ts
@@ -189,3 +189,8 @@
     this.request.socket.destroy()
   }
 }
+
+/** Whether a request has a body, according to its head. */
+export function hasBody ({ headers }: IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined || Number(headers['content-length'] ?? 0) > 0
+}
--- a/test/core/overload/activityOrder.test.ts
+++ b/test/core/overload/activityOrder.test.ts
@@ -32,6 +32,18 @@
     expect(order.leastActive(3000, MINIMUM_MS)).to.equal('slow')
   })
 
+  it('spares an item that must keep its part', () => {
+    // Guards against closing the connection of a client that waits for the response to its request.
+    let isServed = true
+    const order = new ActivityOrder<string>(() => isServed ? undefined : 0)
+    order.touch('waiting', 0)
+    expect(order.leastActive(4000, 0)).to.equal(undefined)
+    expect(order.leastActive(5000, MINIMUM_MS)).to.equal(undefined)
+    isServed = false
+    expect(order.leastActive(7000, MINIMUM_MS)).to.equal(undefined)
+    expect(order.leastActive(8000, MINIMUM_MS)).to.equal('waiting')
+  })
+
   it('keeps room for clients that send, in a replay of a crowd that stops', () => {
     // Load pattern: 400 clients take all places and stop; ordinary clients then come one by one, each sending until it is done after 2 s.
     const PLACES = 400
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -5,10 +5,12 @@
 import { connect } from 'node:net'
 import { expect } from 'chai'
 import { pause } from '../../standins/httpStandIn.ts'
-import type { ReceivedRequest } from '../../src/entry/node/limitedServer.ts'
+import { NodeClock } from '../../src/adapters/node/nodeClock.ts'
+import type { ReceivedRequest, ServerLimits } from '../../src/entry/node/limitedServer.ts'
 import { LimitedServer } from '../../src/entry/node/limitedServer.ts'
 import { freePorts, waitUntil } from '../support/hostProcess.ts'
 
+const MAX_CONNECTIONS = 10
 const MAX_PIPELINED_REQUESTS = 3
 const MAX_UNREAD_BYTES = 30_000_000
 /** More than the kernel buffers for a connection whose client does not read. */
@@ -43,21 +45,25 @@
     for (const list of [received, served, discarded]) list.length = 0
     for (const name of Object.keys(counts)) counts[name] = 0
     responses.clear()
+    await start()
+  })
+
+  afterEach(() => {
+    for (const socket of sockets.splice(0)) socket.destroy()
+    server.dispose()
+  })
+
+  async function start (overrides: Partial<ServerLimits> = {}): Promise<void> {
     server = new LimitedServer({
-      clock: { monotonic: () => performance.now() },
+      clock: new NodeClock(),
       metrics: { count: (name) => { counts[name] = (counts[name] ?? 0) + 1 } },
       stateLog: { alarm: () => undefined },
       malformedCounter: 'requests.broken',
       receive
-    }, { maximumConnections: 10, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000, unreadTimeoutMs: 1000, maximumUnreadBytes: MAX_UNREAD_BYTES })
+    }, { maximumConnections: MAX_CONNECTIONS, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000, unreadTimeoutMs: 1000, maximumUnreadBytes: MAX_UNREAD_BYTES, ...overrides })
     port = (await freePorts(1))[0] ?? 0
     await server.listen(`127.0.0.1:${port}`)
-  })
-
-  afterEach(() => {
-    for (const socket of sockets.splice(0)) socket.destroy()
-    server.dispose()
-  })
+  }
 
   function open (): { socket: Socket, text: () => string, closed: Promise<void> } {
     let text = ''
@@ -162,4 +168,26 @@
     responses.get('/slow')?.end('slow')
     await waitUntil(() => text().includes('slow'), 1000, 'the response arrives')
   })
+
+  it('closes inactive connections in favour of new ones, but none whose client waits for a response', async () => {
+    // Guards against idle or incomplete requests that shut all other clients out.
+    server.dispose()
+    await start({ headTimeoutMs: 20_000, requestTimeoutMs: 20_000 })
+    const waiting = open()
+    waiting.socket.write(get('/waiting'))
+    await waitUntil(() => served.includes('/waiting'), 2000, 'the first request is served')
+    const used = open()
+    used.socket.write(get('/quick-used'))
+    await waitUntil(() => used.text() !== '', 2000, 'the second request is served')
+    const inactive = Array.from({ length: MAX_CONNECTIONS }, () => open())
+    for (const { socket } of inactive) socket.write('GET / HTTP/1.1\r\n')
+    await waitUntil(() => (counts['connections.closed_inactive'] ?? 0) > 0, 4000, 'an inactive connection is closed')
+    const ordinary = open()
+    ordinary.socket.write(get('/quick-ordinary'))
+    await waitUntil(() => ordinary.text() !== '', 2000, 'another client is served')
+    used.socket.write(get('/quick-again'))
+    await waitUntil(() => served.includes('/quick-again'), 2000, 'the connection of a served client is still open')
+    responses.get('/waiting')?.end('waited')
+    await waitUntil(() => waiting.text().includes('waited'), 2000, 'the waiting client has its response')
+  })
 })
