Do not answer malformed input in place of a request that runs

Callers that sent anything unparsable behind a whole request received 400 or 408 for it while it ran; 408 promises that it never will.

Cause: the handler of malformed input wrote its answer to the connection without regard to requests that were being served on it.

Evidence: the two cases "does not answer input ... while a request before it runs" of limitedServer.test.ts fail with LimitedServer as it was (400 and 408 received) and pass with this change.

The connection is now closed instead if a whole request is being served on it or a response has begun; a closed connection promises nothing.

--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -245,10 +245,13 @@
     else sendFailureBody(response, 500, failure('unknownOutcome', 'internal error while processing the request'))
   }
 
-  /** Answers input that does not parse as HTTP with a numbered error if the socket is still writable. */
+  /** Answers input that does not parse as HTTP with a numbered error, unless it follows a request that may be running. */
   private rejectMalformedInput (error: NodeJS.ErrnoException, socket: Socket): void {
     this.services.metrics.count(this.services.malformedCounter)
-    if (error.code === 'ECONNRESET' || !socket.writable) {
+    const current = this.connections.get(socket)?.turns[0]
+    // The client would take it for the response to that request, which would then not be known to have run.
+    const isAfterRequest = current !== undefined && (current.request.complete || current.response.headersSent)
+    if (error.code === 'ECONNRESET' || !socket.writable || isAfterRequest) {
       socket.destroy()
       return
     }
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -190,4 +190,16 @@
     responses.get('/waiting')?.end('waited')
     await waitUntil(() => waiting.text().includes('waited'), 2000, 'the waiting client has its response')
   })
+
+  for (const [name, input] of [['that is not HTTP', 'nonsense\r\n\r\n'], ['that stops in a head', 'GET / HTTP/1.1\r\n']] as const) {
+    it(`does not answer input ${name} while a request before it runs`, async () => {
+      // Guards against a refusal that a client takes for the response to a request that has run.
+      const { socket, text, closed } = open()
+      socket.write(get('/first') + input)
+      await closed
+      expect(served).to.deep.equal(['/first'])
+      expect(text()).to.equal('')
+      expect(counts['requests.broken']).to.equal(1)
+    })
+  }
 })
