Share the descriptors of a machine between the addresses of a host

The limit of connections was 4,000 at each address, while the smallest machine may have 3,075 descriptors: clients that hold them all leave a host none for its targets and its store. No caller has reported it.

The new case of uncontrolledClients.test.ts holds 500 idle connections at each of five addresses of a host with 1,000 descriptors: it stays below them, and ordinary requests are answered at each address. (The setting did not exist before, so the case has no run on the code before.)

--- a/src/host/node/routed/hostContext.ts
+++ b/src/host/node/routed/hostContext.ts
@@ -13,6 +13,8 @@
 import { asHostId } from '../../../base/common/ids.ts'
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
 import { disabledMechanisms } from '../../../core/common/mechanisms.ts'
+import type { ConnectionShares } from '../../../core/common/overload/connectionShares.ts'
+import { connectionShares } from '../../../core/common/overload/connectionShares.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
 import type { RoutedSettings } from '../../../settings/common/routedSettings.ts'
@@ -34,6 +36,8 @@
   readonly machine: string
   /** Processor capacity that this host may use, in standard cores. */
   readonly processor: number
+  /** Maximum number of connections at each address. */
+  readonly connectionShares: ConnectionShares
   /** Address at which other hosts connect to this host. */
   readonly ownAddress: string
   readonly output: StandardOutput
@@ -56,6 +60,7 @@
     host,
     machine,
     processor: share * speed,
+    connectionShares: connectionShares(settings.limits.connections, settings.host.descriptors),
     ownAddress: `http://${settings.listen.peers}`,
     output,
     services: { system: start(), clock: new NodeClock(), chance: new NodeRandomSource(), hash: await createHash(), metrics, stateLog },
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -37,7 +37,7 @@
 }
 
 export function createHostServers (context: HostContext, { others, topics, steps, forward, isStopping }: HostServerDependencies): HostServers {
-  const { settings, services, disposables } = context
+  const { settings, services, disposables, connectionShares: shares } = context
   const { limits, listen } = settings
   const { operator, targetTopic, topic } = topics
   const isReady = (): boolean => !isStopping() && operator.routes !== undefined && targetTopic.loaded && topic.loaded
@@ -49,9 +49,9 @@
     whenLoaded: async (need, limitMs) => { await Promise.all((need === 'routes' ? [operator, targetTopic] : [operator, topic]).map(async (followed) => await followed.whenLoaded(limitMs))) },
     forward,
     steps: new StepRoutes(steps.submissionApi, frontProtocol)
-  }, { listen: listen.callers, maximumConnections: limits.connections, maximumPipelinedRequests: limits.pipelined_requests, unreadTimeoutMs: limits.caller_pause, maximumUnreadBytes: limits.unread_bytes, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
+  }, { listen: listen.callers, maximumConnections: shares.callers, maximumPipelinedRequests: limits.pipelined_requests, unreadTimeoutMs: limits.caller_pause, maximumUnreadBytes: limits.unread_bytes, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
   const callerAddresses = createCallerAddresses(context, others, isReady)
-  const [directory, readiness] = [0, 1].map(() => disposables.add(new DirectoryServer({ ...services, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings)))) as [DirectoryServer, DirectoryServer]
+  const [directory, readiness] = [shares.directory, shares.readiness].map((maximumConnections) => disposables.add(new DirectoryServer({ ...services, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings, maximumConnections)))) as [DirectoryServer, DirectoryServer]
   const peerServer = createPeerServer(context, others, isStopping)
   return {
     front,
@@ -66,12 +66,12 @@
   return new CallerAddresses({ ...services, membership, isReady }, { host, port, spread: settings.mechanisms.caller_spread })
 }
 
-function createPeerServer ({ settings, services, disposables }: HostContext, { handlers }: OtherHosts, isStopping: () => boolean): EntryServer {
+function createPeerServer ({ settings, services, disposables, connectionShares }: HostContext, { handlers }: OtherHosts, isStopping: () => boolean): EntryServer {
   const router = new Router()
   new PeerRoutes(handlers).register(router)
   return disposables.add(new EntryServer({ ...services, router, identities: new Identities({ peers: settings.peers, callers: [], operators: [] }) }, {
     listen: settings.listen.peers,
-    maximumConnections: settings.limits.connections,
+    maximumConnections: connectionShares.peers,
     maximumPipelinedRequests: settings.limits.pipelined_requests,
     unreadTimeoutMs: settings.limits.caller_pause,
     maximumUnreadBytes: settings.limits.unread_bytes,
--- a/src/host/node/routed/queryServerLimits.ts
+++ b/src/host/node/routed/queryServerLimits.ts
@@ -7,9 +7,9 @@
 const REQUEST_TIMEOUT_MS = 5000
 const KEEP_ALIVE_TIMEOUT_MS = 5000
 
-export function queryServerLimits ({ limits }: Pick<RoutedSettings, 'limits'>): ServerLimits {
+export function queryServerLimits ({ limits }: Pick<RoutedSettings, 'limits'>, maximumConnections: number): ServerLimits {
   return {
-    maximumConnections: limits.connections,
+    maximumConnections,
     maximumPipelinedRequests: limits.pipelined_requests,
     unreadTimeoutMs: limits.caller_pause,
     maximumUnreadBytes: limits.unread_bytes,
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -12,6 +12,7 @@
   name: name.describe('name of this machine in logs and orders'),
   place: name.describe('failure domain of this host'),
   log_level: z.enum(['silent', 'warn', 'info']).default('info').describe('minimum level of log lines that are written'),
+  descriptors: z.number().int().min(1000).optional().describe('maximum number of open files and sockets of the process; if set, the connections of each address are limited to its share of them'),
   processor_share: z.number().positive().default(1).describe('share of a processor core that the host may use'),
   processor_speed: z.number().positive().default(1).describe('speed of that core relative to a standard core; hosts with less capacity than one standard core leave the duty of running steps to others')
 })
@@ -54,7 +55,7 @@
 }
 
 const limitsSchema = z.strictObject({
-  connections: positiveInteger(4000, 'maximum number of open connections from callers'),
+  connections: positiveInteger(4000, 'maximum number of open connections at each address'),
   ...clientLimits,
   head_bytes: positiveInteger(65_536, 'maximum size of a request head, in bytes'),
   held_bytes: positiveInteger(67_108_864, 'maximum total size of request bodies buffered at the same time, in bytes'),
--- a/test/platform/uncontrolledClients.test.ts
+++ b/test/platform/uncontrolledClients.test.ts
@@ -24,6 +24,7 @@
 const PROGRAM = [process.execPath, '--max-old-space-size=160', 'dist/bulrushvalve.cjs']
 /** Fewer places for callers than the crowds that fill them have clients. */
 const CALLER_CONNECTIONS = 500
+const FEW_DESCRIPTORS = 1000
 const CROWD_STAYS_MS = 3000
 /** Long enough for a host that answers at all. */
 const ANSWER_TIMEOUT_MS = 30_000
@@ -253,6 +254,23 @@
     }
   }
 
+  it('leave it descriptors for its targets: idle connections at all addresses together', async () => {
+    // Guards against limits of addresses that are together above what the process may have.
+    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: FEW_DESCRIPTORS } }, { program: PROGRAM })
+    const host = fleet.host(0)
+    const crowds = listeners.map((listener) => new Crowd(addressOf[listener](host), { clients: FEW_DESCRIPTORS / 2, connectionsPerClient: 1, piece: '', pieces: 0 }))
+    try {
+      for (const crowd of crowds) crowd.enter()
+      await pause(1000)
+      const open = descriptors(host)
+      expect(open).to.be.above(FEW_DESCRIPTORS / 2)
+      expect(open).to.be.below(FEW_DESCRIPTORS)
+      for (const listener of listeners) expect(await ordinaryStatus(fleet, host, listener), listener).to.equal(200)
+    } finally {
+      for (const crowd of crowds) crowd.leave()
+    }
+  })
+
   for (const listener of listeners) {
     it(`do not end it with a request target that cannot be parsed, at the address for ${listener}`, async () => {
       // Guards against an exception in a request handler, which ends the process.
