Name the requests of a connection by their queue; evict the oldest connection without a scan

Read as a newcomer would: "turn" and "make room" are a queue and an eviction. Connections without a response are kept in the order of their age, so that a client that sends a byte now and then does not lengthen the search at a full address. A request with an unknown expectation closes its connection, as its body is not read.

--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -54,8 +54,8 @@
   readonly receive: (request: IncomingMessage, response: ServerResponse) => ReceivedRequest
 }
 
-/** A request in the order of its connection. */
-interface Turn {
+/** A request that is being served, or waits until those before it on its connection have been. */
+interface QueuedRequest {
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly received: ReceivedRequest
@@ -64,7 +64,7 @@
 
 interface Connection {
   readonly socket: Socket
-  readonly turns: Turn[]
+  readonly queue: QueuedRequest[]
   /** Requests whose heads have been parsed and whose responses are not complete. */
   openRequests: number
 }
@@ -79,8 +79,8 @@
 export class LimitedServer implements Disposable {
   private readonly server: Server
   private readonly connections = new Map<Socket, Connection>()
-  /** Connections whose clients have had no response yet, and the others. */
-  private readonly newConnections = new ActivityOrder<Connection>(progressOf)
+  /** Connections whose clients have had no response yet, the oldest first. */
+  private readonly newConnections = new Set<Connection>()
   private readonly usedConnections = new ActivityOrder<Connection>(progressOf)
   /** Connections with large responses that are complete and wait for their clients. */
   private readonly unread = new ActivityOrder<Connection>(({ socket }) => socket.bytesWritten - socket.writableLength)
@@ -133,35 +133,39 @@
   }
 
   private trackConnection (socket: Socket): void {
-    const connection: Connection = { socket, turns: [], openRequests: 0 }
+    const connection: Connection = { socket, queue: [], openRequests: 0 }
     this.connections.set(socket, connection)
-    this.newConnections.touch(connection, this.services.clock.monotonic())
+    this.newConnections.add(connection)
     socket.once('close', () => {
-      this.forget(connection)
-      for (const turn of connection.turns.splice(0)) if (!turn.isServed) turn.received.discard()
+      this.untrack(connection)
+      for (const queued of connection.queue.splice(0)) if (!queued.isServed) queued.received.discard()
     })
     limitRequests(socket, () => this.acceptRequest(connection))
-    this.makeRoom(connection)
+    this.evictIfFull(connection)
   }
 
-  private forget (connection: Connection): void {
+  private untrack (connection: Connection): void {
     this.connections.delete(connection.socket)
     this.newConnections.delete(connection)
     this.usedConnections.delete(connection)
     this.unread.delete(connection)
   }
 
-  /** Closes a connection in favour of a new one if there are too many. */
-  private makeRoom (latest: Connection): void {
+  /** Closes a connection in favour of the latest one if there are too many. */
+  private evictIfFull (latest: Connection): void {
     if (this.connections.size <= this.limits.maximumConnections) return
-    const now = this.services.clock.monotonic()
-    // A client that sends a request at once is then shut out only by as many later connections as there are places.
-    const inactive = this.newConnections.leastActive(now, 0) ?? this.usedConnections.leastActive(now, MIN_INACTIVE_MS) ?? latest
+    const inactive = this.oldestUnserved() ?? this.usedConnections.leastActive(this.services.clock.monotonic(), MIN_INACTIVE_MS) ?? latest
     this.services.metrics.count(inactive === latest ? 'connections.dropped' : 'connections.closed_inactive')
-    this.forget(inactive)
+    this.untrack(inactive)
     inactive.socket.destroy()
   }
 
+  /** A client that sends a request at once is shut out only by as many later connections as there are places. */
+  private oldestUnserved (): Connection | undefined {
+    for (const connection of this.newConnections) if (progressOf(connection) !== undefined) return connection
+    return undefined
+  }
+
   /** Counts a request towards the limit of its connection, and closes the connection if it exceeds the limit. */
   private acceptRequest (connection: Connection): boolean {
     if (connection.openRequests >= this.limits.maximumPipelinedRequests) {
@@ -176,45 +180,44 @@
   private enqueue (request: IncomingMessage, response: ServerResponse, received: ReceivedRequest): void {
     const connection = this.connections.get(request.socket)
     if (connection === undefined) return received.discard()
-    const turn: Turn = { request, response, received: isHostMissing(request) ? hostMissing(response, received) : received, isServed: false }
-    connection.turns.push(turn)
+    const queued: QueuedRequest = { request, response, received: isHostMissing(request) ? hostMissing(response, received) : received, isServed: false }
+    connection.queue.push(queued)
     response.once('prefinish', () => { this.limitUnread(connection) })
-    response.once('close', () => { this.endTurn(connection, turn) })
-    if (connection.turns[0] === turn) this.beginTurn(connection, turn)
+    response.once('close', () => { this.end(connection, queued) })
+    if (connection.queue[0] === queued) this.begin(connection, queued)
   }
 
-  private beginTurn (connection: Connection, turn: Turn): void {
-    turn.isServed = true
-    this.openResponses.add(turn.response)
-    if (!hasBody(turn.request)) this.keep(connection)
-    const serve = async (): Promise<void> => { await turn.received.serve() }
-    serve().catch((error: unknown) => { this.handleUnexpectedError(error, turn.response) })
+  private begin (connection: Connection, queued: QueuedRequest): void {
+    queued.isServed = true
+    this.openResponses.add(queued.response)
+    if (!hasBody(queued.request)) this.protectFromEviction(connection)
+    const serve = async (): Promise<void> => { await queued.received.serve() }
+    serve().catch((error: unknown) => { this.handleUnexpectedError(error, queued.response) })
   }
 
-  /** Keeps a connection from being closed in favour of a new one while its request is served. */
-  private keep (connection: Connection): void {
+  private protectFromEviction (connection: Connection): void {
     this.newConnections.delete(connection)
     this.usedConnections.delete(connection)
   }
 
-  private endTurn (connection: Connection, turn: Turn): void {
+  private end (connection: Connection, queued: QueuedRequest): void {
     connection.openRequests--
-    this.openResponses.delete(turn.response)
+    this.openResponses.delete(queued.response)
     this.unread.delete(connection)
     if (this.connections.has(connection.socket)) {
       this.newConnections.delete(connection)
       this.usedConnections.touch(connection, this.services.clock.monotonic())
     }
-    const index = connection.turns.indexOf(turn)
-    if (index >= 0) connection.turns.splice(index, 1)
-    if (!turn.isServed) turn.received.discard()
-    const next = connection.turns[0]
-    if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.beginTurn(connection, next)
+    const index = connection.queue.indexOf(queued)
+    if (index >= 0) connection.queue.splice(index, 1)
+    if (!queued.isServed) queued.received.discard()
+    const next = connection.queue[0]
+    if (next !== undefined && !next.isServed && !connection.socket.destroyed) this.begin(connection, next)
   }
 
   /** Closes a connection on which nothing has been sent or received for a while, unless its client waits for a response. */
   private closeInactive (socket: Socket): void {
-    const isIdle = this.connections.get(socket)?.turns.length === 0
+    const isIdle = this.connections.get(socket)?.queue.length === 0
     if (isIdle) socket.destroy()
     else if (socket.writableLength > 0) this.closeUnread(socket)
   }
@@ -248,7 +251,7 @@
   /** Answers input that does not parse as HTTP with a numbered error, unless it follows a request that may be running. */
   private rejectMalformedInput (error: NodeJS.ErrnoException, socket: Socket): void {
     this.services.metrics.count(this.services.malformedCounter)
-    const current = this.connections.get(socket)?.turns[0]
+    const current = this.connections.get(socket)?.queue[0]
     // The client would take it for the response to that request, which would then not be known to have run.
     const isAfterRequest = current !== undefined && (current.request.complete || current.response.headersSent)
     if (error.code === 'ECONNRESET' || !socket.writable || isAfterRequest) {
@@ -263,8 +266,8 @@
 }
 
 /** Changes with each byte that a client sends; `undefined` while a whole request is being served. */
-function progressOf ({ socket, turns }: Connection): number | undefined {
-  return turns[0]?.request.complete === true ? undefined : socket.bytesRead
+function progressOf ({ socket, queue }: Connection): number | undefined {
+  return queue[0]?.request.complete === true ? undefined : socket.bytesRead
 }
 
 const BAD_REQUEST = 400
@@ -301,8 +304,15 @@
   }
 }
 
+/** Answers a request with a status in place of serving it. Its connection is closed, as its body is not read. */
 function statusOnly (response: ServerResponse, status: number): ReceivedRequest {
-  return { serve: () => { response.writeHead(status, { 'content-length': 0 }).end() }, discard: () => undefined }
+  return {
+    serve: () => {
+      response.shouldKeepAlive = false
+      response.writeHead(status, { 'content-length': 0 }).end()
+    },
+    discard: () => undefined
+  }
 }
 
 function sendFailureBody (response: ServerResponse, status: number, failed: Failure): void {
