Count a whole body in place of its blocks, not beside them

A request whose body fits into limits.held_bytes was refused with 503 if twice its size did not: the blocks of the body and the copy that is made of them at its end were both counted.

The new case "that are whole count once" of requestBody.test.ts guards against it.

The blocks are returned before the whole body is counted, and unused blocks above what is left of the limit are released.

--- a/src/entry/node/requestBody.ts
+++ b/src/entry/node/requestBody.ts
@@ -9,7 +9,7 @@
 import { stopParsing } from './requestParser.ts'
 
 /** Size of the parts in which memory is reserved. */
-const BLOCK_BYTES = 4096
+export const BLOCK_BYTES = 4096
 /** Number of unused blocks that are kept while no body is arriving. */
 const MAX_IDLE_BLOCKS = 256
 /** Number of chunks up to which their size does not matter. */
@@ -65,7 +65,8 @@
 
   /** Returns a block, or `undefined` if the limit does not allow it. */
   takeBlock (): Buffer | undefined {
-    if (!this.reserve(BLOCK_BYTES)) return undefined
+    if (!this.hasRoom()) return undefined
+    this.heldBytes += BLOCK_BYTES
     return this.unusedBlocks.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES)
   }
 
@@ -74,20 +75,25 @@
     this.free(blocks.length * BLOCK_BYTES)
   }
 
-  /** Reserves memory until it is freed. Returns false if the limit does not allow it. */
-  reserve (bytes: number): boolean {
-    while (this.heldBytes + bytes > this.maximumBytes) {
-      const stalled = this.arriving.leastActive(this.services.clock.monotonic(), STALLED_MS)
-      if (stalled === undefined) return false
-      stalled.giveUp()
-    }
+  /** Counts a whole body, in place of the blocks that were returned for it, until it is freed. */
+  hold (bytes: number): void {
     this.heldBytes += bytes
-    return true
+    this.unusedBlocks.length = Math.min(this.unusedBlocks.length, Math.floor(Math.max(0, this.maximumBytes - this.heldBytes) / BLOCK_BYTES))
   }
 
   free (bytes: number): void {
     this.heldBytes -= bytes
   }
+
+  /** Gives up bodies that have stopped arriving until there is room for another block. */
+  private hasRoom (): boolean {
+    while (this.heldBytes + BLOCK_BYTES > this.maximumBytes) {
+      const stalled = this.arriving.leastActive(this.services.clock.monotonic(), STALLED_MS)
+      if (stalled === undefined) return false
+      stalled.giveUp()
+    }
+    return true
+  }
 }
 
 /**
@@ -158,9 +164,10 @@
   private complete (): void {
     if (this.outcome !== undefined) return
     if (this.receivedBytes === 0) return this.settle(success(EMPTY))
-    if (!this.bodies.reserve(this.receivedBytes)) return this.rejectOverloaded()
-    this.wholeBytes = this.receivedBytes
-    this.settle(success(Buffer.concat(this.blocks, this.receivedBytes)))
+    const whole = Buffer.concat(this.blocks, this.receivedBytes)
+    this.settle(success(whole))
+    this.bodies.hold(whole.length)
+    this.wholeBytes = whole.length
   }
 
   private settle (outcome: Result<Uint8Array>): void {
--- a/test/entry/requestBody.test.ts
+++ b/test/entry/requestBody.test.ts
@@ -7,7 +7,7 @@
 import { expect } from 'chai'
 import type { Result } from '../../src/base/common/resultCode.ts'
 import type { RequestBody } from '../../src/entry/node/requestBody.ts'
-import { RequestBodies } from '../../src/entry/node/requestBody.ts'
+import { BLOCK_BYTES, RequestBodies } from '../../src/entry/node/requestBody.ts'
 import { SeededRandom } from '../soak/seededRandom.ts'
 import { waitUntil } from '../support/hostProcess.ts'
 
@@ -66,9 +66,10 @@
   /** Whether all memory has been released. */
   async function waitUntilReleased (): Promise<void> {
     await waitUntil(() => {
-      if (!all.reserve(MAX_TOTAL_BYTES)) return false
-      all.free(MAX_TOTAL_BYTES)
-      return true
+      const blocks: Buffer[] = []
+      for (let block = all.takeBlock(); block !== undefined; block = all.takeBlock()) blocks.push(block)
+      all.returnBlocks(blocks)
+      return blocks.length === Math.floor(MAX_TOTAL_BYTES / BLOCK_BYTES)
     }, 3000, 'the memory is released')
   }
 
@@ -122,6 +123,17 @@
     await waitUntilReleased()
   })
 
+  it('that are whole count once', async () => {
+    // Guards against a body that is rejected although it fits into the memory that is left.
+    const text = 'x'.repeat(MAX_BODY_BYTES)
+    const pending = Array.from({ length: 2 }, () => send(CHUNKED_HEAD, chunk('x'.repeat(40_000))))
+    await waitUntil(() => bodies.length === 2 && bodies.every(({ receivedBytes }) => receivedBytes === 40_000), 3000, 'two bodies arrive')
+    send(`${HEAD}content-length: ${text.length}\r\n\r\n${text}`)
+    expect(await outcomeOf(2)).to.equal(`${MAX_BODY_BYTES} bytes`)
+    for (const sender of pending) sender.destroy()
+    await waitUntilReleased()
+  })
+
   it('that have stopped arriving are given up when others need their memory', async () => {
     // Guards against clients that shut others out for as long as they leave their requests incomplete.
     for (let index = 0; index < 4; index++) send(CHUNKED_HEAD, chunk('x'.repeat(60_000)))
