Test crowds that use the memory of several limits and addresses at the same time

Each limit fits the smallest machine, but they add up, and each address has its own.

The known case keeps its crowds, which now stay half a second longer.

--- a/test/platform/uncontrolledClients.test.ts
+++ b/test/platform/uncontrolledClients.test.ts
@@ -254,26 +254,37 @@
     }
   }
 
-  it('leave it within its memory: large heads and bodies in large chunks at the same time, at the address for callers', async () => {
-    // Guards against limits that each fit the machine, but not all of them together.
-    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200 } }, { program: PROGRAM })
-    const host = fleet.host(0)
-    const bodies = new Crowd(host.address, { clients: 400, connectionsPerClient: 1, opening: chunkedHead('POST /look-up/chunked HTTP/1.1'), piece: LARGE_CHUNK, pieces: 4 })
-    const request = `GET /look-up/ahead HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nx: ${'y'.repeat(15_000)}\r\n\r\n`
-    const heads = new Crowd(host.address, { clients: 700, connectionsPerClient: 1, opening: `${request.repeat(3)}GET / HTTP/1.1\r\nhost: a\r\n`, piece: `z: ${'y'.repeat(990)}\r\n`, pieces: 60 })
-    try {
-      bodies.enter()
-      await pause(500)
-      heads.enter()
-      await pause(CROWD_STAYS_MS)
-    } finally {
-      bodies.leave()
-      heads.leave()
-    }
-    expect(host.process.isRunning, `the process lives\n${host.process.output.slice(-2000)}`).to.equal(true)
-    expect(await ordinaryStatus(fleet, host, 'callers')).to.equal(200)
-    expect(peakMemoryMb(host), 'peak memory in MB').to.be.below(MACHINE_MEMORY_MB)
-  })
+  const bodiesInLargeChunks: CrowdOptions = { clients: 400, connectionsPerClient: 1, opening: chunkedHead('POST /look-up/chunked HTTP/1.1'), piece: LARGE_CHUNK, pieces: 4 }
+  const requestWithLargeHead = `GET /look-up/ahead HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nx: ${'y'.repeat(15_000)}\r\n\r\n`
+  const largeHeads: CrowdOptions = { clients: 700, connectionsPerClient: 1, opening: `${requestWithLargeHead.repeat(3)}GET / HTTP/1.1\r\nhost: a\r\n`, piece: `z: ${'y'.repeat(990)}\r\n`, pieces: 60 }
+  const unreadLargeAnswers: CrowdOptions = { clients: 200, connectionsPerClient: 1, piece: `GET /look-up/large HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nbulrushvalve-deadline-ms: 2000\r\n\r\n`, pieces: 4 }
+  const crowdsAtTheSameTime: readonly { readonly name: string, readonly hasLargeAnswers?: boolean, readonly crowds: (host: FleetHost) => Crowd[] }[] = [
+    { name: 'large heads and bodies in large chunks at the same time, at the address for callers', crowds: (host) => [new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.address, largeHeads)] },
+    { name: 'unread large answers, bodies in large chunks and large heads at the same time, at the address for callers', hasLargeAnswers: true, crowds: (host) => [new Crowd(host.address, unreadLargeAnswers), new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.address, largeHeads)] },
+    { name: 'bodies in large chunks for callers and for other hosts, and large heads for callers, at the same time', crowds: (host) => [new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.peers, { ...bodiesInLargeChunks, opening: chunkedHead(ordinaryLine.peers, PEER_KEY) }), new Crowd(host.address, largeHeads)] },
+    { name: 'large heads at all addresses at the same time', crowds: (host) => listeners.map((listener) => new Crowd(addressOf[listener](host), { ...largeHeads, clients: 300 })) }
+  ]
+  for (const { name, hasLargeAnswers = false, crowds: crowdsOf } of crowdsAtTheSameTime) {
+    it(`leave it within its memory: ${name}`, async () => {
+      // Guards against limits that each fit the machine, but not all of them together.
+      fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200 } }, { program: PROGRAM })
+      const host = fleet.host(0)
+      if (hasLargeAnswers) stopLargeAnswers = await registerLargeAnswers(fleet)
+      const crowds = crowdsOf(host)
+      try {
+        for (const crowd of crowds) {
+          crowd.enter()
+          await pause(500)
+        }
+        await pause(CROWD_STAYS_MS)
+      } finally {
+        for (const crowd of crowds) crowd.leave()
+      }
+      expect(host.process.isRunning, `the process lives\n${host.process.output.slice(-2000)}`).to.equal(true)
+      expect(await ordinaryStatus(fleet, host, 'callers')).to.equal(200)
+      expect(peakMemoryMb(host), 'peak memory in MB').to.be.below(MACHINE_MEMORY_MB)
+    })
+  }
 
   it('leave it descriptors for its targets: idle connections at all addresses together', async () => {
     // Guards against limits of addresses that are together above what the process may have.
