Limit the memory of clients at all addresses of a host together

Cause: bodies had a limit for each address, unread answers another one, and heads only one for each head. Complete heads occupy about three times their size, as received, with the headers to forward, and as sent to a target.

limits.held_bytes is now one limit for all addresses, of which a quarter is for heads above 4 KB. An incomplete head is counted after each read, by a callback of the parser that Node.js calls anyway.

In the tests of bodies and unread answers only the size that is passed has changed, so that the part for them stays the same (30 MB) or as it was (300 KB).

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -19,6 +19,7 @@
   'completions.whole': 'streams that were completed',
   'connections.opened': 'new connections to targets',
   'connections.closed_inactive': 'connections closed in favour of new ones, as their clients sent nothing',
+  'connections.closed_memory': 'connections closed because the memory for clients was used up',
   'connections.closed_pipelining': 'connections closed because their clients sent too many requests ahead',
   'connections.closed_small_chunks': 'connections closed because they sent request bodies in very small chunks',
   'connections.closed_unread': 'connections closed because their clients did not read their responses',
--- a/src/entry/node/entryServer.ts
+++ b/src/entry/node/entryServer.ts
@@ -11,6 +11,7 @@
 import type { Clock } from '../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import type { Identities } from '../common/identity.ts'
+import type { ClientMemory } from './clientMemory.ts'
 import type { ExchangeOptions } from './exchange.ts'
 import { Exchange } from './exchange.ts'
 import type { ReceivedRequest } from './limitedServer.ts'
@@ -24,17 +25,16 @@
   readonly maximumConnections: number
   readonly maximumPipelinedRequests: number
   readonly unreadTimeoutMs: number
-  readonly maximumUnreadBytes: number
   readonly maximumRequests: number
   readonly bodyTimeoutMs: number
   readonly maximumBodyBytes: number
-  /** Largest total size of request bodies that are buffered at the same time. */
-  readonly maximumBufferedBytes: number
 }
 
 export interface EntryServerServices {
   readonly router: Router
   readonly identities: Identities
+  /** Memory that clients occupy at all addresses of the host. */
+  readonly memory: ClientMemory
   readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: Metrics
   readonly stateLog: StateLog
@@ -49,7 +49,7 @@
   private internalInFlight = 0
 
   constructor (private readonly services: EntryServerServices, private readonly settings: EntryServerSettings) {
-    this.bodies = new RequestBodies(services, settings.maximumBufferedBytes)
+    this.bodies = new RequestBodies(services)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
--- a/src/entry/node/front/directoryServer.ts
+++ b/src/entry/node/front/directoryServer.ts
@@ -7,12 +7,15 @@
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../../ports/common/observation.ts'
 import type { FrontProtocol } from '../../../ports/common/protocols.ts'
+import type { ClientMemory } from '../clientMemory.ts'
 import type { ServerLimits } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
 import { RequestBodies } from '../requestBody.ts'
 import { parseRequestTarget } from '../requestTarget.ts'
 
 export interface DirectoryServerServices {
+  /** Memory that clients occupy at all addresses of the host. */
+  readonly memory: ClientMemory
   readonly clock: Pick<Clock, 'monotonic'>
   readonly protocol: FrontProtocol
   readonly metrics: Pick<Metrics, 'count' | 'gauge'>
@@ -26,7 +29,7 @@
   private readonly server: LimitedServer
 
   constructor (private readonly services: DirectoryServerServices, private readonly validForMs: number, limits: ServerLimits) {
-    const bodies = new RequestBodies(services, 0)
+    const bodies = new RequestBodies(services)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -18,6 +18,8 @@
 import type { FrontProtocol, FrontRequest } from '../../../ports/common/protocols.ts'
 import type { CallerAuthenticator } from '../../../actors/common/identity/callerAuthenticator.ts'
 import type { OperatorTopic } from '../../../actors/common/routes/operatorTopic.ts'
+import type { ClientMemory } from '../clientMemory.ts'
+import { headSizeBytes } from '../connectionMemory.ts'
 import type { ReceivedRequest } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
 import { RequestBodies, hasBody } from '../requestBody.ts'
@@ -33,6 +35,8 @@
   readonly whenLoaded: (need: 'routes' | 'steps', limitMs: number) => Promise<void>
   readonly forward: ForwardRoutes
   readonly steps: StepRoutes
+  /** Memory that clients occupy at all addresses of the host. */
+  readonly memory: ClientMemory
   readonly clock: Clock
   readonly metrics: Metrics
   readonly stateLog: StateLog
@@ -43,11 +47,8 @@
   readonly maximumConnections: number
   readonly maximumPipelinedRequests: number
   readonly unreadTimeoutMs: number
-  readonly maximumUnreadBytes: number
   /** Largest request head that the server reads. The configuration may set a lower limit. */
   readonly maximumHeadBytes: number
-  /** Largest total size of request bodies that are buffered at the same time. */
-  readonly maximumBufferedBytes: number
   /** Whether the host is stopping. Connections are then closed after the response. */
   readonly isStopping: () => boolean
 }
@@ -72,7 +73,7 @@
   private hasFailedOpenRequests = false
 
   constructor (private readonly services: FrontServerServices, private readonly settings: FrontServerSettings) {
-    this.bodies = new RequestBodies(services, settings.maximumBufferedBytes)
+    this.bodies = new RequestBodies(services)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'front.broken_requests',
@@ -189,8 +190,3 @@
 function serverTimeouts ({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): { readonly headTimeoutMs: number, readonly keepAliveTimeoutMs: number } {
   return { headTimeoutMs: headerTimeoutMs, keepAliveTimeoutMs: idleTimeoutMs + KEEP_ALIVE_MARGIN_MS }
 }
-
-/** Approximates the size of a request head: the URL, and header names and values with their separators. */
-function headSizeBytes ({ rawHeaders, url = '' }: IncomingMessage): number {
-  return rawHeaders.reduce((sum, text) => sum + text.length + 2, url.length)
-}
--- a/src/entry/node/front/metricsServer.ts
+++ b/src/entry/node/front/metricsServer.ts
@@ -5,6 +5,7 @@
 import type { PrometheusMetrics } from '../../../adapters/node/prometheusMetrics.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { StateLog } from '../../../ports/common/observation.ts'
+import type { ClientMemory } from '../clientMemory.ts'
 import type { ServerLimits } from '../limitedServer.ts'
 import { LimitedServer } from '../limitedServer.ts'
 import { RequestBodies } from '../requestBody.ts'
@@ -12,6 +13,8 @@
 const METRICS_PATH = '/metrics'
 
 export interface MetricsServerServices {
+  /** Memory that clients occupy at all addresses of the host. */
+  readonly memory: ClientMemory
   readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: PrometheusMetrics
   readonly stateLog: Pick<StateLog, 'alarm'>
@@ -22,7 +25,7 @@
 
   /** @param refresh updates the gauges that are computed only for a scrape */
   constructor (private readonly services: MetricsServerServices, private readonly refresh: () => void, limits: ServerLimits) {
-    const bodies = new RequestBodies(services, 0)
+    const bodies = new RequestBodies(services)
     this.server = new LimitedServer({
       ...services,
       malformedCounter: 'requests.broken',
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -14,9 +14,11 @@
 import type { Clock } from '../../ports/common/clock.ts'
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import { abortResponse } from './abortResponse.ts'
+import type { ClientMemory } from './clientMemory.ts'
+import { HeadMemory, ResponseMemory } from './connectionMemory.ts'
 import { listenAt } from './listenAt.ts'
 import { hasBody } from './requestBody.ts'
-import { limitRequests } from './requestParser.ts'
+import { listenToParser } from './requestParser.ts'
 
 export interface ServerLimits {
   readonly maximumConnections: number
@@ -32,8 +34,6 @@
   readonly keepAliveTimeoutMs: number
   /** Longest time for which a client may read nothing of a response that waits for it. */
   readonly unreadTimeoutMs: number
-  /** Largest total size of complete responses that wait for their clients. */
-  readonly maximumUnreadBytes: number
 }
 
 /** A request whose head has been received. */
@@ -45,6 +45,8 @@
 }
 
 export interface LimitedServerServices {
+  /** Memory for large request heads and for responses that wait to be read. */
+  readonly memory: ClientMemory
   readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: Pick<Metrics, 'count'>
   readonly stateLog: Pick<StateLog, 'alarm'>
@@ -59,11 +61,15 @@
   readonly request: IncomingMessage
   readonly response: ServerResponse
   readonly received: ReceivedRequest
+  /** Memory that is counted for its head. */
+  readonly headBytes: number
   isServed: boolean
 }
 
 interface Connection {
   readonly socket: Socket
+  readonly heads: HeadMemory
+  readonly unread: ResponseMemory
   readonly queue: QueuedRequest[]
   /** Requests whose heads have been parsed and whose responses are not complete. */
   openRequests: number
@@ -72,9 +78,9 @@
 const MAX_CHECK_INTERVAL_MS = 1000
 /** Time without data after which a connection of a client that has had a response may be closed in favour of a new one. */
 const MIN_INACTIVE_MS = 1000
-/** Size from which a response that waits for its client is tracked. */
-const MIN_UNREAD_BYTES = 65_536
-const MALFORMED_STATUS_LINES = { headTooLarge: '431 Request Header Fields Too Large', tooSlow: '408 Request Timeout', malformed: '400 Bad Request' } as const
+/** Delay after which clients may retry a request for which there was no memory. */
+const RETRY_AFTER_SECONDS = 1
+const REJECTION_STATUS_LINES = { overloaded: '503 Service Unavailable', headTooLarge: '431 Request Header Fields Too Large', tooSlow: '408 Request Timeout', malformed: '400 Bad Request' } as const
 
 export class LimitedServer implements Disposable {
   private readonly server: Server
@@ -82,8 +88,6 @@
   /** Connections whose clients have had no response yet, the oldest first. */
   private readonly newConnections = new Set<Connection>()
   private readonly usedConnections = new ActivityOrder<Connection>(progressOf)
-  /** Connections with large responses that are complete and wait for their clients. */
-  private readonly unread = new ActivityOrder<Connection>(({ socket }) => socket.bytesWritten - socket.writableLength)
   /** Responses to requests that are being served. */
   private readonly openResponses = new Set<ServerResponse>()
 
@@ -133,14 +137,21 @@
   }
 
   private trackConnection (socket: Socket): void {
-    const connection: Connection = { socket, queue: [], openRequests: 0 }
+    const queue: QueuedRequest[] = []
+    const heads = new HeadMemory(socket, this.services.memory, () => queue[0]?.request.complete === true, () => { this.closeForMemory(connection, NO_PROGRESS) })
+    const unread = new ResponseMemory(socket, this.services.memory, () => { this.closeUnread(connection) })
+    const connection: Connection = { socket, heads, unread, queue, openRequests: 0 }
     this.connections.set(socket, connection)
     this.newConnections.add(connection)
     socket.once('close', () => {
       this.untrack(connection)
       for (const queued of connection.queue.splice(0)) if (!queued.isServed) queued.received.discard()
     })
-    limitRequests(socket, () => this.acceptRequest(connection))
+    listenToParser(socket, {
+      onRequestBegin: () => { heads.begin() },
+      acceptRequest: () => this.acceptRequest(connection),
+      onRead: () => { if (this.connections.has(socket) && !heads.countArriving()) this.closeForMemory(connection, OVERLOADED) }
+    })
     this.evictIfFull(connection)
   }
 
@@ -148,7 +159,8 @@
     this.connections.delete(connection.socket)
     this.newConnections.delete(connection)
     this.usedConnections.delete(connection)
-    this.unread.delete(connection)
+    connection.heads.release()
+    connection.unread.release()
   }
 
   /** Closes a connection in favour of the latest one if there are too many. */
@@ -180,7 +192,12 @@
   private enqueue (request: IncomingMessage, response: ServerResponse, received: ReceivedRequest): void {
     const connection = this.connections.get(request.socket)
     if (connection === undefined) return received.discard()
-    const queued: QueuedRequest = { request, response, received: isHostMissing(request) ? hostMissing(response, received) : received, isServed: false }
+    const headBytes = connection.heads.add(request)
+    if (headBytes === undefined && connection.queue.length > 0) {
+      received.discard()
+      return this.closeForMemory(connection, OVERLOADED)
+    }
+    const queued: QueuedRequest = { request, response, received: headBytes === undefined ? overloaded(response, received) : isHostMissing(request) ? hostMissing(response, received) : received, headBytes: headBytes ?? 0, isServed: false }
     connection.queue.push(queued)
     response.once('prefinish', () => { this.limitUnread(connection) })
     response.once('close', () => { this.end(connection, queued) })
@@ -203,8 +220,9 @@
   private end (connection: Connection, queued: QueuedRequest): void {
     connection.openRequests--
     this.openResponses.delete(queued.response)
-    this.unread.delete(connection)
     if (this.connections.has(connection.socket)) {
+      connection.heads.free(queued.headBytes)
+      connection.unread.release()
       this.newConnections.delete(connection)
       this.usedConnections.touch(connection, this.services.clock.monotonic())
     }
@@ -217,28 +235,30 @@
 
   /** Closes a connection on which nothing has been sent or received for a while, unless its client waits for a response. */
   private closeInactive (socket: Socket): void {
-    const isIdle = this.connections.get(socket)?.queue.length === 0
-    if (isIdle) socket.destroy()
-    else if (socket.writableLength > 0) this.closeUnread(socket)
+    const connection = this.connections.get(socket)
+    if (connection === undefined || connection.queue.length === 0) socket.destroy()
+    else if (socket.writableLength > 0) this.closeUnread(connection)
   }
 
-  /** Closes connections whose clients have read nothing for the longest time while too many responses wait. */
+  /** Closes a connection if there is no memory for a complete response that its client has not read. */
   private limitUnread (connection: Connection): void {
-    if (connection.socket.writableLength < MIN_UNREAD_BYTES) return
-    const now = this.services.clock.monotonic()
-    this.unread.touch(connection, now)
-    while (this.unread.sum(({ socket }) => socket.writableLength) > this.limits.maximumUnreadBytes) {
-      const oldest = this.unread.leastActive(now, 0)
-      if (oldest === undefined) return
-      this.unread.delete(oldest)
-      this.closeUnread(oldest.socket)
-    }
+    if (this.connections.has(connection.socket) && !connection.unread.add()) this.closeUnread(connection)
   }
 
-  private closeUnread (socket: Socket): void {
+  /** Closes a connection, as there is no memory for the request heads that it has received. */
+  private closeForMemory (connection: Connection, reason: InputRejection): void {
+    const { socket, heads, queue } = connection
+    this.untrack(connection)
+    this.services.metrics.count('connections.closed_memory')
+    if (queue.length === 0 && heads.isIncomplete) this.rejectInput(socket, reason)
+    else socket.destroy()
+  }
+
+  private closeUnread (connection: Connection): void {
+    this.untrack(connection)
     this.services.metrics.count('connections.closed_unread')
     // A reset shows that the response is incomplete, and frees what the kernel holds of it.
-    socket.resetAndDestroy()
+    connection.socket.resetAndDestroy()
   }
 
   private handleUnexpectedError (error: unknown, response: ServerResponse): void {
@@ -258,13 +278,23 @@
       socket.destroy()
       return
     }
-    const failed = malformedFailure(error)
+    this.rejectInput(socket, malformedFailure(error))
+  }
+
+  /** Answers incomplete or malformed input with a numbered error, and closes the connection. */
+  private rejectInput (socket: Socket, failed: InputRejection): void {
     const body = JSON.stringify(failureBody(failed))
-    socket.write(`HTTP/1.1 ${MALFORMED_STATUS_LINES[failed.code]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\nconnection: close\r\n\r\n${body}`)
+    const retryAfter = failed.code === 'overloaded' ? `retry-after: ${RETRY_AFTER_SECONDS}\r\n` : ''
+    socket.write(`HTTP/1.1 ${REJECTION_STATUS_LINES[failed.code]}\r\ncontent-type: application/json\r\ncontent-length: ${Buffer.byteLength(body)}\r\n${retryAfter}connection: close\r\n\r\n${body}`)
     socket.destroySoon()
   }
 }
 
+type InputRejection = Failure & { readonly code: keyof typeof REJECTION_STATUS_LINES }
+
+const OVERLOADED: InputRejection = { ok: false, code: 'overloaded', message: 'the memory of this host for requests is used up' }
+const NO_PROGRESS: InputRejection = { ok: false, code: 'tooSlow', message: 'the request stopped arriving' }
+
 /** Changes with each byte that a client sends; `undefined` while a whole request is being served. */
 function progressOf ({ socket, queue }: Connection): number | undefined {
   return queue[0]?.request.complete === true ? undefined : socket.bytesRead
@@ -272,8 +302,9 @@
 
 const BAD_REQUEST = 400
 const EXPECTATION_FAILED = 417
+const SERVICE_UNAVAILABLE = 503
 
-function malformedFailure ({ code }: NodeJS.ErrnoException): Failure & { readonly code: keyof typeof MALFORMED_STATUS_LINES } {
+function malformedFailure ({ code }: NodeJS.ErrnoException): InputRejection {
   if (code === 'HPE_HEADER_OVERFLOW') return { ok: false, code: 'headTooLarge', message: 'the request head is too large' }
   if (code === 'ERR_HTTP_REQUEST_TIMEOUT') return { ok: false, code: 'tooSlow', message: 'the request did not arrive in time' }
   return { ok: false, code: 'malformed', message: 'the request is not valid HTTP/1.1' }
@@ -292,13 +323,24 @@
   return httpVersion === '1.1' && headers.host === undefined
 }
 
-/** Rejects a request in place of serving it. */
-function hostMissing (response: ServerResponse, { discard }: ReceivedRequest): ReceivedRequest {
+function hostMissing (response: ServerResponse, received: ReceivedRequest): ReceivedRequest {
+  return rejected(response, received, () => { sendFailureBody(response, BAD_REQUEST, failure('malformed', 'the request has no host header')) })
+}
+
+function overloaded (response: ServerResponse, received: ReceivedRequest): ReceivedRequest {
+  return rejected(response, received, () => {
+    response.setHeader('retry-after', RETRY_AFTER_SECONDS)
+    sendFailureBody(response, SERVICE_UNAVAILABLE, OVERLOADED)
+  })
+}
+
+/** Rejects a request in place of serving it. Its connection is closed, as its body is not read. */
+function rejected (response: ServerResponse, { discard }: ReceivedRequest, reject: () => void): ReceivedRequest {
   return {
     serve: () => {
       discard()
       response.shouldKeepAlive = false
-      sendFailureBody(response, BAD_REQUEST, failure('malformed', 'the request has no host header'))
+      reject()
     },
     discard
   }
--- a/src/entry/node/requestBody.ts
+++ b/src/entry/node/requestBody.ts
@@ -3,104 +3,45 @@
 import type { IncomingMessage } from 'node:http'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
-import { ActivityOrder } from '../../core/common/overload/activityOrder.ts'
-import type { Clock } from '../../ports/common/clock.ts'
+import type { MemoryHolder } from '../../core/common/overload/memoryBudget.ts'
 import type { Metrics } from '../../ports/common/observation.ts'
+import type { ClientMemory } from './clientMemory.ts'
+import { BLOCK_BYTES } from './clientMemory.ts'
 import { stopParsing } from './requestParser.ts'
 
-/** Size of the parts in which memory is reserved. */
-export const BLOCK_BYTES = 4096
-/** Number of unused blocks that are kept while no body is arriving. */
-const MAX_IDLE_BLOCKS = 256
 /** Number of chunks up to which their size does not matter. */
 const MAX_SMALL_CHUNKS = 1024
 /** Smallest average size of the chunks of a body with more chunks. */
 const MIN_CHUNK_BYTES = 16
-/** Time without data after which an incomplete body is given up if its memory is needed. */
-const STALLED_MS = 1000
 
 const EMPTY = new Uint8Array()
 const NOT_NEEDED = failure('cancelled', 'the request body is not needed')
 
 export interface RequestBodiesServices {
-  readonly clock: Pick<Clock, 'monotonic'>
+  readonly memory: ClientMemory
   readonly metrics: Pick<Metrics, 'count'>
 }
 
-/**
- * The bodies of all requests of a server. It limits their memory, and gives up bodies that have stopped arriving when
- * others need it. Blocks are used again instead of left to the garbage collector, which frees them too late for the limit to hold.
- */
+/** The bodies of all requests of a server. Bodies that have stopped arriving are given up when others need their memory. */
 export class RequestBodies {
-  private heldBytes = 0
-  private readonly unusedBlocks: Buffer[] = []
-  private readonly arriving = new ActivityOrder<RequestBody>((body) => body.receivedBytes)
-
-  /** @param maximumBytes limit on the memory of all bodies */
-  constructor (private readonly services: RequestBodiesServices, private readonly maximumBytes: number) {}
+  constructor (private readonly services: RequestBodiesServices) {}
 
   /** Starts to read the body of a request whose head has just been received. */
   read (request: IncomingMessage, maximumBytes: number): RequestBody {
-    return new RequestBody(request, this, maximumBytes)
+    return new RequestBody(request, this.services, maximumBytes)
   }
 
   /** Discards the body of a request as it arrives. */
   discard (request: IncomingMessage): void {
     this.read(request, 0).release()
   }
-
-  /** Notes that an incomplete body has received data. */
-  noteArrival (body: RequestBody): void {
-    this.arriving.touch(body, this.services.clock.monotonic())
-  }
-
-  noteEnd (body: RequestBody): void {
-    this.arriving.delete(body)
-    if (this.arriving.size === 0) this.unusedBlocks.length = Math.min(this.unusedBlocks.length, MAX_IDLE_BLOCKS)
-  }
-
-  countSmallChunks (): void {
-    this.services.metrics.count('connections.closed_small_chunks')
-  }
-
-  /** Returns a block, or `undefined` if the limit does not allow it. */
-  takeBlock (): Buffer | undefined {
-    if (!this.hasRoom()) return undefined
-    this.heldBytes += BLOCK_BYTES
-    return this.unusedBlocks.pop() ?? Buffer.allocUnsafeSlow(BLOCK_BYTES)
-  }
-
-  returnBlocks (blocks: readonly Buffer[]): void {
-    for (const block of blocks) this.unusedBlocks.push(block)
-    this.free(blocks.length * BLOCK_BYTES)
-  }
-
-  /** Counts a whole body, in place of the blocks that were returned for it, until it is freed. */
-  hold (bytes: number): void {
-    this.heldBytes += bytes
-    this.unusedBlocks.length = Math.min(this.unusedBlocks.length, Math.floor(Math.max(0, this.maximumBytes - this.heldBytes) / BLOCK_BYTES))
-  }
-
-  free (bytes: number): void {
-    this.heldBytes -= bytes
-  }
-
-  /** Gives up bodies that have stopped arriving until there is room for another block. */
-  private hasRoom (): boolean {
-    while (this.heldBytes + BLOCK_BYTES > this.maximumBytes) {
-      const stalled = this.arriving.leastActive(this.services.clock.monotonic(), STALLED_MS)
-      if (stalled === undefined) return false
-      stalled.giveUp()
-    }
-    return true
-  }
 }
 
 /**
  * The body of one request. It is read from the moment the head has been received, as the chunks that arrive together
  * with the head would otherwise wait as one object each, which takes about a hundred times the memory of a small chunk.
  */
-export class RequestBody {
+export class RequestBody implements MemoryHolder {
   receivedBytes = 0
   private chunks = 0
   private blocks: Buffer[] = []
@@ -109,17 +50,21 @@
   private outcome: Result<Uint8Array> | undefined
   private onOutcome: ((outcome: Result<Uint8Array>) => void) | undefined
 
-  constructor (private readonly request: IncomingMessage, private readonly bodies: RequestBodies, private readonly maximumBytes: number) {
+  constructor (private readonly request: IncomingMessage, private readonly services: RequestBodiesServices, private readonly maximumBytes: number) {
     request.on('data', (chunk: Buffer) => { this.append(chunk) })
     request.once('end', () => { this.complete() })
     request.once('close', () => { this.settle(failure('tooSlow', 'the connection was closed before the request body was complete')) })
     request.on('error', (error) => { this.settle(failure('tooSlow', `the request body did not arrive completely: ${error.message}`)) })
     if (Number(request.headers['content-length'] ?? 0) > maximumBytes) this.rejectTooLarge()
-    else bodies.noteArrival(this)
+    else services.memory.contents.noteActivity(this)
     // Without it, the data of the first read would be queued instead of passed on as it is parsed.
     request.read(0)
   }
 
+  get progress (): number {
+    return this.receivedBytes
+  }
+
   /** Resolves with the whole body, or with the limit that it has exceeded. */
   async read (): Promise<Result<Uint8Array>> {
     return this.outcome ?? await new Promise((resolve) => { this.onOutcome = resolve })
@@ -134,7 +79,7 @@
   release (): void {
     this.settle(NOT_NEEDED)
     this.outcome = NOT_NEEDED
-    this.bodies.free(this.wholeBytes)
+    this.services.memory.contents.free(this.wholeBytes)
     this.wholeBytes = 0
   }
 
@@ -146,14 +91,14 @@
     if (this.outcome !== undefined) return
     if (size > this.maximumBytes) return this.rejectTooLarge()
     if (!this.store(chunk, size - chunk.length)) return this.rejectOverloaded()
-    this.bodies.noteArrival(this)
+    this.services.memory.contents.noteActivity(this)
   }
 
   /** Copies a chunk to the end of the blocks. Returns false if there is no memory for it. */
   private store (chunk: Buffer, offset: number): boolean {
     for (let copied = 0; copied < chunk.length;) {
       const index = Math.floor((offset + copied) / BLOCK_BYTES)
-      const block = this.blocks[index] ?? this.bodies.takeBlock()
+      const block = this.blocks[index] ?? this.services.memory.takeBlock()
       if (block === undefined) return false
       this.blocks[index] = block
       copied += chunk.copy(block, (offset + copied) % BLOCK_BYTES, copied)
@@ -166,16 +111,16 @@
     if (this.receivedBytes === 0) return this.settle(success(EMPTY))
     const whole = Buffer.concat(this.blocks, this.receivedBytes)
     this.settle(success(whole))
-    this.bodies.hold(whole.length)
+    this.services.memory.contents.add(whole.length)
     this.wholeBytes = whole.length
   }
 
   private settle (outcome: Result<Uint8Array>): void {
     if (this.outcome !== undefined) return
     this.outcome = outcome
-    this.bodies.returnBlocks(this.blocks)
+    this.services.memory.returnBlocks(this.blocks)
     this.blocks = []
-    this.bodies.noteEnd(this)
+    this.services.memory.contents.remove(this)
     this.onOutcome?.(outcome)
   }
 
@@ -184,14 +129,14 @@
   }
 
   private rejectOverloaded (): void {
-    this.settle(failure('overloaded', 'the limit of this host on buffered request bodies is reached'))
+    this.settle(failure('overloaded', 'the memory of this host for requests is used up'))
   }
 
   /** Closes the connection, as parsing the rest would take much more processor time than its size suggests. */
   private rejectSmallChunks (): void {
     this.settle(failure('malformed', `the chunks of the request body have less than ${MIN_CHUNK_BYTES} bytes on average`))
     if (this.request.socket.destroyed) return
-    this.bodies.countSmallChunks()
+    this.services.metrics.count('connections.closed_small_chunks')
     stopParsing(this.request.socket)
     this.request.socket.destroy()
   }
--- a/src/host/node/entryHost.ts
+++ b/src/host/node/entryHost.ts
@@ -38,6 +38,7 @@
 import { createHash } from '../../adapters/node/xxHash.ts'
 import { RetryBudget } from '../../core/common/requests/retryBudget.ts'
 import { Identities } from '../../entry/common/identity.ts'
+import { ClientMemory } from '../../entry/node/clientMemory.ts'
 import { EntryServer } from '../../entry/node/entryServer.ts'
 import { RequestRegistry } from '../../entry/node/requestRegistry.ts'
 import { Router } from '../../entry/node/router.ts'
@@ -149,16 +150,14 @@
   new TrainerRoutes({ trainerApi, fold, metrics }, settings.rollouts.pull_wait).register(router)
   new HostRoutes({ fold, membership, operatorApi, metrics }, limits.valid_for).register(router)
   new PeerRoutes(handlers).register(router)
-  const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), clock, metrics, stateLog }, {
+  const server: EntryServer = disposables.add(new EntryServer({ router, identities: new Identities(settings), memory: new ClientMemory(clock, limits.held_bytes), clock, metrics, stateLog }, {
     listen: settings.host.listen,
     maximumConnections: limits.connections,
     maximumPipelinedRequests: limits.pipelined_requests,
     unreadTimeoutMs: limits.caller_pause,
-    maximumUnreadBytes: limits.unread_bytes,
     maximumRequests: limits.requests,
     bodyTimeoutMs: limits.body_timeout,
     maximumBodyBytes: limits.body_bytes,
-    maximumBufferedBytes: limits.held_bytes,
     chance,
     alternatives: () => membership.available().filter((member) => member.host !== host).map((member) => member.address).slice(0, MAX_ALTERNATIVES),
     leaving: () => stop.isStopping
--- a/src/host/node/routed/hostContext.ts
+++ b/src/host/node/routed/hostContext.ts
@@ -15,6 +15,7 @@
 import { disabledMechanisms } from '../../../core/common/mechanisms.ts'
 import type { ConnectionShares } from '../../../core/common/overload/connectionShares.ts'
 import { connectionShares } from '../../../core/common/overload/connectionShares.ts'
+import { ClientMemory } from '../../../entry/node/clientMemory.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
 import type { RoutedSettings } from '../../../settings/common/routedSettings.ts'
@@ -38,6 +39,8 @@
   readonly processor: number
   /** Maximum number of connections at each address. */
   readonly connectionShares: ConnectionShares
+  /** Memory that clients occupy at all addresses. */
+  readonly clientMemory: ClientMemory
   /** Address at which other hosts connect to this host. */
   readonly ownAddress: string
   readonly output: StandardOutput
@@ -54,6 +57,7 @@
   const output = new StandardOutput()
   const stateLog = new StructuredLog(host, level, output, runningItemCount)
   for (const mechanism of disabledMechanisms(settings.mechanisms)) stateLog.changed('mechanism left out', { mechanism })
+  const clock = new NodeClock()
   stateLog.changed('start', { place, callers: settings.listen.callers, store: settings.store.address })
   return {
     settings,
@@ -61,9 +65,10 @@
     machine,
     processor: share * speed,
     connectionShares: connectionShares(settings.limits.connections, settings.host.descriptors),
+    clientMemory: new ClientMemory(clock, settings.limits.held_bytes),
     ownAddress: `http://${settings.listen.peers}`,
     output,
-    services: { system: start(), clock: new NodeClock(), chance: new NodeRandomSource(), hash: await createHash(), metrics, stateLog },
+    services: { system: start(), clock, chance: new NodeRandomSource(), hash: await createHash(), metrics, stateLog },
     disposables
   }
 }
--- a/src/host/node/routed/hostServers.ts
+++ b/src/host/node/routed/hostServers.ts
@@ -37,21 +37,22 @@
 }
 
 export function createHostServers (context: HostContext, { others, topics, steps, forward, isStopping }: HostServerDependencies): HostServers {
-  const { settings, services, disposables, connectionShares: shares } = context
+  const { settings, services, clientMemory: memory, disposables, connectionShares: shares } = context
   const { limits, listen } = settings
   const { operator, targetTopic, topic } = topics
   const isReady = (): boolean => !isStopping() && operator.routes !== undefined && targetTopic.loaded && topic.loaded
   const front = disposables.add(new FrontServer({
     ...services,
+    memory,
     protocol: frontProtocol,
     operator,
     callerAuthenticator: new CallerAuthenticator({ ...services, operator }, { maxRevocationDelayMs: settings.identity.revocation }),
     whenLoaded: async (need, limitMs) => { await Promise.all((need === 'routes' ? [operator, targetTopic] : [operator, topic]).map(async (followed) => await followed.whenLoaded(limitMs))) },
     forward,
     steps: new StepRoutes(steps.submissionApi, frontProtocol)
-  }, { listen: listen.callers, maximumConnections: shares.callers, maximumPipelinedRequests: limits.pipelined_requests, unreadTimeoutMs: limits.caller_pause, maximumUnreadBytes: limits.unread_bytes, maximumHeadBytes: limits.head_bytes, maximumBufferedBytes: limits.held_bytes, isStopping }))
+  }, { listen: listen.callers, maximumConnections: shares.callers, maximumPipelinedRequests: limits.pipelined_requests, unreadTimeoutMs: limits.caller_pause, maximumHeadBytes: limits.head_bytes, isStopping }))
   const callerAddresses = createCallerAddresses(context, others, isReady)
-  const [directory, readiness] = [shares.directory, shares.readiness].map((maximumConnections) => disposables.add(new DirectoryServer({ ...services, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings, maximumConnections)))) as [DirectoryServer, DirectoryServer]
+  const [directory, readiness] = [shares.directory, shares.readiness].map((maximumConnections) => disposables.add(new DirectoryServer({ ...services, memory, protocol: frontProtocol, isReady, addresses: (place) => callerAddresses.list(place) }, limits.valid_for, queryServerLimits(settings, maximumConnections)))) as [DirectoryServer, DirectoryServer]
   const peerServer = createPeerServer(context, others, isStopping)
   return {
     front,
@@ -66,19 +67,17 @@
   return new CallerAddresses({ ...services, membership, isReady }, { host, port, spread: settings.mechanisms.caller_spread })
 }
 
-function createPeerServer ({ settings, services, disposables, connectionShares }: HostContext, { handlers }: OtherHosts, isStopping: () => boolean): EntryServer {
+function createPeerServer ({ settings, services, clientMemory: memory, disposables, connectionShares }: HostContext, { handlers }: OtherHosts, isStopping: () => boolean): EntryServer {
   const router = new Router()
   new PeerRoutes(handlers).register(router)
-  return disposables.add(new EntryServer({ ...services, router, identities: new Identities({ peers: settings.peers, callers: [], operators: [] }) }, {
+  return disposables.add(new EntryServer({ ...services, memory, router, identities: new Identities({ peers: settings.peers, callers: [], operators: [] }) }, {
     listen: settings.listen.peers,
     maximumConnections: connectionShares.peers,
     maximumPipelinedRequests: settings.limits.pipelined_requests,
     unreadTimeoutMs: settings.limits.caller_pause,
-    maximumUnreadBytes: settings.limits.unread_bytes,
     maximumRequests: MAX_PEER_REQUESTS,
     bodyTimeoutMs: PEER_IDLE_TIMEOUT_MS,
     maximumBodyBytes: settings.store.call_bytes,
-    maximumBufferedBytes: settings.limits.held_bytes,
     chance: services.chance,
     alternatives: () => [],
     leaving: isStopping
--- a/src/host/node/routed/queryServerLimits.ts
+++ b/src/host/node/routed/queryServerLimits.ts
@@ -12,7 +12,6 @@
     maximumConnections,
     maximumPipelinedRequests: limits.pipelined_requests,
     unreadTimeoutMs: limits.caller_pause,
-    maximumUnreadBytes: limits.unread_bytes,
     headTimeoutMs: HEAD_TIMEOUT_MS,
     requestTimeoutMs: REQUEST_TIMEOUT_MS,
     keepAliveTimeoutMs: KEEP_ALIVE_TIMEOUT_MS
--- a/src/host/node/routedHost.ts
+++ b/src/host/node/routedHost.ts
@@ -92,7 +92,7 @@
   otherHosts.membership.setProbePayload({ offset: () => topics.topic.position, load, reachesStore: () => storeAccess.reachability.isReachable, pressures: () => ({}) })
 
   if (settings.metrics?.listen !== undefined) {
-    const metricsServer = disposables.add(new MetricsServer({ clock, metrics, stateLog }, () => {
+    const metricsServer = disposables.add(new MetricsServer({ memory: context.clientMemory, clock, metrics, stateLog }, () => {
       setGauges(metrics, { duty: steps.duty, requests: servers.front.requests, items: countItems(steps.home.items), backlog: steps.backlog(), held: guards.held.counts.held, queued: queues?.waiting, usageReportedThrough: reporter?.reportedThrough, targets: topics.targets.counts })
     }, queryServerLimits(settings, context.connectionShares.metrics)))
     await metricsServer.listen(settings.metrics.listen)
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -58,7 +58,7 @@
   connections: positiveInteger(4000, 'maximum number of open connections at each address'),
   ...clientLimits,
   head_bytes: positiveInteger(65_536, 'maximum size of a request head, in bytes'),
-  held_bytes: positiveInteger(67_108_864, 'maximum total size of request bodies buffered at the same time, in bytes'),
+  held_bytes: positiveInteger(67_108_864, 'maximum memory for request bodies, large request heads and answers that wait to be read, at all addresses together, in bytes; clients that make no progress give up theirs first'),
   valid_for: milliseconds(2000, 'how long callers may cache an address answer'),
   answer_bytes: positiveInteger(4_194_304, 'maximum size of an unstreamed answer from a target, and of all that are being received together, in bytes'),
   connect_timeout: milliseconds(400, 'time limit for opening a connection to a target'),
--- a/src/settings/common/schemas.ts
+++ b/src/settings/common/schemas.ts
@@ -12,8 +12,7 @@
 /** Limits of clients that apply at all addresses of a host. */
 export const clientLimits = {
   pipelined_requests: positiveInteger(4, 'maximum number of requests that a client may send on one connection before it has received their answers; a connection with more is closed'),
-  caller_pause: milliseconds(10_000, 'longest time for which a client may read nothing of an answer or a stream that waits for it'),
-  unread_bytes: positiveInteger(33_554_432, 'maximum total size of answers that wait to be read at one address, in bytes; the connections whose clients have read nothing for the longest time are closed')
+  caller_pause: milliseconds(10_000, 'longest time for which a client may read nothing of an answer or a stream that waits for it')
 }
 
 export const membershipSchema = z.strictObject({
--- a/src/settings/common/settings.ts
+++ b/src/settings/common/settings.ts
@@ -32,7 +32,7 @@
 
 const limitsSchema = z.strictObject({
   body_bytes: positiveInteger(1_048_576, 'maximum size of a request body, in bytes'),
-  held_bytes: positiveInteger(134_217_728, 'maximum total size of request bodies buffered at the same time, in bytes'),
+  held_bytes: positiveInteger(134_217_728, 'maximum memory for request bodies, large request heads and answers that wait to be read, at all addresses together, in bytes; clients that make no progress give up theirs first'),
   answer_bytes: positiveInteger(67_108_864, 'maximum size of an answer from a target, in bytes'),
   connections: positiveInteger(2000, 'maximum number of open connections'),
   ...clientLimits,
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -6,13 +6,19 @@
 import { expect } from 'chai'
 import { pause } from '../../standins/httpStandIn.ts'
 import { NodeClock } from '../../src/adapters/node/nodeClock.ts'
+import { ClientMemory } from '../../src/entry/node/clientMemory.ts'
 import type { ReceivedRequest, ServerLimits } from '../../src/entry/node/limitedServer.ts'
 import { LimitedServer } from '../../src/entry/node/limitedServer.ts'
 import { freePorts, waitUntil } from '../support/hostProcess.ts'
 
 const MAX_CONNECTIONS = 10
 const MAX_PIPELINED_REQUESTS = 3
-const MAX_UNREAD_BYTES = 30_000_000
+const LARGE_HEAD_BYTES = 40_000
+/** A complete head counts this often, an incomplete one once. */
+const HEAD_COPIES = 3
+/** Part of the memory of clients that is for request heads. */
+const HEAD_PART = 0.25
+const MAX_CLIENT_BYTES = 40_000_000
 /** More than the kernel buffers for a connection whose client does not read. */
 const LARGE_RESPONSE_BYTES = 20_000_000
 
@@ -53,14 +59,15 @@
     server.dispose()
   })
 
-  async function start (overrides: Partial<ServerLimits> = {}): Promise<void> {
+  async function start (overrides: Partial<ServerLimits> = {}, maximumClientBytes = MAX_CLIENT_BYTES): Promise<void> {
     server = new LimitedServer({
+      memory: new ClientMemory(new NodeClock(), maximumClientBytes),
       clock: new NodeClock(),
       metrics: { count: (name) => { counts[name] = (counts[name] ?? 0) + 1 } },
       stateLog: { alarm: () => undefined },
       malformedCounter: 'requests.broken',
       receive
-    }, { maximumConnections: MAX_CONNECTIONS, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000, unreadTimeoutMs: 1000, maximumUnreadBytes: MAX_UNREAD_BYTES, ...overrides })
+    }, { maximumConnections: MAX_CONNECTIONS, maximumPipelinedRequests: MAX_PIPELINED_REQUESTS, headTimeoutMs: 1000, requestTimeoutMs: 2000, keepAliveTimeoutMs: 5000, unreadTimeoutMs: 1000, ...overrides })
     port = (await freePorts(1))[0] ?? 0
     await server.listen(`127.0.0.1:${port}`)
   }
@@ -160,6 +167,50 @@
     await waitUntil(() => second.text().length > LARGE_RESPONSE_BYTES, 5000, 'the second response arrives')
   })
 
+  it('frees the memory of stopped request heads for others, which get 503 while none has stopped', async () => {
+    // Guards against request heads that are each below their limit and together fill the memory.
+    server.dispose()
+    await start({ headTimeoutMs: 20_000, requestTimeoutMs: 20_000, unreadTimeoutMs: 20_000, maximumHeadBytes: LARGE_HEAD_BYTES * 2 }, (HEAD_COPIES + 1.5) * LARGE_HEAD_BYTES / HEAD_PART)
+    const partOfHead = `GET /quick HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(LARGE_HEAD_BYTES)}`
+    const stopped = [open(), open()]
+    for (const { socket } of stopped) socket.write(partOfHead)
+    await pause(200)
+    const refused = open()
+    refused.socket.write(`${partOfHead}\r\n\r\n`)
+    await refused.closed
+    expect(statuses(refused.text())).to.deep.equal(['503'])
+    expect(served).to.deep.equal([])
+    const small = open()
+    small.socket.write(get('/quick'))
+    await waitUntil(() => statuses(small.text())[0] === '200', 1000, 'a request with a head of usual size is served')
+    await pause(1000)
+    const large = open()
+    large.socket.write(`${partOfHead}\r\n\r\n`)
+    await waitUntil(() => statuses(large.text())[0] === '200', 1000, 'a request with a large head is served')
+    await stopped[0]?.closed
+    expect(statuses(stopped[0]?.text() ?? '')).to.deep.equal(['408'])
+  })
+
+  it('counts request heads until their responses are complete', async () => {
+    // Guards against requests that wait behind another one on their connections and are in no limit.
+    server.dispose()
+    await start({ maximumHeadBytes: LARGE_HEAD_BYTES * 2 }, (2 * HEAD_COPIES + 1) * LARGE_HEAD_BYTES / HEAD_PART)
+    const requestFor = (path: string): string => `GET ${path} HTTP/1.1\r\nhost: a\r\nx: ${'y'.repeat(LARGE_HEAD_BYTES)}\r\n\r\n`
+    const first = open()
+    first.socket.write(requestFor('/slow-1') + requestFor('/slow-2'))
+    await waitUntil(() => received.length === 2, 2000, 'both requests are received')
+    const refused = open()
+    refused.socket.write(requestFor('/slow-3'))
+    await refused.closed
+    expect(statuses(refused.text())).to.deep.equal(['503'])
+    responses.get('/slow-1')?.end('slow')
+    await waitUntil(() => served.includes('/slow-2'), 1000, 'the second request is served')
+    const next = open()
+    next.socket.write(requestFor('/quick'))
+    await waitUntil(() => statuses(next.text())[0] === '200', 1000, 'another request is served')
+    expect(served).to.not.include('/slow-3')
+  })
+
   it('leaves a connection alone whose client waits for a response', async () => {
     // Guards against the time limit for readers that ends long requests.
     const { socket, text } = open()
--- a/test/entry/requestBody.test.ts
+++ b/test/entry/requestBody.test.ts
@@ -6,13 +6,16 @@
 import { connect } from 'node:net'
 import { expect } from 'chai'
 import type { Result } from '../../src/base/common/resultCode.ts'
+import { BLOCK_BYTES, ClientMemory } from '../../src/entry/node/clientMemory.ts'
 import type { RequestBody } from '../../src/entry/node/requestBody.ts'
-import { BLOCK_BYTES, RequestBodies } from '../../src/entry/node/requestBody.ts'
+import { RequestBodies } from '../../src/entry/node/requestBody.ts'
 import { SeededRandom } from '../soak/seededRandom.ts'
 import { waitUntil } from '../support/hostProcess.ts'
 
 const MAX_BODY_BYTES = 100_000
 const MAX_TOTAL_BYTES = 300_000
+/** Part of the memory of clients that is for bodies. */
+const BODY_PART = 0.75
 const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\n'
 const CHUNKED_HEAD = `${HEAD}transfer-encoding: chunked\r\n\r\n`
 const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
@@ -21,6 +24,7 @@
   let server: Server
   let now = 0
   let smallChunks = 0
+  let memory: ClientMemory
   let all: RequestBodies
   const bodies: RequestBody[] = []
   const outcomes: Result<Uint8Array>[] = []
@@ -30,7 +34,8 @@
     now = 0
     bodies.length = 0
     outcomes.length = 0
-    all = new RequestBodies({ clock: { monotonic: () => now }, metrics: { count: () => { smallChunks++ } } }, MAX_TOTAL_BYTES)
+    memory = new ClientMemory({ monotonic: () => now }, MAX_TOTAL_BYTES / BODY_PART)
+    all = new RequestBodies({ memory, metrics: { count: () => { smallChunks++ } } })
     server = createServer((request: IncomingMessage, response) => {
       const body = all.read(request, MAX_BODY_BYTES)
       const index = bodies.push(body) - 1
@@ -67,8 +72,8 @@
   async function waitUntilReleased (): Promise<void> {
     await waitUntil(() => {
       const blocks: Buffer[] = []
-      for (let block = all.takeBlock(); block !== undefined; block = all.takeBlock()) blocks.push(block)
-      all.returnBlocks(blocks)
+      for (let block = memory.takeBlock(); block !== undefined; block = memory.takeBlock()) blocks.push(block)
+      memory.returnBlocks(blocks)
       return blocks.length === Math.floor(MAX_TOTAL_BYTES / BLOCK_BYTES)
     }, 3000, 'the memory is released')
   }
--- a/test/host/callerAddresses.test.ts
+++ b/test/host/callerAddresses.test.ts
@@ -6,6 +6,7 @@
 import type { HostId } from '../../src/base/common/ids.ts'
 import { asFailureDomain, asHostId } from '../../src/base/common/ids.ts'
 import type { Member, MemberStatus } from '../../src/core/common/membership/memberTable.ts'
+import { ClientMemory } from '../../src/entry/node/clientMemory.ts'
 import { DirectoryServer } from '../../src/entry/node/front/directoryServer.ts'
 import { CallerAddresses } from '../../src/host/node/routed/callerAddresses.ts'
 import { probeLoad } from '../../src/host/node/routed/probeLoad.ts'
@@ -174,6 +175,7 @@
     const server = new DirectoryServer({
       protocol: frontProtocol,
       metrics: { count: (name) => { values[name] = (values[name] ?? 0) + 1 }, gauge: (name, value) => { values[name] = value } },
+      memory: new ClientMemory({ monotonic: () => 0 }, 100_000),
       clock: { monotonic: () => 0 },
       stateLog: { alarm: () => undefined },
       isReady: () => true,
@@ -181,7 +183,7 @@
         places.push(place)
         return Array.from({ length: known }, (_, index) => `10.0.0.${index}:8000`)
       }
-    }, 2000, { maximumConnections: 10, maximumPipelinedRequests: 2, headTimeoutMs: 1000, requestTimeoutMs: 1000, keepAliveTimeoutMs: 1000, unreadTimeoutMs: 1000, maximumUnreadBytes: 100_000 })
+    }, 2000, { maximumConnections: 10, maximumPipelinedRequests: 2, headTimeoutMs: 1000, requestTimeoutMs: 1000, keepAliveTimeoutMs: 1000, unreadTimeoutMs: 1000 })
     try {
       await server.listen(`127.0.0.1:${port}`)
       const query = async (path: string): Promise<{ status: number, body: unknown }> => {
