Collect garbage before it fills a small machine

Callers would have seen a host ended by its machine of 210 MB: with one limit for the memory of clients a host still took 218 to 238 MB while crowds of several kinds came at the same time.

Cause: the rest was garbage. The engine does not know the memory of the machine: its young generation grew to three times 16 MB, and some 60 MB of unused buffers waited for a collection.

Evidence: heap and buffers every 100 ms during the crowds (up to 119 and 104 MB, with 48 MB counted for clients). With the smaller young generation alone the peaks were 157 to 206 MB, with collections alone 182 to 234 MB. A first form (a quarter for heads, collections every 200 ms) took 213 MB once.

A body of 32 MB, the default limit, has room with the share of 210 MB, which a case of requestBody.test.ts checks.

--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -59,6 +59,7 @@
   'progress.saved': 'saves of the progress of running items',
   'progress.not_saved': 'saves that the store did not accept',
   'queue.waited': 'calls that waited in the call queue for a target',
+  'memory.collections': 'garbage collections that were started because clients occupied much memory',
   'requests.broken': 'requests that are not HTTP',
   'requests.crashed': 'request handlers that failed',
   'requests.retried': 'second attempts',
--- a/src/entry/node/clientMemory.ts
+++ b/src/entry/node/clientMemory.ts
@@ -16,7 +16,9 @@
  * Part of the memory that is for request heads. The heap and the allocator do not return freed memory for each other's use
  * at once, so that the most that heads and bodies have occupied adds up, also if they do so one after the other.
  */
-const HEAD_PART = 0.25
+const HEAD_PART = 0.15
+/** Part of the memory that is in use when little is left for garbage. */
+const PRESSURE_PART = 0.25
 /** Time without progress after which a client gives up its memory for the request of another. */
 const STALLED_MS = 1000
 
@@ -27,10 +29,17 @@
   readonly contents: MemoryShare
   private readonly unusedBlocks: Buffer[] = []
 
-  /** @param maximumBytes limit on the memory of all clients */
-  constructor (clock: Pick<Clock, 'monotonic'>, maximumBytes: number) {
+  /**
+   * @param maximumBytes limit on the memory of all clients
+   * @param onPressure called when memory is reserved while much of it is in use
+   */
+  constructor (clock: Pick<Clock, 'monotonic'>, maximumBytes: number, private readonly onPressure: () => void = () => undefined) {
     const headBytes = Math.floor(maximumBytes * HEAD_PART)
-    const onChange = (): void => { this.limitUnusedBlocks() }
+    const pressureBytes = maximumBytes * PRESSURE_PART
+    const onChange = (): void => {
+      this.limitUnusedBlocks()
+      if (this.usedBytes(maximumBytes) > pressureBytes) this.onPressure()
+    }
     this.heads = new MemoryShare(clock, headBytes, onChange)
     this.contents = new MemoryShare(clock, maximumBytes - headBytes, onChange)
   }
@@ -48,6 +57,10 @@
     this.contents.free(blocks.length * BLOCK_BYTES)
   }
 
+  private usedBytes (maximumBytes: number): number {
+    return maximumBytes - this.heads.availableBytes - this.contents.availableBytes
+  }
+
   /** Unused blocks occupy memory too, so that they give way to other contents. */
   private limitUnusedBlocks (): void {
     const maximum = this.contents.holderCount === 0 ? MAX_IDLE_BLOCKS : Math.floor(this.contents.availableBytes / BLOCK_BYTES)
@@ -59,7 +72,7 @@
 export class MemoryShare {
   private readonly budget: MemoryBudget
 
-  /** @param onChange called when memory has been taken, or a client can no longer give up any */
+  /** @param onChange called when memory has been taken or refused, or a client can no longer give up any */
   constructor (private readonly clock: Pick<Clock, 'monotonic'>, maximumBytes: number, private readonly onChange: () => void) {
     this.budget = new MemoryBudget(maximumBytes)
   }
@@ -105,7 +118,7 @@
 
   private reserve (bytes: number, minimumStalledMs: number): boolean {
     const isReserved = this.budget.reserve({ bytes, now: this.clock.monotonic(), minimumStalledMs })
-    if (isReserved) this.onChange()
+    this.onChange()
     return isReserved
   }
 }
--- a/src/host/node/routed/hostContext.ts
+++ b/src/host/node/routed/hostContext.ts
@@ -3,6 +3,7 @@
 import { start } from 'nact'
 import { randomUUID } from 'node:crypto'
 import type { TaskSystem } from '../../../actors/common/task.ts'
+import { GarbageCollector } from '../../../adapters/node/garbageCollector.ts'
 import { NodeRandomSource, NodeClock } from '../../../adapters/node/nodeClock.ts'
 import { PrometheusMetrics } from '../../../adapters/node/prometheusMetrics.ts'
 import { StandardOutput } from '../../../adapters/node/standardOutput.ts'
@@ -15,6 +16,7 @@
 import { disabledMechanisms } from '../../../core/common/mechanisms.ts'
 import type { ConnectionShares } from '../../../core/common/overload/connectionShares.ts'
 import { connectionShares } from '../../../core/common/overload/connectionShares.ts'
+import { memoryShares } from '../../../core/common/overload/memoryShares.ts'
 import { ClientMemory } from '../../../entry/node/clientMemory.ts'
 import type { RandomSource, Clock } from '../../../ports/common/clock.ts'
 import type { Hash } from '../../../ports/common/hash.ts'
@@ -58,6 +60,8 @@
   const stateLog = new StructuredLog(host, level, output, runningItemCount)
   for (const mechanism of disabledMechanisms(settings.mechanisms)) stateLog.changed('mechanism left out', { mechanism })
   const clock = new NodeClock()
+  const { clientBytes, collectAboveBytes } = memoryShares(settings.limits.held_bytes, settings.host.memory_mb)
+  const garbageCollector = new GarbageCollector({ clock, metrics }, collectAboveBytes)
   stateLog.changed('start', { place, callers: settings.listen.callers, store: settings.store.address })
   return {
     settings,
@@ -65,7 +69,7 @@
     machine,
     processor: share * speed,
     connectionShares: connectionShares(settings.limits.connections, settings.host.descriptors),
-    clientMemory: new ClientMemory(clock, settings.limits.held_bytes),
+    clientMemory: new ClientMemory(clock, clientBytes, () => { garbageCollector.collectIfNeeded() }),
     ownAddress: `http://${settings.listen.peers}`,
     output,
     services: { system: start(), clock, chance: new NodeRandomSource(), hash: await createHash(), metrics, stateLog },
--- a/src/settings/common/routedSettings.ts
+++ b/src/settings/common/routedSettings.ts
@@ -13,6 +13,7 @@
   place: name.describe('failure domain of this host'),
   log_level: z.enum(['silent', 'warn', 'info']).default('info').describe('minimum level of log lines that are written'),
   descriptors: z.number().int().min(1000).optional().describe('maximum number of open files and sockets of the process; if set, the connections of each address are limited to its share of them'),
+  memory_mb: z.number().positive().optional().describe('memory that the process may use, in MB; if set, it limits `limits.held_bytes` to a share of it, and garbage is collected before it fills the rest'),
   processor_share: z.number().positive().default(1).describe('share of a processor core that the host may use'),
   processor_speed: z.number().positive().default(1).describe('speed of that core relative to a standard core; hosts with less capacity than one standard core leave the duty of running steps to others')
 })
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -17,8 +17,8 @@
 /** A complete head counts this often, an incomplete one once. */
 const HEAD_COPIES = 3
 /** Part of the memory of clients that is for request heads. */
-const HEAD_PART = 0.25
-const MAX_CLIENT_BYTES = 40_000_000
+const HEAD_PART = 0.15
+const MAX_CLIENT_BYTES = 35_300_000
 /** More than the kernel buffers for a connection whose client does not read. */
 const LARGE_RESPONSE_BYTES = 20_000_000
 
--- a/test/entry/requestBody.test.ts
+++ b/test/entry/requestBody.test.ts
@@ -6,6 +6,7 @@
 import { connect } from 'node:net'
 import { expect } from 'chai'
 import type { Result } from '../../src/base/common/resultCode.ts'
+import { memoryShares } from '../../src/core/common/overload/memoryShares.ts'
 import { BLOCK_BYTES, ClientMemory } from '../../src/entry/node/clientMemory.ts'
 import type { RequestBody } from '../../src/entry/node/requestBody.ts'
 import { RequestBodies } from '../../src/entry/node/requestBody.ts'
@@ -13,9 +14,10 @@
 import { waitUntil } from '../support/hostProcess.ts'
 
 const MAX_BODY_BYTES = 100_000
+const DEFAULT_MAX_BODY_BYTES = 33_554_432
 const MAX_TOTAL_BYTES = 300_000
 /** Part of the memory of clients that is for bodies. */
-const BODY_PART = 0.75
+const BODY_PART = 0.85
 const HEAD = 'POST / HTTP/1.1\r\nhost: a\r\n'
 const CHUNKED_HEAD = `${HEAD}transfer-encoding: chunked\r\n\r\n`
 const chunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`
@@ -23,6 +25,7 @@
 describe('request bodies', () => {
   let server: Server
   let now = 0
+  let maximumBodyBytes = MAX_BODY_BYTES
   let smallChunks = 0
   let memory: ClientMemory
   let all: RequestBodies
@@ -32,12 +35,13 @@
 
   beforeEach(async () => {
     now = 0
+    maximumBodyBytes = MAX_BODY_BYTES
     bodies.length = 0
     outcomes.length = 0
     memory = new ClientMemory({ monotonic: () => now }, MAX_TOTAL_BYTES / BODY_PART)
     all = new RequestBodies({ memory, metrics: { count: () => { smallChunks++ } } })
     server = createServer((request: IncomingMessage, response) => {
-      const body = all.read(request, MAX_BODY_BYTES)
+      const body = all.read(request, maximumBodyBytes)
       const index = bodies.push(body) - 1
       body.read().then((outcome) => {
         outcomes[index] = outcome
@@ -78,6 +82,16 @@
     }, 3000, 'the memory is released')
   }
 
+  it('may be as large as the default limit of a body with the memory of the smallest machine', async () => {
+    // Guards against a share of the memory in which a single request within its limits has no room.
+    const { clientBytes } = memoryShares(67_108_864, 210)
+    memory = new ClientMemory({ monotonic: () => now }, clientBytes)
+    all = new RequestBodies({ memory, metrics: { count: () => undefined } })
+    maximumBodyBytes = DEFAULT_MAX_BODY_BYTES
+    send(`${HEAD}content-length: ${DEFAULT_MAX_BODY_BYTES}\r\n\r\n`, 'x'.repeat(DEFAULT_MAX_BODY_BYTES))
+    expect(await outcomeOf(0)).to.equal(`${DEFAULT_MAX_BODY_BYTES} bytes`)
+  })
+
   it('are read whole, in any chunks', async () => {
     const random = new SeededRandom(54)
     const text = Array.from({ length: 20_000 }, () => String.fromCharCode(random.intBetween(97, 122))).join('')
--- a/test/platform/uncontrolledClients.test.ts
+++ b/test/platform/uncontrolledClients.test.ts
@@ -21,7 +21,7 @@
 /** Sockets of the smallest machine in use. */
 const MACHINE_SOCKETS = 2875
 /** The program is started as in deploy/system.toml. */
-const PROGRAM = [process.execPath, '--max-old-space-size=160', 'dist/bulrushvalve.cjs']
+const PROGRAM = [process.execPath, '--max-old-space-size=160', '--max-semi-space-size=2', '--expose-gc', 'dist/bulrushvalve.cjs']
 /** Fewer places for callers than the crowds that fill them have clients. */
 const CALLER_CONNECTIONS = 500
 const FEW_DESCRIPTORS = 1000
@@ -267,7 +267,7 @@
   for (const { name, hasLargeAnswers = false, crowds: crowdsOf } of crowdsAtTheSameTime) {
     it(`leave it within its memory: ${name}`, async () => {
       // Guards against limits that each fit the machine, but not all of them together.
-      fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200 } }, { program: PROGRAM })
+      fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200, memory_mb: MACHINE_MEMORY_MB } }, { program: PROGRAM })
       const host = fleet.host(0)
       if (hasLargeAnswers) stopLargeAnswers = await registerLargeAnswers(fleet)
       const crowds = crowdsOf(host)
