--- a/src/entry/node/connectionMemory.ts
+++ b/src/entry/node/connectionMemory.ts
@@ -10,7 +10,7 @@
 import type { ClientMemory, MemoryShare } from './clientMemory.ts'
 
 /** Size up to which a request head is not counted. */
-const MAX_SMALL_HEAD_BYTES = 4096
+const MAX_SMALL_HEAD_BYTES = 2048
 /** Number of copies of a complete head: as received, with the headers to forward, and as sent to a target. */
 const HEAD_COPIES = 3
 /** Size up to which a response that waits to be read is not counted. */
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -193,11 +193,15 @@
     const connection = this.connections.get(request.socket)
     if (connection === undefined) return received.discard()
     const headBytes = connection.heads.add(request)
-    if (headBytes === undefined && connection.queue.length > 0) {
-      received.discard()
-      return this.closeForMemory(connection, OVERLOADED)
-    }
-    const queued: QueuedRequest = { request, response, received: headBytes === undefined ? overloaded(response, received) : isHostMissing(request) ? hostMissing(response, received) : received, headBytes: headBytes ?? 0, isServed: false }
+    if (headBytes === undefined) {
+      if (connection.queue.length > 0) {
+        received.discard()
+        return this.closeForMemory(connection, OVERLOADED)
+      }
+      this.services.metrics.count('connections.closed_memory')
+      received = overloaded(response, received)
+    } else if (isHostMissing(request)) received = hostMissing(response, received)
+    const queued: QueuedRequest = { request, response, received, headBytes: headBytes ?? 0, isServed: false }
     connection.queue.push(queued)
     response.once('prefinish', () => { this.limitUnread(connection) })
     response.once('close', () => { this.end(connection, queued) })
--- a/test/platform/uncontrolledClients.test.ts
+++ b/test/platform/uncontrolledClients.test.ts
@@ -255,13 +255,26 @@
   }
 
   const bodiesInLargeChunks: CrowdOptions = { clients: 400, connectionsPerClient: 1, opening: chunkedHead('POST /look-up/chunked HTTP/1.1'), piece: LARGE_CHUNK, pieces: 4 }
-  const requestWithLargeHead = `GET /look-up/ahead HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nx: ${'y'.repeat(15_000)}\r\n\r\n`
-  const largeHeads: CrowdOptions = { clients: 700, connectionsPerClient: 1, opening: `${requestWithLargeHead.repeat(3)}GET / HTTP/1.1\r\nhost: a\r\n`, piece: `z: ${'y'.repeat(990)}\r\n`, pieces: 60 }
+  const requestWithHead = (bytes: number): string => `GET /look-up/ahead HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nx: ${'y'.repeat(bytes)}\r\n\r\n`
+  const largeHeads: CrowdOptions = { clients: 700, connectionsPerClient: 1, opening: `${requestWithHead(15_000).repeat(3)}GET / HTTP/1.1\r\nhost: a\r\n`, piece: `z: ${'y'.repeat(990)}\r\n`, pieces: 60 }
   const unreadLargeAnswers: CrowdOptions = { clients: 200, connectionsPerClient: 1, piece: `GET /look-up/large HTTP/1.1\r\nhost: ${CALLS_HOST}\r\nbulrushvalve-request-id: a\r\nbulrushvalve-deadline-ms: 2000\r\n\r\n`, pieces: 4 }
   const crowdsAtTheSameTime: readonly { readonly name: string, readonly hasLargeAnswers?: boolean, readonly crowds: (host: FleetHost) => Crowd[] }[] = [
     { name: 'large heads and bodies in large chunks at the same time, at the address for callers', crowds: (host) => [new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.address, largeHeads)] },
     { name: 'unread large answers, bodies in large chunks and large heads at the same time, at the address for callers', hasLargeAnswers: true, crowds: (host) => [new Crowd(host.address, unreadLargeAnswers), new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.address, largeHeads)] },
     { name: 'bodies in large chunks for callers and for other hosts, and large heads for callers, at the same time', crowds: (host) => [new Crowd(host.address, bodiesInLargeChunks), new Crowd(host.peers, { ...bodiesInLargeChunks, opening: chunkedHead(ordinaryLine.peers, PEER_KEY) }), new Crowd(host.address, largeHeads)] },
+    {
+      name: 'bodies, heads of two sizes and unread large answers at the same time, at the addresses for callers, other hosts and address queries',
+      hasLargeAnswers: true,
+      crowds: (host) => [
+        new Crowd(host.address, bodiesInLargeChunks),
+        new Crowd(host.peers, { ...bodiesInLargeChunks, opening: chunkedHead(ordinaryLine.peers, PEER_KEY) }),
+        new Crowd(host.address, { clients: 400, connectionsPerClient: 3, piece: requestWithHead(3900), pieces: 4 }),
+        new Crowd(host.address, largeHeads),
+        new Crowd(host.address, unreadLargeAnswers),
+        new Crowd(host.directory, { ...largeHeads, clients: 280 }),
+        new Crowd(host.peers, largeHeads)
+      ]
+    },
     { name: 'large heads at all addresses at the same time', crowds: (host) => listeners.map((listener) => new Crowd(addressOf[listener](host), { ...largeHeads, clients: 300 })) }
   ]
   for (const { name, hasLargeAnswers = false, crowds: crowdsOf } of crowdsAtTheSameTime) {
