Leave room for one large request head with a small limit of client memory

With such a setting every large head would have been refused.

The part for heads is now at least 256 KB, room for one head of the largest default size. The sizes in limitedServer.test.ts are doubled, so that its limits stay above that; its checks are the same.

--- a/src/core/common/overload/memoryBudget.ts
+++ b/src/core/common/overload/memoryBudget.ts
@@ -26,6 +26,10 @@
 
   constructor (private readonly maximumBytes: number) {}
 
+  get usedBytes (): number {
+    return this.reservedBytes
+  }
+
   get availableBytes (): number {
     return Math.max(0, this.maximumBytes - this.reservedBytes)
   }
--- a/src/entry/node/clientMemory.ts
+++ b/src/entry/node/clientMemory.ts
@@ -17,6 +17,8 @@
  * at once, so that the most that heads and bodies have occupied adds up, also if they do so one after the other.
  */
 const HEAD_PART = 0.15
+/** Room for at least one head of the largest default size, so that a small limit does not reject every large head. */
+const MIN_HEAD_BYTES = 262_144
 /** Part of the memory that is in use when little is left for garbage. */
 const PRESSURE_PART = 0.25
 /** Time without progress after which a client gives up its memory for the request of another. */
@@ -34,14 +36,14 @@
    * @param onPressure called when memory is reserved while much of it is in use
    */
   constructor (clock: Pick<Clock, 'monotonic'>, maximumBytes: number, private readonly onPressure: () => void = () => undefined) {
-    const headBytes = Math.floor(maximumBytes * HEAD_PART)
+    const headPartBytes = Math.floor(maximumBytes * HEAD_PART)
     const pressureBytes = maximumBytes * PRESSURE_PART
     const onChange = (): void => {
       this.limitUnusedBlocks()
-      if (this.usedBytes(maximumBytes) > pressureBytes) this.onPressure()
+      if (this.heads.usedBytes + this.contents.usedBytes > pressureBytes) this.onPressure()
     }
-    this.heads = new MemoryShare(clock, headBytes, onChange)
-    this.contents = new MemoryShare(clock, maximumBytes - headBytes, onChange)
+    this.heads = new MemoryShare(clock, Math.max(headPartBytes, MIN_HEAD_BYTES), onChange)
+    this.contents = new MemoryShare(clock, maximumBytes - headPartBytes, onChange)
   }
 
   /** Returns a block, or `undefined` if the limit does not allow it. */
@@ -57,10 +59,6 @@
     this.contents.free(blocks.length * BLOCK_BYTES)
   }
 
-  private usedBytes (maximumBytes: number): number {
-    return maximumBytes - this.heads.availableBytes - this.contents.availableBytes
-  }
-
   /** Unused blocks occupy memory too, so that they give way to other contents. */
   private limitUnusedBlocks (): void {
     const maximum = this.contents.holderCount === 0 ? MAX_IDLE_BLOCKS : Math.floor(this.contents.availableBytes / BLOCK_BYTES)
@@ -77,6 +75,10 @@
     this.budget = new MemoryBudget(maximumBytes)
   }
 
+  get usedBytes (): number {
+    return this.budget.usedBytes
+  }
+
   get availableBytes (): number {
     return this.budget.availableBytes
   }
--- a/test/entry/limitedServer.test.ts
+++ b/test/entry/limitedServer.test.ts
@@ -13,7 +13,7 @@
 
 const MAX_CONNECTIONS = 10
 const MAX_PIPELINED_REQUESTS = 3
-const LARGE_HEAD_BYTES = 40_000
+const LARGE_HEAD_BYTES = 80_000
 /** A complete head counts this often, an incomplete one once. */
 const HEAD_COPIES = 3
 /** Part of the memory of clients that is for request heads. */
