Start the hosts of the platform tests with the options of the deployed program

Callers saw nothing.

The memory of a process depends on the options of the engine, and these tests started the program without those of deploy/system.toml. How much garbage waits depends on the load of the machine.

The tests read the options from deploy/system.toml. No check, bound or crowd has changed. uncontrolledClients.test.ts had a copy of the options.

--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -1,11 +1,11 @@
 /** Starts hosts as separate processes against stand-ins of the platform. Each host has its own address in 127.0.0.0/8, and all use the same ports, as on the platform. */
 
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs'
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
-import { stringify } from 'smol-toml'
+import { parse, stringify } from 'smol-toml'
 import { request } from 'undici'
-import { HostProcess, PROGRAM, freePorts, waitUntil } from '../../support/hostProcess.ts'
+import { HostProcess, freePorts, waitUntil } from '../../support/hostProcess.ts'
 import type { StoreEndpoint } from './storeStandIn.ts'
 import { StoreStandIn } from './storeStandIn.ts'
 import type { TargetOptions } from './targetStandIn.ts'
@@ -40,6 +40,15 @@
 
 export const CALLS_HOST = 'calls.example'
 
+/** The program with the options of the engine with which it is deployed, as they determine its memory. */
+const DEPLOYED_PROGRAM: readonly string[] = [process.execPath, ...deployedOptions(), 'dist/bulrushvalve.cjs']
+
+function deployedOptions (): string[] {
+  const { roles } = parse(readFileSync('deploy/system.toml', 'utf8')) as unknown as { roles: { host: { run: string } } }
+  const words = roles.host.run.split(' ').slice(1)
+  return words.slice(0, words.findIndex((word) => !word.startsWith('--')))
+}
+
 /** Returns a configuration as an operator writes it; `overrides` replace fields of the routes, by route name. */
 export function configuration (version: number, overrides: Record<string, object> = {}): object {
   const routes = [
@@ -71,7 +80,7 @@
   private constructor (readonly store: StoreStandIn, readonly hosts: readonly FleetHost[], private readonly folder: string) {}
 
   /** Starts a number of hosts and waits until all of them are ready. */
-  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { storeAddressFor: wayToStore, program = PROGRAM }: FleetOptions = {}): Promise<Fleet> {
+  static async start (count: number, targets: readonly TargetOptions[], settings: Record<string, Record<string, unknown>> = {}, { storeAddressFor: wayToStore, program = DEPLOYED_PROGRAM }: FleetOptions = {}): Promise<Fleet> {
     const store = new StoreStandIn()
     const folder = mkdtempSync(join(tmpdir(), 'fleet-'))
     const ip = (index: number): string => `127.0.1.${index + 1}`
--- a/test/platform/uncontrolledClients.test.ts
+++ b/test/platform/uncontrolledClients.test.ts
@@ -20,8 +20,6 @@
 const MACHINE_MEMORY_MB = 210
 /** Sockets of the smallest machine in use. */
 const MACHINE_SOCKETS = 2875
-/** The program is started as in deploy/system.toml. */
-const PROGRAM = [process.execPath, '--max-old-space-size=160', '--max-semi-space-size=2', '--expose-gc', 'dist/bulrushvalve.cjs']
 /** Fewer places for callers than the crowds that fill them have clients. */
 const CALLER_CONNECTIONS = 500
 const FEW_DESCRIPTORS = 1000
@@ -211,7 +209,7 @@
   let stopLargeAnswers: (() => void) | undefined
 
   async function start (): Promise<{ fleet: Fleet, host: FleetHost }> {
-    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { limits: { connections: CALLER_CONNECTIONS } }, { program: PROGRAM })
+    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { limits: { connections: CALLER_CONNECTIONS } })
     const host = fleet.host(0)
     await waitUntil(async () => await ordinaryStatus(fleet as Fleet, host, 'callers') === 200, 10_000, 'calls are served')
     return { fleet, host }
@@ -280,7 +278,7 @@
   for (const { name, hasLargeAnswers = false, crowds: crowdsOf } of crowdsAtTheSameTime) {
     it(`leave it within its memory: ${name}`, async () => {
       // Guards against limits that each fit the machine, but not all of them together.
-      fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200, memory_mb: MACHINE_MEMORY_MB } }, { program: PROGRAM })
+      fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: MACHINE_SOCKETS + 200, memory_mb: MACHINE_MEMORY_MB } })
       const host = fleet.host(0)
       if (hasLargeAnswers) stopLargeAnswers = await registerLargeAnswers(fleet)
       const crowds = crowdsOf(host)
@@ -301,7 +299,7 @@
 
   it('leave it descriptors for its targets: idle connections at all addresses together', async () => {
     // Guards against limits of addresses that are together above what the process may have.
-    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: FEW_DESCRIPTORS } }, { program: PROGRAM })
+    fleet = await Fleet.start(1, [{ id: 'sound', service: 'app', place: 'place-0', slots: 8 }], { host: { descriptors: FEW_DESCRIPTORS } })
     const host = fleet.host(0)
     const crowds = listeners.map((listener) => new Crowd(addressOf[listener](host), { clients: FEW_DESCRIPTORS / 2, connectionsPerClient: 1, piece: '', pieces: 0 }))
     try {
