Remove what the limit for the memory of clients made dead, and name things once

Found by reading the change again. ActivityOrder.sum has no caller since limits.unread_bytes is gone. The failure for used-up memory was written twice. A class in connectionMemory.ts had the name of an interface in memoryBudget.ts.

--- a/src/adapters/node/garbageCollector.ts
+++ b/src/adapters/node/garbageCollector.ts
@@ -9,6 +9,7 @@
 
 /** Growth of the heap and of buffers after which another collection frees something. */
 const MIN_GROWTH_BYTES = 10_485_760
+
 export interface GarbageCollectorServices {
   readonly clock: Pick<Clock, 'monotonic'>
   readonly metrics: Pick<Metrics, 'count'>
--- a/src/core/common/overload/activityOrder.ts
+++ b/src/core/common/overload/activityOrder.ts
@@ -15,13 +15,6 @@
     return this.activities.size
   }
 
-  /** Returns the sum of a property of all items. */
-  sum (valueOf: (item: Item) => number): number {
-    let sum = 0
-    for (const item of this.activities.keys()) sum += valueOf(item)
-    return sum
-  }
-
   /** Adds an item, or notes that it has been active. */
   touch (item: Item, now: number): void {
     this.activities.delete(item)
--- a/src/entry/node/clientMemory.ts
+++ b/src/entry/node/clientMemory.ts
@@ -4,6 +4,7 @@
  * late for the limit to hold.
  */
 
+import type { Failure } from '../../base/common/resultCode.ts'
 import type { MemoryHolder } from '../../core/common/overload/memoryBudget.ts'
 import { MemoryBudget } from '../../core/common/overload/memoryBudget.ts'
 import type { Clock } from '../../ports/common/clock.ts'
@@ -24,6 +25,9 @@
 /** Time without progress after which a client gives up its memory for the request of another. */
 const STALLED_MS = 1000
 
+/** Failure of a request for which there is no memory. */
+export const MEMORY_USED_UP: Failure & { readonly code: 'overloaded' } = { ok: false, code: 'overloaded', message: 'the memory of this host for requests is used up' }
+
 export class ClientMemory {
   /** Memory for large request heads. */
   readonly heads: MemoryShare
@@ -48,6 +52,7 @@
 
   /** Returns a block, or `undefined` if the limit does not allow it. */
   takeBlock (): Buffer | undefined {
+    // Taken first, as a reservation releases unused blocks for which no memory is left.
     const block = this.unusedBlocks.pop()
     if (this.contents.reserveForRequest(BLOCK_BYTES)) return block ?? Buffer.allocUnsafeSlow(BLOCK_BYTES)
     if (block !== undefined) this.unusedBlocks.push(block)
--- a/src/entry/node/connectionMemory.ts
+++ b/src/entry/node/connectionMemory.ts
@@ -18,7 +18,7 @@
 
 /** The request heads of a connection whose responses are not complete. */
 export class HeadMemory {
-  private readonly reservation: Reservation
+  private readonly reservation: ConnectionReservation
   private completeBytes = 0
   /** Size of the incomplete head at the end of the input. */
   private arrivingBytes = 0
@@ -29,7 +29,7 @@
 
   /** @param isServing whether a request is being served, so that the connection must keep its memory */
   constructor (private readonly socket: Socket, memory: ClientMemory, isServing: () => boolean, onGiveUp: () => void) {
-    this.reservation = new Reservation(memory.heads, () => isServing() ? undefined : socket.bytesRead, onGiveUp)
+    this.reservation = new ConnectionReservation(memory.heads, () => isServing() ? undefined : socket.bytesRead, onGiveUp)
   }
 
   /** Whether a request head has been received in part. */
@@ -79,10 +79,10 @@
 
 /** A complete response that waits to be read by its client. */
 export class ResponseMemory {
-  private readonly reservation: Reservation
+  private readonly reservation: ConnectionReservation
 
   constructor (private readonly socket: Socket, memory: ClientMemory, onGiveUp: () => void) {
-    this.reservation = new Reservation(memory.contents, () => socket.bytesWritten - socket.writableLength, onGiveUp)
+    this.reservation = new ConnectionReservation(memory.contents, () => socket.bytesWritten - socket.writableLength, onGiveUp)
   }
 
   /** Counts a response that has just been completed. Returns false if there is no memory for what has not been read of it. */
@@ -96,7 +96,7 @@
 }
 
 /** Memory that one connection has reserved for one use. */
-class Reservation implements MemoryHolder {
+class ConnectionReservation implements MemoryHolder {
   private bytes = 0
 
   constructor (private readonly share: MemoryShare, private readonly progressOf: () => number | undefined, readonly giveUp: () => void) {}
--- a/src/entry/node/limitedServer.ts
+++ b/src/entry/node/limitedServer.ts
@@ -15,6 +15,7 @@
 import type { Metrics, StateLog } from '../../ports/common/observation.ts'
 import { abortResponse } from './abortResponse.ts'
 import type { ClientMemory } from './clientMemory.ts'
+import { MEMORY_USED_UP } from './clientMemory.ts'
 import { HeadMemory, ResponseMemory } from './connectionMemory.ts'
 import { listenAt } from './listenAt.ts'
 import { hasBody } from './requestBody.ts'
@@ -150,7 +151,7 @@
     listenToParser(socket, {
       onRequestBegin: () => { heads.begin() },
       acceptRequest: () => this.acceptRequest(connection),
-      onRead: () => { if (this.connections.has(socket) && !heads.countArriving()) this.closeForMemory(connection, OVERLOADED) }
+      onRead: () => { if (this.connections.has(socket) && !heads.countArriving()) this.closeForMemory(connection, MEMORY_USED_UP) }
     })
     this.evictIfFull(connection)
   }
@@ -196,7 +197,7 @@
     if (headBytes === undefined) {
       if (connection.queue.length > 0) {
         received.discard()
-        return this.closeForMemory(connection, OVERLOADED)
+        return this.closeForMemory(connection, MEMORY_USED_UP)
       }
       this.services.metrics.count('connections.closed_memory')
       received = overloaded(response, received)
@@ -296,7 +297,6 @@
 
 type InputRejection = Failure & { readonly code: keyof typeof REJECTION_STATUS_LINES }
 
-const OVERLOADED: InputRejection = { ok: false, code: 'overloaded', message: 'the memory of this host for requests is used up' }
 const NO_PROGRESS: InputRejection = { ok: false, code: 'tooSlow', message: 'the request stopped arriving' }
 
 /** Changes with each byte that a client sends; `undefined` while a whole request is being served. */
@@ -334,7 +334,7 @@
 function overloaded (response: ServerResponse, received: ReceivedRequest): ReceivedRequest {
   return rejected(response, received, () => {
     response.setHeader('retry-after', RETRY_AFTER_SECONDS)
-    sendFailureBody(response, SERVICE_UNAVAILABLE, OVERLOADED)
+    sendFailureBody(response, SERVICE_UNAVAILABLE, MEMORY_USED_UP)
   })
 }
 
--- a/src/entry/node/requestBody.ts
+++ b/src/entry/node/requestBody.ts
@@ -6,7 +6,7 @@
 import type { MemoryHolder } from '../../core/common/overload/memoryBudget.ts'
 import type { Metrics } from '../../ports/common/observation.ts'
 import type { ClientMemory } from './clientMemory.ts'
-import { BLOCK_BYTES } from './clientMemory.ts'
+import { BLOCK_BYTES, MEMORY_USED_UP } from './clientMemory.ts'
 import { stopParsing } from './requestParser.ts'
 
 /** Number of chunks up to which their size does not matter. */
@@ -129,7 +129,7 @@
   }
 
   private rejectOverloaded (): void {
-    this.settle(failure('overloaded', 'the memory of this host for requests is used up'))
+    this.settle(MEMORY_USED_UP)
   }
 
   /** Closes the connection, as parsing the rest would take much more processor time than its size suggests. */
