--- a/review/support-2/deployment.ts
+++ b/review/support-2/deployment.ts
@@ -18,6 +18,7 @@
 import type { EngineOptions } from './engine.ts'
 import { EngineStandIn } from './engine.ts'
 import type { Journal } from './journal.ts'
+import { StoreProxy } from './storeProxy.ts'
 
 /** Delay after which the platform starts an ended process again. */
 const RESTART_DELAY_MS = 1000
@@ -101,6 +102,8 @@
   readonly targets: readonly TargetOptions[]
   readonly engines?: readonly EngineOptions[]
   readonly memoryMb?: number
+  /** Whether a proxy stands between each host and the store. */
+  readonly storeProxies?: boolean
 }
 
 export class Deployment {
@@ -108,6 +111,8 @@
   readonly hosts: Host[] = []
   readonly targets: TargetStandIn[] = []
   readonly engines: EngineStandIn[] = []
+  /** The proxies before the store, in the order of the hosts. */
+  readonly proxies: StoreProxy[] = []
   private readonly folder = mkdtempSync(join(tmpdir(), 'deployment-'))
 
   private constructor (readonly journal: Journal) {}
@@ -141,11 +146,18 @@
   async stop (): Promise<void> {
     await Promise.all(this.hosts.map(async (host) => { await host.stop() }))
     await Promise.all([...this.targets, ...this.engines].map(async (target) => { await target.kill() }))
+    await Promise.all(this.proxies.map(async (proxy) => { await proxy.stop() }))
     await this.store.close()
     rmSync(this.folder, { recursive: true, force: true })
   }
 
-  private async startAll ({ hosts, configuration, targets, engines = [], memoryMb = 360 }: DeploymentOptions): Promise<void> {
+  private async openProxy (storeAddress: string): Promise<string> {
+    const proxy = await StoreProxy.start(storeAddress)
+    this.proxies.push(proxy)
+    return proxy.address
+  }
+
+  private async startAll ({ hosts, configuration, targets, engines = [], memoryMb = 360, storeProxies = false }: DeploymentOptions): Promise<void> {
     const role = Object.values((parse(readFileSync('deploy/system.toml', 'utf8')) as unknown as DeployFile).roles)[0]
     if (role === undefined) throw new Error('the deploy file has no role')
     const template = readFileSync(role.template, 'utf8')
@@ -153,7 +165,8 @@
     const [front = 0, ready = 0, control = 0, directory = 0, metrics = 0] = await freePorts(5, ips)
     for (const [index, ip] of ips.entries()) {
       const name = `front-${index + 1}`
-      const { address } = await this.store.openEndpoint()
+      const endpoint = await this.store.openEndpoint()
+      const address = storeProxies ? await this.openProxy(endpoint.address) : endpoint.address
       const fields = settingsFields({ name, ip, zone: `zone-${index % 3}`, front, ready, control, directory, store: address.replace('http://', ''), seeds: ips.slice(0, 3).map((seed) => `${seed}:${control}`), memoryMb })
       const settingsPath = join(this.folder, `${name}.toml`)
       writeFileSync(settingsPath, render(template, fields).replace(':9464"', `:${metrics}"`))
