Review: let the case of items larger than an engine's memory use four engines

With two engines, one wave of the other step's items got through now and then beside other runs, and used half of the slots for a moment.

--- a/review/4/main.ts
+++ b/review/4/main.ts
@@ -1,6 +1,6 @@
 /** A trainer submits items that no worker's memory can hold, while another trainer's step is under way. */
 
-import { MEMORY_TOKENS, SLOTS, configuration, deployment, item, pause, run, submission } from '../support-2/case.ts'
+import { MEMORY_TOKENS, MODEL, SLOTS, configuration, deployment, item, pause, run, submission } from '../support-2/case.ts'
 
 /** The time that the trainers of the site allow a step, from its submission. */
 const TIME_BUDGET_MS = 12_000
@@ -8,13 +8,14 @@
 const UNSERVED_MS = 5000
 /** The rule doesn't count runs that their sender ends within this time. */
 const SHORT_RUN_MS = 1000
-const SERVICE_SLOTS = 2 * SLOTS
-const ITEMS = 100
-const OVERSIZE_ITEMS = 16
+const WORKERS = 4
+const SERVICE_SLOTS = WORKERS * SLOTS
+const ITEMS = 200
+const OVERSIZE_ITEMS = 68
 const OVERSIZE_TOKENS = 60_000
 
 run({
-  options: { ...deployment, configuration },
+  options: { ...deployment, configuration, engines: Array.from({ length: WORKERS }, (_, index) => ({ id: `i-engine-${index}`, service: 'drafter', zone: `zone-${index % 3}`, slots: SLOTS, model: MODEL, memoryTokens: MEMORY_TOKENS, eventMs: 20 })) },
   play: async ({ hosts: [first, second, third], engines }, journal, trouble) => {
     if (first === undefined || second === undefined || third === undefined) throw new Error('three hosts are expected')
     const ids = Array.from({ length: ITEMS }, (_, index) => `e5b2907c14da${String(index).padStart(4, '0')}`)
