Tell by its head whether a body is a stream, also when it ends within its first event

Cause: bytes after the last whole event were forwarded, and the stream counted as whole, if no event with an id had come before. That was meant for bodies that are no streams, but it was judged by what had come, and before the first event nothing has.

Change: a 200 of the type text/event-stream that ends within an event or comment is a broken run. So is a stream without a length and without any event, for items too, which would be listed with an empty text. Whole comments at the end are no cut. A stream is not resumed after an event without an id, which would come twice.

--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -10,7 +10,8 @@
 import { classifyAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import { pickDestination } from '../../../core/common/routes/routeConfiguration.ts'
 import type { ServerSentEvent } from '../../../core/common/streams/eventReader.ts'
-import { ServerSentEventReader, contiguousBytes, isBlank } from '../../../core/common/streams/eventReader.ts'
+import { ServerSentEventReader, contiguousBytes, endsWithinEvent } from '../../../core/common/streams/eventReader.ts'
+import type { TargetResponseHead } from '../../../ports/common/protocols.ts'
 import type { ReceivedHeaders } from '../../../ports/common/targetClient.ts'
 import type { RouteCallServices, RoutedRequest } from './routedRequest.ts'
 import { contentOf } from './routedRequest.ts'
@@ -44,6 +45,7 @@
 /** Lower bound of the silence timeout; callers always wait for at least two seconds. */
 const MIN_SILENCE_TIMEOUT_MS = 1500
 const RETRY_AFTER_MS = 300
+const STATUS_OK = 200
 
 /** Thrown when the caller has read nothing for too long. */
 class CallerNotReadingError extends Error {
@@ -70,6 +72,8 @@
   /** Whether a run was silent on a reused connection; later runs then use new connections. */
   private hadSilentConnection = false
   private last: number | undefined
+  /** Whether events without an id were forwarded after the last one with an id. A run that resumes the stream would send them again. */
+  private endsUnnumbered = false
   private readonly content: RequestContent
   /** Whether the target that answered reported its own failure. */
   private failed = false
@@ -106,7 +110,7 @@
       }
       if (end !== 'not-run') runs++
       this.updateQuarantine(end)
-      if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && !route.resumable)) break
+      if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && (!route.resumable || this.endsUnnumbered))) break
     }
     return this.finish(end)
   }
@@ -204,15 +208,11 @@
         progressAt = events.some(({ fields }) => fields.size > 0) ? clock.monotonic() : progressAt + this.callerPausedMs - callerPausedMs
         timer = clock.after(Math.max(0, progressAt + silenceTimeoutMs - clock.monotonic()), () => { silenceAbort.abort() })
       }
+      if (this.isCut(head, reader.rest)) return await this.onFailedRun(target, run, 'broke')
       run.finish()
       target.recordAnswerTime(clock.monotonic() - this.startedAt - this.callerPausedMs, head.load)
-      if (reader.rest.length === 0) return 'whole'
-      // A body that is not an event stream is forwarded unchanged, as are empty lines at the end of one.
-      if (this.last === request.resumeAfter || isBlank(reader.rest)) {
-        await this.write(reader.rest)
-        return 'whole'
-      }
-      return 'broken'
+      if (reader.rest.length > 0) await this.write(reader.rest)
+      return 'whole'
     } catch (error) {
       if (error instanceof CallerNotReadingError) return this.onCallerNotReading(target, run, error.waitedMs)
       return reusesConnection && silenceAbort.signal.aborted ? this.onSilentConnection(target, run, silenceTimeoutMs) : await this.onFailedRun(target, run, 'broke')
@@ -222,6 +222,16 @@
     }
   }
 
+  /**
+   * Whether a body that ended in order is not the whole stream. Its head tells whether it is a stream: it may have been cut
+   * before the first event was complete. Bodies of other types are forwarded unchanged.
+   */
+  private isCut ({ status, isEventStream, hasLength }: TargetResponseHead, rest: Uint8Array): boolean {
+    const hasNumberedEvents = this.last !== this.request.resumeAfter
+    if (!hasNumberedEvents && (status !== STATUS_OK || !isEventStream)) return false
+    return endsWithinEvent(rest) || (!hasLength && this.last === undefined && this.forwardedBytes === 0)
+  }
+
   /** Forwards events up to the first one that does not follow its predecessor. */
   private async forwardEvents (events: readonly ServerSentEvent[]): Promise<void> {
     const missing = events.findIndex((event) => !this.isNextEvent(event))
@@ -232,9 +242,13 @@
 
   private isNextEvent ({ fields }: ServerSentEvent): boolean {
     const id = this.services.protocol.event(fields)?.id
-    if (id === undefined) return true
+    if (id === undefined) {
+      this.endsUnnumbered ||= fields.has('data')
+      return true
+    }
     if (this.last !== undefined && id !== this.last + 1) return false
     this.last = id
+    this.endsUnnumbered = false
     return true
   }
 
--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -5,7 +5,7 @@
 
 import { decodeBase64 } from '../../../base/common/base64.ts'
 import type { WorkspaceName } from '../../../base/common/ids.ts'
-import { ServerSentEventReader } from '../../../core/common/streams/eventReader.ts'
+import { ServerSentEventReader, endsWithinEvent } from '../../../core/common/streams/eventReader.ts'
 import type { ItemPayload, StepItem } from '../../../core/common/steps/step.ts'
 import type { Clock } from '../../../ports/common/clock.ts'
 import type { TargetProtocol } from '../../../ports/common/protocols.ts'
@@ -162,7 +162,10 @@
     if (head.version < options.minimumVersion) return endRun({ type: 'too-old' })
   }
   text.beginRun(head.version)
-  return await readEvents(context, stream)
+  const isFirstRun = text.last === undefined
+  const outcome = await readEvents(context, stream)
+  const isEmpty = isFirstRun && text.last === undefined
+  return outcome.type === 'complete' && isEmpty && !head.hasLength ? { type: 'broken', why: 'the stream has no event and no length', crashed: false } : outcome
 }
 
 async function readEvents ({ services, engine, item, text, options, silence }: RunContext, stream: TargetStream): Promise<RunOutcome> {
@@ -193,7 +196,7 @@
     }
   }
   if (firstAt !== undefined && lastAt !== undefined) engine.pace.recordRun(lastAt - firstAt, timedEvents + 1)
-  return new TextDecoder().decode(reader.rest).trim() !== '' ? { type: 'broken', why: 'the stream ended in the middle of an event', crashed: false } : { type: 'complete' }
+  return endsWithinEvent(reader.rest) ? { type: 'broken', why: 'the stream ended in the middle of an event', crashed: false } : { type: 'complete' }
 }
 
 /** Aborts a run that receives no event for too long because its connection or its engine hangs. */
--- a/src/core/common/streams/eventReader.ts
+++ b/src/core/common/streams/eventReader.ts
@@ -16,6 +16,7 @@
 
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
+const COLON = 0x3a
 /** Maximum number of bytes at the end of the searched data that may be the beginning of an event's terminator. */
 const MAX_PARTIAL_TERMINATOR_BYTES = 3
 
@@ -88,9 +89,15 @@
   return new Uint8Array(first.buffer, first.byteOffset, events.reduce((sum, { raw }) => sum + raw.length, 0))
 }
 
-/** Whether bytes contain nothing but line breaks. */
-export function isBlank (bytes: Uint8Array): boolean {
-  return skipLineBreaks(bytes, 0) === bytes.length
+/** Whether the end of a stream contains the beginning of an event or comment. Line breaks and whole comment lines do not. */
+export function endsWithinEvent (rest: Uint8Array): boolean {
+  let at = skipLineBreaks(rest, 0)
+  while (rest[at] === COLON) {
+    const lineEnd = rest.indexOf(LINE_FEED, at)
+    if (lineEnd < 0) return true
+    at = skipLineBreaks(rest, lineEnd)
+  }
+  return at < rest.length
 }
 
 /** Returns the index of the first byte at or after `from` that is no line break. Empty lines before an event belong to it. */
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -123,6 +123,10 @@
   readonly isLoadUnreadable?: true
   /** Weight version at the start of the response. */
   readonly version: number | undefined
+  /** Whether the body consists of server-sent events. */
+  readonly isEventStream: boolean
+  /** Whether the response states where its body ends. Otherwise the body ends with the connection, also if the target crashes. */
+  readonly hasLength: boolean
 }
 
 /** How running requests are treated when an engine changes its weights. */
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -202,13 +202,13 @@
   const events = (from: number, to: number, afterMs = 10): ScriptedAnswer['events'] => Array.from({ length: to - from }, (_, index) => ({ afterMs, raw: event(from + index) }))
   const whole = [0, 1, 2, 3].map(event).join('')
 
-  async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}, reads?: (clock: ManualClock) => Promise<void> | undefined): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient, answerMs: number | undefined }> {
+  async function stream (targets: Readonly<Record<string, readonly ScriptedAnswer[]>>, details: Partial<Route> = {}, reads?: (clock: ManualClock) => Promise<void> | undefined, resumeAfter?: number): Promise<{ got: string, ended: string, failed: Failure | undefined, client: ScriptedClient, answerMs: number | undefined }> {
     const stage = createFixture(targets)
     const calls = new StreamCalls({ targets: stage.table, client: stage.client, ...newCrashGuards(stage.table, stage.client, stage.clock), protocol: targetProtocol, clock: stage.clock, chance: newSeededChance(3), metrics: noopMetrics, stateLog: noopStateLog, place: 'here', mechanisms: allMechanisms }, CALLER_PAUSE_MS)
     stage.table.get('b')?.recordAnswerTime(90)
     let got = ''
     let ended = ''
-    const done = calls.call({ route: newRoute({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter: undefined }, {
+    const done = calls.call({ route: newRoute({ kind: 'streaming', resumable: true, attempts: 3, timeoutMs: 9000, ...details }), requestId: 'r', method: 'POST', path: '/a/', headers: (options) => targetProtocol.forwardHeaders([], options, { type: 'open' }), body: undefined, waitMs: 9000, configuration: 1, background: false, gone: stage.gone.signal, resumeAfter }, {
       writeHead: () => { got += 'head ' },
       write: (piece) => {
         got += Buffer.from(piece).toString('latin1')
@@ -283,6 +283,84 @@
     expect([got, ended]).to.deep.equal([`head ${event(0)}${event(1)}`, 'cut'])
   })
 
+  const eventStream = (type = 'text/event-stream', details: Record<string, string> = {}): ScriptedAnswer => ({ afterMs: 20, headers: { ...ownHeaders, 'content-type': type, ...details } })
+  const cut = (raw: string): ScriptedAnswer['events'] => [{ afterMs: 5, raw }]
+  const wholeFrom = (first: number): string => whole.slice(whole.indexOf(`id: ${first}`))
+
+  for (const type of ['text/event-stream', 'Text/Event-Stream', 'text/event-stream; charset=utf-8', ' text/event-stream;x=y']) {
+    it(`with the type "${type}" resumes at another target if it ends within its first event`, async () => {
+      // Guards against a stream that ends as if it were complete although its engine ended within the first event.
+      const { got, ended, client } = await stream({ a: [{ ...eventStream(type), events: cut('id: 0\ndata: 0') }], b: [{ ...eventStream(type), events: events(0, 4) }] })
+      expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+      expect(client.sent.map(({ address, headers }) => [address, headers.includes('last-event-id')])).to.deep.equal([['a', false], ['b', false]])
+    })
+  }
+
+  it('is aborted if it ends within its first event and must not be resumed, or breaks in the same way at each target', async () => {
+    // Guards against a partial event that the caller takes for the last one of a complete stream.
+    const answer = { ...eventStream(), events: cut('id: 0\nda') }
+    for (const details of [{ resumable: false }, { attempts: 2 }]) {
+      const { got, ended } = await stream({ a: [answer], b: [answer] }, details)
+      expect([got, ended]).to.deep.equal(['head ', 'cut'])
+    }
+  })
+
+  it('resumes again if the run that resumed it ends within its first event', async () => {
+    // Guards against a partial event after the events of an earlier run.
+    const { got, ended, client } = await stream({ c: [{ ...eventStream(), events: cut('id: 2\n') }], a: [{ ...eventStream(), events: events(0, 2), isBroken: true }], b: [{ ...eventStream(), events: events(2, 4) }] })
+    expect(client.sent.map(({ address }) => address)).to.deep.equal(['a', 'c', 'b'])
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+    expect(client.sent.slice(1).map(({ headers }) => headers[headers.indexOf('last-event-id') + 1])).to.deep.equal(['1', '1'])
+  })
+
+  it('that its caller resumes is resumed at another target if it ends within its first event', async () => {
+    // Guards against a caller that resumes a stream and is told that it is complete.
+    const { got, ended, client } = await stream({ a: [{ ...eventStream(), events: cut('id: 2\ndata') }], b: [{ ...eventStream(), events: events(2, 4) }] }, {}, undefined, 1)
+    expect([got, ended]).to.deep.equal([`head ${wholeFrom(2)}`, 'end'])
+    expect(client.sent.map(({ headers }) => headers[headers.indexOf('last-event-id') + 1])).to.deep.equal(['1', '1'])
+  })
+
+  it('is not resumed after an event without an id, which would come twice', async () => {
+    // Guards against a piece that a caller gets twice because a run starts over after it.
+    const first = 'data: without an id\n\n'
+    const { got, ended, client } = await stream({ a: [{ ...eventStream(), events: [...cut(first) ?? [], ...cut('id: 0\nda') ?? []] }], b: [{ ...eventStream(), events: cut(`${first}${whole}`) }] })
+    expect([got, ended]).to.deep.equal([`head ${first}`, 'cut'])
+    expect(client.sent).to.have.length(1)
+  })
+
+  for (const { name, rest } of [{ name: 'empty lines', rest: '\n\r\n' }, { name: 'a comment', rest: ': done\n' }, { name: 'comments and empty lines', rest: '\n: done\n\n: bye\r\n' }]) {
+    it(`is complete if it ends with ${name}`, async () => {
+      // Guards against a complete stream that is aborted.
+      const { got, ended, client } = await stream({ a: [{ ...eventStream(), events: [...events(0, 4) ?? [], ...cut(rest) ?? []] }], b: [eventStream()] })
+      expect([got, ended, client.sent.length]).to.deep.equal([`head ${whole}${rest}`, 'end', 1])
+    })
+  }
+
+  it('resumes if it ends within a comment', async () => {
+    // Guards against a stream that ends as if it were complete although its engine ended within a comment.
+    const { got, ended } = await stream({ a: [{ ...eventStream(), events: [...events(0, 2) ?? [], ...cut(': wor') ?? []] }], b: [{ ...eventStream(), events: events(2, 4) }] })
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+  })
+
+  it('without any event and without a length runs at another target', async () => {
+    // Guards against an empty stream that ends as if it were complete although its engine ended after the head.
+    const { got, ended } = await stream({ a: [eventStream()], b: [{ ...eventStream(), events: events(0, 4) }] })
+    expect([got, ended]).to.deep.equal([`head ${whole}`, 'end'])
+  })
+
+  for (const { name, answer } of [
+    { name: 'an empty stream with a length', answer: eventStream('text/event-stream', { 'content-length': '0' }) },
+    { name: 'an empty stream in chunks', answer: eventStream('text/event-stream', { 'transfer-encoding': 'chunked' }) },
+    { name: 'an error with the type of a stream', answer: { ...eventStream(), status: 404, events: cut('no such conversation') } },
+    { name: 'a body of another type', answer: { ...eventStream('text/event-streams'), events: cut('{"no": "events"}') } }
+  ]) {
+    it(`is forwarded as it is if it is ${name}`, async () => {
+      // Guards against complete answers that are taken for cut streams.
+      const { got, ended, client } = await stream({ a: [answer], b: [eventStream()] })
+      expect([got, ended, client.sent.length]).to.deep.equal([`head ${(answer.events ?? []).map(({ raw }) => String(raw)).join('')}`, 'end', 1])
+    })
+  }
+
   it('is refused if no target accepts it', async () => {
     const { ended, failed } = await stream({ a: [refused], b: [refused] })
     expect([ended, failed?.code]).to.deep.equal(['', 'overloaded'])
--- a/test/actors/steps/itemRun.test.ts
+++ b/test/actors/steps/itemRun.test.ts
@@ -91,6 +91,10 @@
   for (const { name, answer, expected, held } of [
     { name: 'a truncated event', answer: { afterMs: 5, headers: responseHeaders, events: [...events(1, 2) ?? [], { afterMs: 5, raw: 'id: 3\nda' }], breaks: true }, expected: 'broken', held: 'd1\nd2' },
     { name: 'an end in the middle of an event', answer: { afterMs: 5, headers: responseHeaders, events: [...events(1) ?? [], { afterMs: 5, raw: 'id: 2\nda' }] }, expected: 'broken', held: 'd1' },
+    { name: 'an end after its head', answer: { afterMs: 5, headers: responseHeaders, events: [] }, expected: 'broken', held: '' },
+    { name: 'an end after its head with a length', answer: { afterMs: 5, headers: { ...responseHeaders, 'content-length': '0' }, events: [] }, expected: 'complete', held: '' },
+    { name: 'an end after a comment', answer: { afterMs: 5, headers: responseHeaders, events: [...events(1) ?? [], { afterMs: 5, raw: ': done\n' }] }, expected: 'complete', held: 'd1' },
+    { name: 'an end within a comment', answer: { afterMs: 5, headers: responseHeaders, events: [...events(1) ?? [], { afterMs: 5, raw: ': do' }] }, expected: 'broken', held: 'd1' },
     { name: 'a missing event', answer: { afterMs: 5, headers: responseHeaders, events: events(1, 3) }, expected: 'broken', held: 'd1' },
     { name: 'a duplicated event', answer: { afterMs: 5, headers: responseHeaders, events: events(1, 1) }, expected: 'broken', held: 'd1' },
     { name: 'the response to another request', answer: { afterMs: 5, headers: { ...responseHeaders, 'bulrushvalve-request-id': 'x' }, events: events(1) }, expected: 'broken', held: '' },
--- a/test/core/routes/routes.test.ts
+++ b/test/core/routes/routes.test.ts
@@ -56,7 +56,7 @@
 })
 
 describe('the classification of an answer', () => {
-  const head = { status: 200, requestId: 'r', seal: 'x', notRun: false, load: undefined, version: undefined }
+  const head = { status: 200, requestId: 'r', seal: 'x', notRun: false, load: undefined, version: undefined, isEventStream: false, hasLength: true }
 
   for (const { name, answer, expected } of [
     { name: 'a sealed answer', answer: head, expected: 'answer' },
--- a/test/core/streams/eventReader.test.ts
+++ b/test/core/streams/eventReader.test.ts
@@ -2,7 +2,7 @@
 
 import { expect } from 'chai'
 import fc from 'fast-check'
-import { EventTooLargeError, MAX_EVENT_BYTES, ServerSentEventReader } from '../../../src/core/common/streams/eventReader.ts'
+import { EventTooLargeError, MAX_EVENT_BYTES, ServerSentEventReader, endsWithinEvent } from '../../../src/core/common/streams/eventReader.ts'
 
 const stream = 'id: 1\ndata: one\n\nversion-of: 2\nid: 2\ndata: two\ndata: more\n\n: a comment\n\nid: 3\r\ndata: three: 3\r\n\r\n'
 
@@ -63,4 +63,11 @@
     expect(fields).to.have.length(1)
     expect(rest).to.equal('id: 2\ndata: tw')
   })
+
+  it('tells the beginning of an event or comment from line breaks and whole comments', () => {
+    // Guards against half an event at the end of a stream that is taken for the end of a complete one.
+    const ends = (texts: string[]): boolean[] => texts.map((text) => endsWithinEvent(Buffer.from(text)))
+    expect(ends(['', '\n', '\r\n\n', ': done\n', ':\n', ': a\r\n: b\n', '\n: a\n\n: b\n\n'])).to.deep.equal(Array(7).fill(false))
+    expect(ends(['i', 'id: 1\n', 'id: 1\ndata: x\n', ':', ': don', '\n: a\n: b', ': a\ndata', ' \n'])).to.deep.equal(Array(8).fill(true))
+  })
 })
