Let an entry decide about its own target only

Cause: the first entry with an incarnation, whoever wrote it, was taken to mean that all targets state theirs, and all entries without one were dropped for good.

Change: an entry without an incarnation is refused if an earlier one of the same id stated one. Beside targets of its service that state theirs and have answered, it is used only if its own target has answered too, or if there is no other.

--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -43,16 +43,32 @@
   private suspectUntil = Number.NEGATIVE_INFINITY
   private failures = 0
   private hadSilentConnection = false
+  /** Whether a target has answered as the one that the entry names. */
+  private isConfirmed = false
+  /** Whether the previous entry under this id stated no incarnation, and its target was confirmed. */
+  readonly replacesUntold: boolean
 
-  /** @param servicesWithSlowdown services of which a target has reported a slowdown; shared by all targets */
-  constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly servicesWithSlowdown: Set<string>) {}
+  /** @param former the target's previous incarnation, if any */
+  constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly observed: ObservedServices, former?: KnownTarget) {
+    this.replacesUntold = former?.definition.incarnation === undefined && former?.hasAnswered === true
+  }
+
+  get hasAnswered (): boolean {
+    return this.isConfirmed
+  }
+
+  /** Records that the target answered as the one that the entry names. */
+  confirm (): void {
+    this.isConfirmed = true
+    if (this.definition.incarnation !== undefined) this.observed.withIncarnations.add(this.definition.service)
+  }
 
   private get clock (): Clock {
     return this.services.clock
   }
 
   get reportsSlowdown (): boolean {
-    return this.servicesWithSlowdown.has(this.definition.service)
+    return this.observed.withSlowdown.has(this.definition.service)
   }
 
   /** Whether connections to the target are kept while idle for as long as it announces. */
@@ -97,6 +113,7 @@
 
   /** Records the time to an answer. The slowdown that the answer reports is removed from it, so that a temporary slowdown is not taken for the target's pace. */
   recordAnswerTime (tookMs: number, reported?: LoadReport): void {
+    this.confirm()
     this.failures = 0
     this.hadSilentConnection = false
     this.suspectUntil = Number.NEGATIVE_INFINITY
@@ -111,7 +128,7 @@
   }
 
   recordLoad (report: LoadReport): void {
-    if (report.slowdown !== undefined) this.servicesWithSlowdown.add(this.definition.service)
+    if (report.slowdown !== undefined) this.observed.withSlowdown.add(this.definition.service)
     this.report = this.ignoresSlowdown && report.slowdown !== undefined ? { ...report, slowdown: 1 } : report
     this.reportedAt = this.clock.monotonic()
     this.sentSinceReport = 0
@@ -141,6 +158,14 @@
   readonly mechanisms?: Pick<Mechanisms, 'target_slowdown' | 'target_subset'>
 }
 
+/** What the answers of targets have shown of their services; shared by all targets of a table. */
+interface ObservedServices {
+  /** Services of which a target has reported a slowdown. */
+  readonly withSlowdown: Set<string>
+  /** Services of which a target whose entry states an incarnation has answered. */
+  readonly withIncarnations: Set<string>
+}
+
 /** A restarted target: the definitions of its former and its present incarnation. */
 export interface RestartedTarget {
   readonly former: TargetDefinition
@@ -162,7 +187,7 @@
   /** Targets whose entries were missing after an outage of the store, with the monotonic time until which the entries may return. */
   private readonly missing = new Map<string, number>()
   private readonly incarnations = new IncarnationTracker()
-  private readonly servicesWithSlowdown = new Set<string>()
+  private readonly observed: ObservedServices = { withSlowdown: new Set(), withIncarnations: new Set() }
   private readonly changes = new Emitter<void>()
   readonly onChange: Event<void> = this.changes.event
   private readonly restarts = new Emitter<RestartedTarget>()
@@ -191,10 +216,22 @@
     return new Set([...this.targets.values()].map(({ definition }) => definition.place))
   }
 
-  /** Targets of a service that accept new work. */
+  /** Targets of a service that accept new work. Unconfirmed ones are among them only if there are no others. */
   available (service: string): KnownTarget[] {
     this.dropExpiredMissing()
-    return [...this.targets.values()].filter(({ definition }) => definition.service === service && !definition.draining)
+    const accepting = [...this.targets.values()].filter(({ definition }) => definition.service === service && !definition.draining)
+    if (!this.observed.withIncarnations.has(service)) return accepting
+    const confirmed = accepting.filter((target) => !this.isUnconfirmed(target))
+    return confirmed.length === 0 ? accepting : confirmed
+  }
+
+  /**
+   * Whether an entry likely comes from another writer: it states no incarnation, and no target has answered as the one that it
+   * names, while targets of the same service that state theirs have answered. Entries alone do not decide this, as another
+   * writer may leave any number of them with or without an incarnation.
+   */
+  isUnconfirmed ({ definition: { incarnation, service }, hasAnswered }: KnownTarget): boolean {
+    return incarnation === undefined && !hasAnswered && this.observed.withIncarnations.has(service)
   }
 
   /** Targets of a service, including draining ones. */
@@ -204,9 +241,8 @@
 
   /** Applies an entry; the verdict tells how its incarnation relates to the target's present one. */
   set (definition: TargetDefinition): IncarnationOrder {
-    const hadIncarnations = this.incarnations.areReported
+    if (definition.incarnation === undefined && this.isUnprovenRestart(definition.id)) this.incarnations.forget(definition.id)
     const verdict = this.incarnations.observe(definition.id, definition.incarnation)
-    if (this.incarnations.areReported && !hadIncarnations) this.dropWithoutIncarnation()
     switch (verdict) {
       case 'newer':
       case 'same': this.register(definition); break
@@ -225,6 +261,7 @@
     const { definition } = target
     if (definition.incarnation === undefined || incarnation === undefined) return 'same'
     const verdict = compareIncarnations(definition.incarnation, incarnation)
+    if (verdict === 'same') target.confirm()
     if (verdict === 'newer' && this.targets.get(definition.id) === target) this.set({ ...definition, incarnation, models })
     else if (verdict === 'newer') this.supersedeWithoutEntry(target, incarnation)
     return verdict
@@ -273,6 +310,12 @@
     for (const id of [...this.targets.keys()]) if (!present.has(id)) this.remove(id, storeRegainedAt)
   }
 
+  /** Whether only an entry shows that a target restarted, and no answer, while the target had answered without an incarnation before. */
+  private isUnprovenRestart (id: string): boolean {
+    const known = this.targets.get(id) ?? this.former.get(id)
+    return known !== undefined && known.replacesUntold && !known.hasAnswered
+  }
+
   private register (definition: TargetDefinition): void {
     const { id } = definition
     const isPresent = this.targets.has(id)
@@ -288,7 +331,7 @@
 
   /** Updates a target whose incarnation is unchanged, or creates an unknown one. */
   private updateOrCreate (known: KnownTarget | undefined, definition: TargetDefinition): KnownTarget {
-    if (known === undefined) return new KnownTarget(definition, this.services, this.servicesWithSlowdown)
+    if (known === undefined) return new KnownTarget(definition, this.services, this.observed)
     if (!known.definition.draining && definition.draining) this.logChange('target drains', { target: definition.id, service: definition.service })
     const leavesAtMs = earliest(known.definition.leavesAtMs, definition.leavesAtMs)
     known.definition = leavesAtMs === definition.leavesAtMs ? definition : { ...definition, leavesAtMs }
@@ -299,7 +342,7 @@
   private replaceRestarted (known: KnownTarget, definition: TargetDefinition): void {
     const former = known.definition
     this.logChange('target restarted', { target: definition.id, service: definition.service, incarnation: definition.incarnation ?? 0, former: former.incarnation ?? 0, address: definition.address, formerAddress: former.address, inFlight: known.inFlight, suspect: known.suspect })
-    this.targets.set(definition.id, new KnownTarget(definition, this.services, this.servicesWithSlowdown))
+    this.targets.set(definition.id, new KnownTarget(definition, this.services, this.observed, known))
     this.restarts.fire({ former, present: definition })
     known.supersede()
   }
@@ -321,11 +364,6 @@
     for (const [id, until] of [...this.missing]) if (now >= until) this.drop(id, 'its entry did not return after the outage of the store')
   }
 
-  /** Drops targets whose entries state no incarnation; such entries are accepted only until the first one that does. */
-  private dropWithoutIncarnation (): void {
-    for (const [id, { definition }] of [...this.targets]) if (definition.incarnation === undefined) this.drop(id, 'its entry states no incarnation')
-  }
-
   private drop (id: string, why: string): void {
     this.missing.delete(id)
     const known = this.targets.get(id)
--- a/src/actors/common/routes/targetTopic.ts
+++ b/src/actors/common/routes/targetTopic.ts
@@ -88,7 +88,8 @@
     const decoded = this.decode(entry)
     const verdict = this.table.apply(decoded?.record ?? { type: 'gone', id: this.protocol.targetId(entry.key) }, this.tail.regainedAt)
     if (decoded?.read.ok === false) this.reportUnreadable(entry, decoded.read.message)
-    else if (verdict === 'untold') this.reportUnreadable(entry, 'it states no incarnation')
+    else if (verdict === 'untold') this.reportUnreadable(entry, 'it states no incarnation, but an earlier one did')
+    else if (this.isUnconfirmed(entry)) this.reportUnreadable(entry, 'it states no incarnation, but targets of its service do')
     else this.unreadableKeys.delete(entry.key)
     if (verdict === 'older') this.reportOutdated(entry)
     else this.outdatedKeys.delete(entry.key)
@@ -122,6 +123,11 @@
     if (this.unreadableKeys.add(key)) this.services.stateLog.alarm("a target's entry cannot be read", { key, offset, error })
   }
 
+  private isUnconfirmed ({ key }: KeyedEntry): boolean {
+    const target = this.table.get(this.protocol.targetId(key))
+    return target !== undefined && this.table.isUnconfirmed(target)
+  }
+
   private reportOutdated ({ key, offset }: KeyedEntry): void {
     this.services.metrics.count('targets.outdated_entries')
     if (this.outdatedKeys.add(key)) this.services.stateLog.changed("target's entry is of an earlier life", { target: this.protocol.targetId(key), offset })
--- a/src/core/common/routes/incarnation.ts
+++ b/src/core/common/routes/incarnation.ts
@@ -10,7 +10,7 @@
 /**
  * The order of a reported incarnation relative to the known one.
  * `same`: it is the known incarnation. `newer`: the target has restarted, so nothing known about it applies any longer.
- * `older`: the report does not concern the current incarnation. `untold`: no incarnation is given although targets here report theirs.
+ * `older`: the report does not concern the current incarnation. `untold`: no incarnation is given although one is known.
  */
 export type IncarnationOrder = 'same' | 'newer' | 'older' | 'untold'
 
@@ -26,29 +26,25 @@
 
 /**
  * Tracks the newest incarnation of each id, even after its entry is removed, as an entry that is
- * written late would otherwise restore an earlier incarnation. Once any entry gives an incarnation,
- * an entry without one comes from another writer.
+ * written late would otherwise restore an earlier incarnation.
  */
 export class IncarnationTracker {
   private readonly newest = new Map<string, Incarnation>()
-  private anyReported = false
-
-  /** Whether any entry has reported an incarnation. */
-  get areReported (): boolean {
-    return this.anyReported
-  }
 
+  /** Compares a reported incarnation with the newest one of this id. What is reported for other ids has no influence. */
   observe (id: string, reported: Incarnation | undefined): IncarnationOrder {
-    if (reported === undefined) return this.anyReported ? 'untold' : 'same'
-    this.anyReported = true
     const order = compareIncarnations(this.newest.get(id), reported)
-    if (order === 'newer') this.track(id, reported)
+    if (order === 'newer' && reported !== undefined) this.track(id, reported)
     return order
   }
 
-  private track (id: string, incarnation: Incarnation): void {
+  forget (id: string): void {
+    this.newest.delete(id)
+  }
+
+  private track (id: string, reported: Incarnation): void {
     this.newest.delete(id)
-    this.newest.set(id, incarnation)
+    this.newest.set(id, reported)
     const [oldest] = this.newest.keys()
     if (this.newest.size > MAX_TRACKED_IDS && oldest !== undefined) this.newest.delete(oldest)
   }
--- a/test/actors/routes/targetRestarts.test.ts
+++ b/test/actors/routes/targetRestarts.test.ts
@@ -194,6 +194,76 @@
   })
 })
 
+describe('an entry of another writer', () => {
+  const odd = [
+    { name: 'of a service that nobody uses', details: { born: 1_700_000_000_000, service: 'unknown' } },
+    { name: 'of the same service', details: { born: 1_700_000_000_000, addr: '10.0.0.66:80' } }
+  ]
+  for (const { name, details } of odd) {
+    it(`${name} that states an incarnation leaves targets that state none in use`, async () => {
+      // Guards against a host that uses none of its targets any more because of one entry of another writer.
+      const used = ({ table }: Fixture): string[] => table.available('s').map(({ definition }) => definition.id).filter((id) => !id.startsWith('odd'))
+      const here = await startFixture(['a', {}], ['b', {}])
+      simulateUse(here.table.get('a'))
+      for (let count = 0; count < 10; count++) await here.write([`odd-${count}`, details])
+      expect(used(here)).to.deep.equal(['a', 'b'])
+      await here.reload()
+      expect(used(here)).to.deep.equal(['a', 'b'])
+      for (let count = 0; count < 10; count++) await here.write([`odd-${count}`, 'gone'])
+      await here.write(['c', {}])
+      expect(used(here)).to.deep.equal(['a', 'b', 'c'])
+      here.topic.dispose()
+      const later = await startFixture(['odd-0', details], ['a', {}], ['b', {}])
+      expect(used(later)).to.deep.equal(['a', 'b'])
+      later.topic.dispose()
+    })
+  }
+
+  it('that states an incarnation under the id of a target that answered without one does not keep this target away', async () => {
+    // Guards against a target that is not used for good because another writer overwrote its entry once.
+    const here = await startFixture(['a', {}], ['b', {}])
+    here.table.get('a')?.recordAnswerTime(70)
+    await here.write(['a', { born: 1_700_000_000_000, addr: '10.0.0.66:80' }])
+    await here.write(['a', {}])
+    expect([here.available(), here.table.get('a')?.definition.address]).to.deep.equal([['a', 'b'], '10.0.0.1:80'])
+    here.topic.dispose()
+  })
+
+  it('that states no incarnation is not used once a target of its service that states one has answered', async () => {
+    // Guards against requests to an address that another writer named.
+    const here = await startFixture(['a', { born: 1 }], ['b', { born: 1 }], ['c', { born: 1, service: 'o' }], ['foreign', { addr: '10.0.0.66:80' }], ['other', { addr: '10.0.0.66:80', service: 'o' }])
+    here.table.get('a')?.recordAnswerTime(70)
+    expect([here.available(), here.available('o')]).to.deep.equal([['a', 'b'], ['c', 'other']])
+    await here.write(['b', 'gone'], ['a', { born: 2 }], ['foreign', { addr: '10.0.0.66:81' }])
+    expect([here.available(), here.lines.filter((line) => line === "a target's entry cannot be read").length]).to.deep.equal([['a'], 1])
+    const other = here.table.get('c')
+    if (other === undefined) throw new Error('no target')
+    expect(here.table.applyReportedIncarnation(other, asIncarnation(1), [])).to.equal('same')
+    expect(here.available('o')).to.deep.equal(['c'])
+    here.topic.dispose()
+  })
+
+  it('does not keep away targets that state no incarnation if they have answered, or if no others are left', async () => {
+    // Guards against a service without targets because one of them states its incarnation and has left.
+    const here = await startFixture(['a', {}], ['b', { born: 1 }], ['c', {}])
+    for (const id of ['a', 'b']) here.table.get(id)?.recordAnswerTime(70)
+    expect(here.available()).to.deep.equal(['a', 'b'])
+    await here.write(['a', 'gone'], ['b', 'gone'])
+    expect(here.available()).to.deep.equal(['c'])
+    here.topic.dispose()
+  })
+
+  it('with an impossible incarnation names no target, and does not keep away the target with its id', async () => {
+    // Guards against a target whose entries count as those of an earlier incarnation for good.
+    const here = await startFixture(['a', { born: 1 }])
+    await here.write(['a', { born: Number.MAX_SAFE_INTEGER }])
+    expect(here.available()).to.deep.equal([])
+    await here.write(['a', { born: 1 }])
+    expect(here.available()).to.deep.equal(['a'])
+    here.topic.dispose()
+  })
+})
+
 describe('the announced end of a target', () => {
   it('is counted from the time at which its entry was read', async () => {
     const fixture = await startFixture(['t', {}])
--- a/test/platform/unusableEntries.test.ts
+++ b/test/platform/unusableEntries.test.ts
@@ -1,6 +1,7 @@
 /** Entries of other writers that look like targets but name no usable address, beside sound targets. */
 
 import { expect } from 'chai'
+import { pause } from '../../standins/httpStandIn.ts'
 import { waitUntil } from '../support/hostProcess.ts'
 import { Fleet } from './support/fleet.ts'
 
@@ -27,3 +28,22 @@
     expect(results.filter(({ state }) => state === 'complete')).to.have.length(20)
   })
 })
+
+describe('entries of another writer that state the start of a target', function () {
+  this.timeout(60_000)
+  let fleet: Fleet
+  afterEach(async () => { await fleet.stop() })
+
+  it('leave targets that state none in use', async () => {
+    // Guards against hosts that use none of their targets any more because of one entry of another writer.
+    fleet = await Fleet.start(2, [engine(0), engine(1), worker(0), worker(1)])
+    const answers = async (): Promise<number[]> => await Promise.all(Array.from({ length: 20 }, async (_, index) => (await fleet.call(fleet.host(index % 2), `/look-up/${index}`)).status))
+    await waitUntil(async () => (await answers()).every((status) => status === 200), 10_000, 'look-ups are answered')
+    for (const service of ['unknown', 'app', 'engines']) fleet.store.put('keyed.servers', `odd-${service}`, { ...foreignEntry(service, '127.0.0.1:9'), born: 1_700_000_000_000 })
+    await pause(3000)
+    expect(await answers()).to.deep.equal(Array(20).fill(200))
+    await fleet.submit(fleet.host(0), 'step-1', Array.from({ length: 5 }, () => [5, 5, 5, 5]))
+    const { results } = await fleet.waitUntilComplete(fleet.host(1), 'step-1', 8000)
+    expect(results.filter(({ state }) => state === 'complete')).to.have.length(20)
+  })
+})
