Do not take an answer with an invalid status for an answer

What callers saw: a target in trouble answers with the status 600, 700 or 999; the caller gets it as the answer, and a scorer's call with it counts as a failure, so that an item is listed as lost (MIXED). Answers with 000, 099 and 1xx already ended as 502, by assertions in the HTTP client.

Cause: any three digits pass the parser, and an answer was judged by its id, its signature and whether the status is below 500.

Change: an answer with a status outside of 200 to 599 is unusable, also if it says that nothing ran.

--- a/src/actors/common/steps/itemRun.ts
+++ b/src/actors/common/steps/itemRun.ts
@@ -11,6 +11,7 @@
 import type { TargetProtocol } from '../../../ports/common/protocols.ts'
 import type { TargetClient, TargetStream } from '../../../ports/common/targetClient.ts'
 import type { Disposable } from '../../../base/common/lifecycle.ts'
+import { isFinalStatus } from '../../../base/common/httpStatus.ts'
 import type { ItemRunEnd } from '../../../core/common/steps/itemBackoff.ts'
 import type { TargetCrashDetector } from '../routes/targetCrashDetector.ts'
 import type { Engine } from './engineRegistry.ts'
@@ -151,6 +152,7 @@
     return ended
   }
   if (head.requestId !== undefined && head.requestId !== item.id) return endRun({ type: 'broken', why: `the response belongs to request ${head.requestId}`, crashed: false })
+  if (!isFinalStatus(head.status)) return endRun({ type: 'broken', why: `status ${head.status}`, crashed: false })
   engine.recordHead(head)
   if (head.notRun) return endRun({ type: 'refused' })
   if (head.status === STATUS_IMPOSSIBLE) return endRun({ type: 'impossible' })
--- a/src/adapters/node/httpEngine.ts
+++ b/src/adapters/node/httpEngine.ts
@@ -6,6 +6,7 @@
 import { createParser } from 'eventsource-parser'
 import type { Dispatcher, Pool } from 'undici'
 import { z } from 'zod'
+import { isFinalStatus } from '../../base/common/httpStatus.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import { MAX_EVENT_BYTES } from '../../core/common/streams/eventReader.ts'
@@ -140,7 +141,7 @@
 
 async function failureForResponse (response: Dispatcher.ResponseData): Promise<Result<never>> {
   const text = await response.body.text()
-  const isRefused = response.headers['x-not-run'] === 'true'
+  const isRefused = isFinalStatus(response.statusCode) && response.headers['x-not-run'] === 'true'
   return isRefused
     ? failure('targetRefused', `the engine refused the request with status ${response.statusCode}`)
     : failure('unknownOutcome', `the engine responded with status ${response.statusCode}: ${text.slice(0, 200)}`)
--- a/src/adapters/node/httpService.ts
+++ b/src/adapters/node/httpService.ts
@@ -7,6 +7,7 @@
 import type { Dispatcher } from 'undici'
 import { Client } from 'undici'
 import { z } from 'zod'
+import { isFinalStatus } from '../../base/common/httpStatus.ts'
 import type { Result } from '../../base/common/resultCode.ts'
 import { failure, success } from '../../base/common/resultCode.ts'
 import type { HostList, ListedHost, Scorer, Service, ServiceResponse, ServiceCall } from '../../ports/common/targets.ts'
@@ -60,6 +61,7 @@
 }
 
 function decodeResponse (response: Dispatcher.ResponseData, body: string, call: ServiceCall): Result<ServiceResponse> {
+  if (!isFinalStatus(response.statusCode)) return failure('unknownOutcome', `the service responded with the invalid status ${response.statusCode}`)
   if (response.headers['x-not-run'] === 'true') return failure('targetRefused', `the service refused the call with status ${response.statusCode}`)
   const echoed = response.headers['x-request-id']
   if (echoed !== undefined && echoed !== call.requestId) return failure('unknownOutcome', 'the response belongs to another request')
--- a/src/core/common/routes/answerVerdict.ts
+++ b/src/core/common/routes/answerVerdict.ts
@@ -4,6 +4,7 @@
  * again unless it may be repeated.
  */
 
+import { isFinalStatus } from '../../../base/common/httpStatus.ts'
 import type { TargetResponseHead } from '../../../ports/common/protocols.ts'
 
 export type AnswerVerdict =
@@ -13,7 +14,7 @@
   | 'target-failed'
   /** The target states that it did not run the request. */
   | 'not-run'
-  /** The answer belongs to another request or does not come from the target, so the request may have run. */
+  /** The answer belongs to another request, does not come from the target, or is not valid, so the request may have run. */
   | 'unusable'
 
 const MIN_SERVER_ERROR_STATUS = 500
@@ -21,7 +22,7 @@
 /** Classifies an answer to the request with this id by its head. */
 export function classifyAnswer (head: TargetResponseHead, requestId: string | undefined): AnswerVerdict {
   const isForeign = head.requestId !== undefined && head.requestId !== requestId
-  if (isForeign) return 'unusable'
+  if (isForeign || !isFinalStatus(head.status)) return 'unusable'
   if (head.notRun) return 'not-run'
   if (head.seal === undefined) return 'unusable'
   return head.status >= MIN_SERVER_ERROR_STATUS ? 'target-failed' : 'answer'
--- a/test/core/routes/routes.test.ts
+++ b/test/core/routes/routes.test.ts
@@ -67,6 +67,10 @@
     { name: 'a refusal', answer: { ...head, status: 503, seal: undefined, notRun: true }, expected: 'not-run' },
     { name: 'a 503 that does not state that the request was not run', answer: { ...head, status: 503, seal: undefined }, expected: 'unusable' },
     { name: 'a failure of the target itself', answer: { ...head, status: 500 }, expected: 'target-failed' },
+    { name: 'an answer with the status 600', answer: { ...head, status: 600 }, expected: 'unusable' },
+    { name: 'an answer with the status 0', answer: { ...head, status: 0 }, expected: 'unusable' },
+    { name: 'a refusal with the status 999', answer: { ...head, status: 999, notRun: true }, expected: 'unusable' },
+    { name: 'an interim answer', answer: { ...head, status: 199 }, expected: 'unusable' },
     { name: 'a rejection by the target itself', answer: { ...head, status: 404 }, expected: 'answer' }
   ] as const) {
     it(`classifies ${name} as ${expected}`, () => { expect(classifyAnswer(answer, 'r')).to.equal(expected) })
