Reject a stream in a stop if its allowed time is longer than the host exists

Cause: whether a stopping host can finish a request was judged by the slowest recent answer of its route. For streams that is the length of other streams.

Evidence: stoppingHost.test.ts, after four streams of 60 ms: "broken", and the engine had run it.

Change: a stream counts with the time that its caller and its route allow. It is rejected as not run, with Retry-After 0, so that its caller uses another host at once.

Result: the new test fails before and passes after, as do the three others of the file.

--- a/src/entry/node/front/forwardRoutes.ts
+++ b/src/entry/node/front/forwardRoutes.ts
@@ -50,7 +50,6 @@
       return exchange.sendFailure(failure('leaving', 'this host stops before it could finish the request', { retryAfterMs: 0 }))
     }
     exchange.markDispatched()
-    const recordAnswer = (): void => { this.answerTimes.record(route.name, clock.monotonic() - startedAt) }
     const call = {
       route,
       requestId: parsedRequest.requestId,
@@ -71,10 +70,7 @@
       const failed = await streams.call({ ...call, resumeAfter: parsedRequest.resumeAfter }, {
         writeHead: (status, headers) => { exchange.response.writeHead(status, protocol.responseHeaders(headers)) },
         write: (piece) => exchange.response.write(piece) ? undefined : waitForDrain(exchange.response),
-        end: () => {
-          recordAnswer()
-          exchange.response.end()
-        },
+        end: () => { exchange.response.end() },
         abort: () => { abortResponse(exchange.response) }
       })
       if (failed !== undefined) exchange.sendFailure(failed, true)
@@ -82,13 +78,13 @@
     }
     const answered = await calls.call(call)
     if (!answered.ok) return exchange.sendFailure(answered, true)
-    recordAnswer()
+    this.answerTimes.record(route.name, clock.monotonic() - startedAt)
     const { status, headers, body: answerBody } = answered.value.answer
     exchange.send(status, protocol.responseHeaders(headers), answerBody)
   }
 
-  /** Returns how long a request is expected to take at most. The objective of a stream says nothing of its length. */
+  /** Returns how long a request is expected to take at most. Neither the objective of a stream nor earlier streams tell its length. */
   private expectedMs (route: Route, allowedMs: number): number {
-    return this.answerTimes.slowestMs(route.name) ?? (route.kind === 'streaming' ? allowedMs : route.objectiveMs)
+    return route.kind === 'streaming' ? allowedMs : this.answerTimes.slowestMs(route.name) ?? route.objectiveMs
   }
 }
--- a/test/platform/stoppingHost.test.ts
+++ b/test/platform/stoppingHost.test.ts
@@ -70,4 +70,27 @@
     expect([statusOf(outcome), hasRun(outcome)]).to.deep.equal([502, true])
     expect(outcome.reply === 'broken' ? '' : outcome.reply.text).to.include('"code":"unknownOutcome"')
   })
+
+  it('rejects a stream that may last longer than the host, however short those before were', async () => {
+    // Guards against a stream that is accepted late in a stop and cut at its end.
+    const engines = [0, 1].map((index) => ({ id: `e-${index}`, service: 'engines', place: `place-${index}`, engine: { models: ['m'], eventMs: 20, loadMs: 50 } }))
+    fleet = await Fleet.start(2, engines, { limits: { stop_serving: STOP_SERVING_MS, stop_timeout: 300 } })
+    for (let index = 0; index < 4; index++) expect((await fleet.call(fleet.host(0), `/chat/events-3/first-${index}`)).status).to.equal(200)
+    const stream = async (delayMs: number, path: string, deadlineMs: number): Promise<Outcome> => {
+      await pause(delayMs)
+      const id = fleet.newId()
+      const startedAt = Date.now()
+      const reply = await fleet.call(fleet.host(0), path, { id, headers: { 'bulrushvalve-deadline-ms': String(deadlineMs) } }).catch((): 'broken' => 'broken')
+      return { id, reply, tookMs: Date.now() - startedAt }
+    }
+    const streams = [stream(900, '/chat/events-3/short', 300), stream(1000, '/chat/events-45/late', 2000), stream(1200, '/chat/events-45/later', 5000)]
+    fleet.host(0).process.terminate()
+    const [short, late, later] = await Promise.all(streams)
+    expect(short === undefined ? '' : statusOf(short)).to.equal(200)
+    for (const outcome of [late, later]) {
+      if (outcome === undefined) throw new Error('no outcome')
+      expect([statusOf(outcome), hasRun(outcome)]).to.deep.equal([503, false])
+      expect(outcome.reply === 'broken' ? '' : `${outcome.reply.headers['retry-after']} ${outcome.reply.text}`).to.match(/^0\.00 .*"code":"leaving"/)
+    }
+  })
 })
