Reject requests that cannot be sent over HTTP, and do not count them against targets

Cause: the HTTP client rejects such a request before it uses a connection; this was reported as a request that may have run at a failed target. Submissions were not checked for it.

--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -6,7 +6,7 @@
  */
 
 import { DisposableStore } from '../../../base/common/lifecycle.ts'
-import type { Result } from '../../../base/common/resultCode.ts'
+import type { Failure, Result } from '../../../base/common/resultCode.ts'
 import { failure, success } from '../../../base/common/resultCode.ts'
 import { classifyAnswer } from '../../../core/common/routes/answerVerdict.ts'
 import type { Route } from '../../../core/common/routes/routeConfiguration.ts'
@@ -330,6 +330,7 @@
     const addSummary = (end: string): void => { this.attemptSummaries.push(`${target.definition.id}:${known}:${end}:${Math.round(tookMs)}ms`) }
     if (!result.ok) {
       addSummary(result.code)
+      if (result.code === 'malformed') return this.onUnsendable(attempt, result)
       target.recordFailure()
       this.refused.add(target.definition.id)
       if (result.code !== 'targetUnreachable') return this.onConnectionBroken(attempt, result.message)
@@ -373,6 +374,14 @@
     }
   }
 
+  /** The request cannot be sent to any other target either, which says nothing about this one. */
+  private onUnsendable (attempt: Attempt, failed: Failure): void {
+    attempt.run.finish()
+    attempt.refused = true
+    this.markNotRun(attempt)
+    this.settle(this.lastFailureOr(this.sendsByTarget.size > 0 ? this.unknownOutcome() : failed))
+  }
+
   /** Waits until it is known whether the target has crashed, as the request may then be held. */
   private onConnectionBroken (attempt: Attempt, why: string): void {
     this.ticket?.accepted()
--- a/src/actors/common/routes/streamCalls.ts
+++ b/src/actors/common/routes/streamCalls.ts
@@ -38,7 +38,7 @@
 }
 
 /** The outcome of one run at one target. */
-type RunOutcome = 'whole' | 'not-run' | 'broken' | 'gone' | 'unread'
+type RunOutcome = 'whole' | 'not-run' | 'broken' | 'gone' | 'unread' | 'unsendable'
 
 /** Limit of a stream's silence as a multiple of the route's objective; callers give up after four times the objective. */
 const SILENCE_TIMEOUT_FACTOR = 3
@@ -110,7 +110,7 @@
       }
       if (end !== 'not-run') runs++
       this.updateQuarantine(end)
-      if (end === 'whole' || end === 'gone' || end === 'unread' || (end === 'broken' && (!route.resumable || this.endsUnnumbered))) break
+      if (end === 'whole' || end === 'gone' || end === 'unread' || end === 'unsendable' || (end === 'broken' && (!route.resumable || this.endsUnnumbered))) break
     }
     return this.finish(end)
   }
@@ -118,7 +118,7 @@
   /** Applies the outcome of a run to the quarantine: an answer clears the request, and a run that shows nothing about it returns its trial. */
   private updateQuarantine (end: RunOutcome): void {
     if (end === 'whole' && !this.failed) this.services.held.answered(this.content)
-    else if ((end === 'not-run' || end === 'gone' || end === 'unread') && this.admission.type === 'trial') this.admission.trial.withdraw()
+    else if ((end === 'not-run' || end === 'gone' || end === 'unread' || end === 'unsendable') && this.admission.type === 'trial') this.admission.trial.withdraw()
   }
 
   private get remainingMs (): number {
@@ -154,6 +154,7 @@
       this.services.metrics.count('front.refused.requestHeld')
       return requestHeldFailure(this.admission.retryAfterMs)
     }
+    if (end === 'unsendable' && !this.mayHaveRun) return failure('malformed', 'the request is no valid HTTP request for a target')
     return this.mayHaveRun
       ? failure('unknownOutcome', 'the stream broke before any event was forwarded')
       : failure('overloaded', `no target of route ${route.name} took the stream (targets tried: ${this.triedTargets.size})`, { retryAfterMs: RETRY_AFTER_MS })
@@ -182,6 +183,10 @@
         keepsIdle: target.keepsIdle,
         signal: AbortSignal.any([request.gone, silenceAbort.signal])
       })
+      if (!opened.ok && opened.code === 'malformed') {
+        run.finish()
+        return 'unsendable'
+      }
       if (!opened.ok) return reusesConnection && silenceAbort.signal.aborted ? this.onSilentConnection(target, run, silenceTimeoutMs) : await this.onFailedRun(target, run, opened.code === 'targetUnreachable' ? 'not-run' : 'broke')
       const { status, headers, pieces: chunks, cancel } = opened.value
       const head = protocol.responseHead(status, headers)
--- a/src/actors/common/steps/sampleScorer.ts
+++ b/src/actors/common/steps/sampleScorer.ts
@@ -110,7 +110,7 @@
       waiting.failures += Math.max(1, answer.value.failures)
       if (waiting.failures >= route.attempts) return waiting.resolve({ type: 'gave-up' })
     }
-    waiting.unanswered = answer.ok || answer.code !== 'unknownOutcome' ? 0 : waiting.unanswered + 1
+    waiting.unanswered = answer.ok || (answer.code !== 'unknownOutcome' && answer.code !== 'malformed') ? 0 : waiting.unanswered + 1
     this.retryLater(waiting, Math.max(RETRY_DELAY_MS, itemBackoffMs(waiting.unanswered)))
   }
 
--- a/src/adapters/node/connectionPools.ts
+++ b/src/adapters/node/connectionPools.ts
@@ -131,6 +131,14 @@
   return connectErrorCodes.has(errorCode(error)) && (syscall === undefined || syscall === 'connect')
 }
 
+/** Codes of errors that the library throws for a request before it uses a connection. */
+const invalidRequestCodes: ReadonlySet<string> = new Set(['UND_ERR_INVALID_ARG', 'UND_ERR_NOT_SUPPORTED'])
+
+/** Whether an error means that a request is no valid HTTP request, so that nothing was sent. */
+export function isInvalidRequest (error: unknown): boolean {
+  return invalidRequestCodes.has(errorCode(error))
+}
+
 /** Whether an error means that the peer did not respond in time. */
 export function isTimeoutError (error: unknown): boolean {
   return timeoutErrorCodes.has(errorCode(error)) || (error instanceof Error && timeoutErrorCodes.has(error.name))
--- a/src/adapters/node/httpTargetClient.ts
+++ b/src/adapters/node/httpTargetClient.ts
@@ -14,7 +14,7 @@
 import type { IdleConnections, Listening, TargetResponse, TargetClient, TargetRequest, TargetStream } from '../../ports/common/targetClient.ts'
 import { AnswerBuffers } from './answerBuffers.ts'
 import type { ConnectionPools } from './connectionPools.ts'
-import { createConnector, isNeverSent, isConnectionRefused } from './connectionPools.ts'
+import { createConnector, isInvalidRequest, isNeverSent, isConnectionRefused } from './connectionPools.ts'
 import type { KeepAliveConnections } from './keepAliveConnections.ts'
 
 /** Short because the caller holds a request that it wants to send elsewhere. */
@@ -172,5 +172,6 @@
 }
 
 function toFailure (error: unknown): Result<never> {
+  if (isInvalidRequest(error)) return failure('malformed', String(error))
   return isNeverSent(error) ? failure('targetUnreachable', String(error)) : failure('unknownOutcome', String(error))
 }
--- a/src/ports/common/targetClient.ts
+++ b/src/ports/common/targetClient.ts
@@ -1,7 +1,8 @@
 /**
  * Port for sending requests to targets with method, path, headers and body unchanged. A failure states
  * whether the target can have run the request: `targetUnreachable` means that no byte was sent and it did
- * not run; all other failures are `unknownOutcome`.
+ * not run, `malformed` that the request cannot be sent to any target, as it is no valid HTTP request; all
+ * other failures are `unknownOutcome`.
  */
 
 import type { Result } from '../../base/common/resultCode.ts'
--- a/test/actors/routes/routeCalls.test.ts
+++ b/test/actors/routes/routeCalls.test.ts
@@ -195,6 +195,26 @@
   })
 })
 
+describe('a request that cannot be sent over HTTP', () => {
+  const unsendable: ScriptedAnswer = { afterMs: 5, failure: 'malformed' }
+  for (const kind of ['idempotent', 'once-only'] as const) {
+    it(`is rejected at once and says nothing about targets if it is ${kind}`, async () => {
+      // Guards against a request that makes each target of its service count as failed.
+      const fixture = createFixture({ a: [unsendable], b: [unsendable] })
+      const { result, tookMs } = await call(fixture, { kind })
+      expect([outcome(result), tookMs, fixture.client.sent.length]).to.deep.equal(['malformed', 5, 1])
+      expect(['a', 'b'].map((id) => [fixture.table.get(id)?.suspect, fixture.table.get(id)?.inFlight])).to.deep.equal([[false, 0], [false, 0]])
+    })
+  }
+
+  it('does not hide that an earlier attempt may have run', async () => {
+    // Guards against an answer that says that nothing ran.
+    const fixture = createFixture({ a: [{ afterMs: 20, failure: 'unknownOutcome' }], b: [unsendable] })
+    fixture.table.get('b')?.recordAnswerTime(90)
+    expect(outcome((await call(fixture)).result)).to.equal('unknownOutcome')
+  })
+})
+
 describe('a stream', () => {
   /** Longest time for which a caller may read nothing. */
   const CALLER_PAUSE_MS = 5000
@@ -361,6 +381,12 @@
     })
   }
 
+  it('that cannot be sent over HTTP is rejected and says nothing about targets', async () => {
+    // Guards against a stream that makes each engine of its service count as failed.
+    const { ended, failed, client } = await stream({ a: [{ afterMs: 5, failure: 'malformed' }], b: [{ afterMs: 5, failure: 'malformed' }] })
+    expect([ended, failed?.code, client.sent.length]).to.deep.equal(['', 'malformed', 1])
+  })
+
   it('is refused if no target accepts it', async () => {
     const { ended, failed } = await stream({ a: [refused], b: [refused] })
     expect([ended, failed?.code]).to.deep.equal(['', 'overloaded'])
--- a/test/platform/protocols.test.ts
+++ b/test/platform/protocols.test.ts
@@ -192,6 +192,35 @@
     })
   }
 
+  for (const { name, change } of [
+    { name: 'a path with a line break', change: { path: '/a\nb' } },
+    { name: 'a path with a space', change: { path: '/a b' } },
+    { name: 'a path with characters beyond Latin-1', change: { path: '/\u4e00' } },
+    { name: 'a header name with a space', change: { headers: { 'a b': 'c' } } },
+    { name: 'an empty header name', change: { headers: { '': 'c' } } },
+    { name: 'a header value with a line break', change: { headers: { a: 'b\r\nc: d' } } },
+    { name: 'a header value with characters beyond Latin-1', change: { headers: { a: '\u4e00' } } },
+    { name: 'an empty id', change: { id: '' } },
+    { name: 'an id with a line break', change: { id: 'a\nb' } },
+    { name: 'an id that ends with a space', change: { id: 'a ' } },
+    { name: 'an id that is no well-formed text', change: { id: 'a\ud800' } },
+    { name: 'a scorer with a path without a slash', change: { scorer: { id: 'c', host: 'h', path: 'p' } } },
+    { name: 'a scorer with a host with a line break', change: { scorer: { id: 'c', host: 'h\n', path: '/p' } } },
+    { name: 'a scorer with an id with a line break', change: { scorer: { id: 'c\n', host: 'h', path: '/p' } } }
+  ]) {
+    it(`refuses a submission with ${name}`, () => {
+      // Guards against an item that is accepted although its request, or that of its scorer, cannot be sent to any target.
+      const read = frontProtocol.submission('s', JSON.stringify({ ...submission, items: [{ ...submission.items[0], ...change }] }))
+      expect(read.ok ? '' : `${read.code} ${read.message}`).to.match(/^malformed the submission cannot be read: items\.0\./)
+    })
+  }
+
+  it('accepts all characters that HTTP allows', () => {
+    // Guards against the rejection of a step whose items engines can run.
+    const change = { id: 'a-\u00e9 1', path: '/a?b=%20&c=[\u00fc]', headers: { 'x-!#$%&\'*+.^_`|~1': 'a "b"\t\u00ff', empty: '' }, scorer: { id: 'c', host: '[::1]:80', path: '/' } }
+    expect(frontProtocol.submission('s', JSON.stringify({ ...submission, items: [{ ...submission.items[0], ...change }] })).ok).to.equal(true)
+  })
+
   it('refuses a submission that is not JSON', () => { expect(frontProtocol.submission('s', '{').ok).to.equal(false) })
 
   it('writes results up to the size limit of a response', () => {
@@ -242,6 +271,13 @@
     expect(targetProtocol.event(new Map([['data', 'x']]))).to.equal(undefined)
   })
 
+  it('sends no header of an item that concerns a single connection', () => {
+    // Guards against items that cannot be sent because they state how a connection is to be used.
+    const headers = { Connection: 'x', 'Transfer-Encoding': 'gzip', Upgrade: 'h2c', Expect: 'x', 'Keep-Alive': 'x', TE: 'x', 'Content-Length': '9', A: 'b' }
+    const sent = targetProtocol.itemHeaders('h', 'i', { path: '/', headers, body: '', scorer: undefined }, { expectedTarget: 't' }, undefined)
+    expect(sent.filter((_, index) => index % 2 === 0)).to.deep.equal(['host', 'bulrushvalve-request-id', 'A', 'bulrushvalve-expect-instance'])
+  })
+
   it('reads the memory of an engine, and ignores an invalid figure', () => {
     // Guards against an engine that is sent nothing, or whose report is not used, because of a figure of its memory.
     const read = (memory: unknown): unknown => {
--- a/test/support/scriptedClient.ts
+++ b/test/support/scriptedClient.ts
@@ -11,7 +11,7 @@
   readonly afterMs: number
   readonly status?: number
   readonly headers?: Record<string, string>
-  readonly failure?: 'targetUnreachable' | 'unknownOutcome'
+  readonly failure?: 'targetUnreachable' | 'unknownOutcome' | 'malformed'
   /** Events of a stream, each with the delay before it. */
   readonly events?: readonly { readonly afterMs: number, readonly raw: string | Uint8Array }[]
   /** Whether the stream fails after the last event. */
