Reject callers' requests that no engine can hold at once

What callers saw: a call or stream that states more tokens than the memory of every engine of its route is sent to each engine in turn, refused by all, and answered 503 with a hint to return; its caller returns as long as it has time.

Change: the front answers 413 with both figures before the request waits or is sent anywhere. Requests that state no figures, and routes whose configuration states no memory, are as before. The code of the result is exceedsMemory for both.

--- a/src/actors/common/steps/stepRequestHandler.ts
+++ b/src/actors/common/steps/stepRequestHandler.ts
@@ -78,14 +78,14 @@
   constructor (private readonly services: StepRequestHandlerServices, private readonly settings: StepRequestHandlerSettings) {}
 
   /**
-   * Accepts a step. `logUnavailable`, `tooLarge` and `itemTooLarge` mean that the step was certainly not accepted and none of it will
+   * Accepts a step. `logUnavailable`, `tooLarge` and `exceedsMemory` mean that the step was certainly not accepted and none of it will
    * run. `commandUnknown` means that it may have been accepted; the same submission can be repeated at any host.
    */
   async submit (submission: TrainerSubmission): Promise<Result<void>> {
     const { topic, contents, clock, stateLog } = this.services
     const existing = topic.step(submission.id)
     if (existing !== undefined) return isVisibleTo(existing, submission.workspace) ? success(undefined) : failure('alreadyExists', `step ${submission.id} already exists in another workspace`)
-    const tooLarge = this.itemTooLarge(submission)
+    const tooLarge = this.oversizedItem(submission)
     // Another host may have accepted the step under an earlier configuration.
     if (tooLarge !== undefined) return isVisibleTo(await this.findStep(submission.id), submission.workspace) ? success(undefined) : tooLarge
     const records = submissionRecords(submission, clock.wall(), contents.nonce())
@@ -100,14 +100,14 @@
   }
 
   /** Returns the failure if no engine can ever run an item of the submission. */
-  private itemTooLarge ({ id, host, path, items }: TrainerSubmission): Failure | undefined {
+  private oversizedItem ({ id, host, path, items }: TrainerSubmission): Failure | undefined {
     const routes = this.services.routes()
     const route = routes?.findRoute(host, path)
-    const maxTokens = routes === undefined || route === undefined ? Number.POSITIVE_INFINITY : routes.maxItemTokens(route)
+    const maxTokens = routes === undefined || route === undefined ? Number.POSITIVE_INFINITY : routes.maxRequestTokens(route)
     const item = items.find(({ tokens }) => tokens > maxTokens)
     if (item === undefined) return undefined
-    this.services.stateLog.decided('step submitted', { step: id, failed: true, items: items.length, outcome: 'itemTooLarge', item: item.id, tokens: item.tokens, maxTokens })
-    return failure('itemTooLarge', `item ${item.id} needs ${item.tokens} tokens, and an engine of route ${route?.name ?? ''} holds ${maxTokens}`)
+    this.services.stateLog.decided('step submitted', { step: id, failed: true, items: items.length, outcome: 'exceedsMemory', item: item.id, tokens: item.tokens, maxTokens })
+    return failure('exceedsMemory', `item ${item.id} needs ${item.tokens} tokens, and an engine of route ${route?.name ?? ''} holds ${maxTokens}`)
   }
 
   /** Writes the payloads first: a step that is known to hosts without its payloads could never run. */
--- a/src/base/common/resultCode.ts
+++ b/src/base/common/resultCode.ts
@@ -46,7 +46,7 @@
   tooSlow: { number: 3007, status: 408, effect: 'rejected', meaning: 'The request was not received completely within the time that the settings allow.' },
   headTooLarge: { number: 3008, status: 431, effect: 'rejected', meaning: 'The head of the request is larger than the configuration allows.' },
   scalingUnreadable: { number: 3009, status: 400, effect: 'rejected', meaning: 'The scaling of a service in the configuration is invalid; no targets are ordered for the service, and the routes of the configuration are in force.' },
-  itemTooLarge: { number: 3010, status: 413, effect: 'rejected', meaning: 'An item of the submission is larger than the memory of every engine that may run it. No part of the submission runs.' },
+  exceedsMemory: { number: 3010, status: 413, effect: 'rejected', meaning: 'The request, or an item of the submission, is larger than the memory of every engine that may run it. It does not run, and no part of the submission does.' },
 
   revisionConflict: { number: 4001, status: 409, effect: 'rejected', meaning: 'The object has changed since the revision given in the command.' },
   alreadyExists: { number: 4002, status: 409, effect: 'rejected', meaning: 'An object of this kind and name already exists.' },
--- a/src/core/common/routes/routeConfiguration.ts
+++ b/src/core/common/routes/routeConfiguration.ts
@@ -126,8 +126,8 @@
     return this.services.get(name)
   }
 
-  /** Returns the size of the largest item that the engines of a route can hold, in tokens; infinite if a service of the route does not state it. */
-  maxItemTokens ({ destinations }: Route): number {
+  /** Returns the size of the largest request that the engines of a route can hold, in tokens; infinite if a service of the route does not state it. */
+  maxRequestTokens ({ destinations }: Route): number {
     const sizes = destinations.filter(({ weight }) => weight > 0).map(({ service }) => this.service(service)?.engine?.memoryTokens ?? Number.POSITIVE_INFINITY)
     return sizes.length === 0 ? Number.POSITIVE_INFINITY : Math.max(...sizes)
   }
--- a/src/entry/node/front/frontServer.ts
+++ b/src/entry/node/front/frontServer.ts
@@ -162,6 +162,10 @@
     if (route === undefined) return exchange.sendFailure(failure('notFound', `no route for host ${exchange.host} and path ${exchange.path}`))
     const caller = await this.admit(exchange, route.isPublic)
     if (!caller.ok) return exchange.sendFailure(caller)
+    const maxTokens = this.services.operator.routes?.maxRequestTokens(route)
+    if (parsedRequest.tokens !== undefined && maxTokens !== undefined && parsedRequest.tokens > maxTokens) {
+      return exchange.sendFailure(failure('exceedsMemory', `the request needs ${parsedRequest.tokens} tokens, and an engine of route ${route.name} holds ${maxTokens}`))
+    }
     const body = await exchange.readBody()
     if (!body.ok) return exchange.sendFailure(body)
     const request = { parsedRequest, route, configuration: this.services.operator.routes?.version ?? 0, caller: caller.value, body: body.value, checkAccess: (current: Route) => this.recheck(exchange, current, caller.value) }
--- a/src/ports/common/protocols.ts
+++ b/src/ports/common/protocols.ts
@@ -73,7 +73,7 @@
   | { readonly type: 'read-results', readonly step: string, readonly after: number, readonly waitMs: number }
   | { readonly type: 'read-body', readonly step: string, readonly item: string }
   | { readonly type: 'end-step', readonly step: string }
-  | { readonly type: 'routed', readonly requestId: string | undefined, readonly deadlineMs: number | undefined, readonly resumeAfter: number | undefined }
+  | { readonly type: 'routed', readonly requestId: string | undefined, readonly deadlineMs: number | undefined, readonly resumeAfter: number | undefined, /** Prompt tokens plus the maximum number of output tokens; absent unless stated. */ readonly tokens: number | undefined }
 
 /** An encoded response of this host. */
 export interface FrontResponse {
--- a/test/actors/steps/stepRequestHandler.test.ts
+++ b/test/actors/steps/stepRequestHandler.test.ts
@@ -93,7 +93,7 @@
 
   it('is rejected at once, with the item and its size', async () => {
     // Guards against a step that waits until its time is over for an item that no engine can ever run.
-    expect(await submit(50_000)).to.deep.equal({ outcome: 'itemTooLarge', message: 'item large needs 50001 tokens, and an engine of route r holds 50000', writes: 0 })
+    expect(await submit(50_000)).to.deep.equal({ outcome: 'exceedsMemory', message: 'item large needs 50001 tokens, and an engine of route r holds 50000', writes: 0 })
   })
 
   it('is accepted if an engine can hold it, or if the configuration states no size', async () => {
