Let calls that targets with room refuse wait apart from the others

What callers saw: with a caller whose calls every target refuses although it has room, ten a second, 30 of 160 other calls of the service were answered within their objective, at eight mostly idle slots.

Cause: the call queue takes a refusal for a lack of room. The refused call returns to the head of the queue, the others wait behind it, and the window for calls in flight is halved with each refusal.

Evidence: the new replay in callQueues.test.ts, 30 of 160 before.

Change: the head of a refusal shows the load of its target. A call that all targets refused with an idle slot, or some in three rounds, waits in a queue of its own, which is tried while no other call waits and has no influence on the window. It is rejected after the same time as before.

--- a/src/actors/common/calls/callQueues.ts
+++ b/src/actors/common/calls/callQueues.ts
@@ -23,7 +23,7 @@
 import type { RoutedRequest } from '../routes/routedRequest.ts'
 import type { KnownTarget, TargetTable } from '../routes/targetTable.ts'
 import { QueueLog } from './queueLog.ts'
-import type { QueueClient, TicketQueue } from './queueTicket.ts'
+import type { QueueClient, QueueLane, TicketQueue } from './queueTicket.ts'
 import { QueueTicket } from './queueTicket.ts'
 import { targetsWithRoom } from './targetsWithRoom.ts'
 
@@ -37,16 +37,18 @@
   readonly stateLog: StateLog
 }
 
+const LANES: readonly QueueLane[] = ['room', 'not-accepted']
+
 /** Retry hint while a service has no target, as for calls that find none on arrival. */
 const NO_TARGET_RETRY_AFTER_MS = 300
 
 export class CallQueues implements Disposable, TicketQueue {
-  private readonly queue: CallQueue
+  private readonly lanes: Readonly<Record<QueueLane, CallQueue>>
   private readonly log: QueueLog
   /** Tickets of the calls that wait or were handed out. */
   private readonly tickets = new Map<QueuedCallKey, QueueTicket>()
-  /** The next poll of each service for which calls wait. */
-  private readonly polls = new Map<string, { readonly dueAt: number, readonly timer: Disposable }>()
+  /** The next poll of each service for which calls wait, by lane. */
+  private readonly polls: Readonly<Record<QueueLane, Map<string, { readonly dueAt: number, readonly timer: Disposable }>>> = { room: new Map(), 'not-accepted': new Map() }
   /** Services whose calls are being given their turns. */
   private readonly dispatching = new Set<string>()
   private readonly subscriptions = new DisposableStore()
@@ -54,24 +56,25 @@
   private isLeaving = false
 
   constructor (private readonly services: CallQueuesServices, limits: CallQueueLimits) {
-    this.queue = new CallQueue(limits)
-    this.log = new QueueLog(services, this.queue)
-    this.subscriptions.add(services.targets.onChange(() => { for (const service of this.queue.waitingServices()) this.dispatch(service) }))
+    this.lanes = { room: new CallQueue(limits), 'not-accepted': new CallQueue(limits) }
+    this.log = new QueueLog(services, this.lanes.room)
+    this.subscriptions.add(services.targets.onChange(() => { for (const lane of LANES) for (const service of this.lanes[lane].waitingServices()) this.dispatch(service, lane) }))
     this.subscriptions.add(services.operator.onChange(() => { this.dropInvalid() }))
   }
 
   /** Number of calls that wait. */
   get waiting (): number {
-    return this.queue.waitingCount()
+    return LANES.reduce((sum, lane) => sum + this.lanes[lane].waitingCount(), 0)
   }
 
+  /** Whether calls wait until a target of a service has room. */
   isWaiting (service: string): boolean {
-    return this.queue.waitingCount(service) > 0
+    return this.lanes.room.waitingCount(service) > 0
   }
 
-  /** Whether calls wait for a service, or have waited within the last second. */
+  /** Whether calls wait until a target of a service has room, or have waited within the last second. */
   isUnderPressure (service: string): boolean {
-    return this.queue.hasWaited(service, this.now)
+    return this.lanes.room.hasWaited(service, this.now)
   }
 
   /** Creates the ticket of a call that has just arrived. */
@@ -81,13 +84,13 @@
 
   /** A call of this host to a target ended. */
   released ({ definition: { service } }: KnownTarget): void {
-    this.queue.released(service)
-    if (this.isWaiting(service)) this.dispatch(service)
+    this.lanes.room.released(service)
+    if (this.isWaiting(service)) this.dispatch(service, 'room')
   }
 
   /** A target answered a call of this host, and reported its load if it does so. */
   answered ({ definition: { service } }: KnownTarget, load: LoadReport | undefined): void {
-    this.queue.answered(service, load === undefined ? undefined : { ahead: load.running + load.waiting, slots: load.slots })
+    this.lanes.room.answered(service, load === undefined ? undefined : { ahead: load.running + load.waiting, slots: load.slots })
   }
 
   /** Refuses all waiting calls, and from now on all for which no target has room. */
@@ -99,33 +102,42 @@
   dispose (): void {
     this.subscriptions.dispose()
     this.log.dispose()
-    for (const { timer } of this.polls.values()) timer.dispose()
-    this.polls.clear()
+    for (const lane of LANES) {
+      for (const { timer } of this.polls[lane].values()) timer.dispose()
+      this.polls[lane].clear()
+    }
   }
 
   tryRun (ticket: QueueTicket, service: string): boolean {
     this.observe(service)
-    if (this.isWaiting(service) || !this.queue.windowAllows(service, this.now)) return false
-    return this.queue.offer(ticket.describe(service), this.now, { hasRoom: true, random: 0 }).type === 'run'
+    if (this.isWaiting(service) || !this.lanes.room.windowAllows(service, this.now)) return false
+    return this.lanes.room.offer(ticket.describe(service), this.now, { hasRoom: true, random: 0 }).type === 'run'
   }
 
-  wait (ticket: QueueTicket, service: string): void {
+  wait (ticket: QueueTicket, service: string, lane: QueueLane): void {
     const { state } = ticket
     switch (state.type) {
       case 'waiting': return undefined
       case 'handed-out':
         if (this.isLeaving) return this.refuse(ticket, 'leaving', leavingFailure())
-        this.queue.putBack(ticket.key, this.now)
-        ticket.state = { type: 'waiting', service: state.service, since: state.since }
+        if (state.lane === 'room' && lane === 'not-accepted') return this.moveToNotAccepted(ticket, state.service)
+        this.lanes[state.lane].putBack(ticket.key, this.now)
+        ticket.state = { type: 'waiting', service: state.service, lane: state.lane, since: state.since }
         return this.afterChange(state.service)
-      case 'outside': return this.offer(ticket, service)
+      case 'outside': return this.offer(ticket, service, lane)
     }
   }
 
+  private moveToNotAccepted (ticket: QueueTicket, service: string): void {
+    this.lanes.room.drop(ticket.key, 'not-accepted', this.now)
+    this.forget(ticket)
+    this.offer(ticket, service, 'not-accepted')
+  }
+
   accepted (ticket: QueueTicket): void {
     const { state } = ticket
     if (state.type !== 'handed-out') return
-    this.queue.started(ticket.key, this.now)
+    this.lanes[state.lane].started(ticket.key, this.now)
     this.forget(ticket)
     this.services.metrics.timing('queue.wait', state.at - state.since)
   }
@@ -133,7 +145,7 @@
   leave (ticket: QueueTicket, reason: DropReason): void {
     const { service, state } = ticket
     if (state.type === 'waiting' && reason === 'limit') this.services.metrics.count('queue.refused.limit')
-    this.queue.drop(ticket.key, reason, this.now)
+    if (state.type !== 'outside') this.lanes[state.lane].drop(ticket.key, reason, this.now)
     this.forget(ticket)
     if (service !== undefined) this.afterChange(service)
   }
@@ -142,13 +154,13 @@
     return this.services.clock.monotonic()
   }
 
-  private offer (ticket: QueueTicket, service: string): void {
+  private offer (ticket: QueueTicket, service: string, lane: QueueLane): void {
     if (this.isLeaving) return ticket.client.onRefused(leavingFailure())
     const { clock, chance, metrics } = this.services
     this.observe(service)
     const call = ticket.describe(service)
-    const offer = this.queue.offer(call, clock.monotonic(), { hasRoom: false, random: chance.next() })
-    this.log.recordOffer(service)
+    const offer = this.lanes[lane].offer(call, clock.monotonic(), { hasRoom: false, random: chance.next() })
+    if (lane === 'room') this.log.recordOffer(service)
     switch (offer.type) {
       case 'refuse':
         metrics.count(`queue.refused.${offer.why}`)
@@ -156,21 +168,21 @@
         return ticket.client.onRefused(overloadedFailure(service, offer.why, offer.retryAfterMs))
       case 'run':
       case 'wait':
-        metrics.count('queue.waited')
-        ticket.state = { type: 'waiting', service, since: clock.monotonic() }
+        metrics.count(lane === 'room' ? 'queue.waited' : 'queue.waited_not_accepted')
+        ticket.state = { type: 'waiting', service, lane, since: clock.monotonic() }
         this.tickets.set(ticket.key, ticket)
         return this.afterChange(service)
     }
   }
 
   /** Gives calls of a service their turns while targets have room and the queue allows further tries. */
-  private dispatch (service: string): void {
+  private dispatch (service: string, lane: QueueLane): void {
     if (this.dispatching.has(service)) return
     this.dispatching.add(service)
     this.observe(service)
     if (this.services.targets.available(service).length === 0) this.refuseWithoutTargets(service)
-    while (this.maySend(service)) {
-      const call = this.queue.next(service, this.now)
+    while (this.maySend(service, lane)) {
+      const call = this.lanes[lane].next(service, this.now)
       const ticket = call === undefined ? undefined : this.tickets.get(call.key)
       if (ticket === undefined) break
       this.handOut(ticket)
@@ -179,9 +191,10 @@
     this.afterChange(service)
   }
 
-  private maySend (service: string): boolean {
+  private maySend (service: string, lane: QueueLane): boolean {
     this.observe(service)
-    return this.queue.windowAllows(service, this.now) && targetsWithRoom(this.services.targets.available(service)).length > 0
+    const mayTry = lane === 'room' ? this.lanes.room.windowAllows(service, this.now) : !this.isWaiting(service)
+    return mayTry && targetsWithRoom(this.services.targets.available(service)).length > 0
   }
 
   private handOut (ticket: QueueTicket): void {
@@ -189,32 +202,36 @@
     if (state.type !== 'waiting') return
     const invalid = this.invalidity(ticket)
     if (invalid !== undefined) return this.refuse(ticket, invalid.code === 'unauthenticated' ? 'unauthenticated' : 'stale', invalid)
-    ticket.state = { type: 'handed-out', service: state.service, since: state.since, at: this.now }
+    ticket.state = { type: 'handed-out', service: state.service, lane: state.lane, since: state.since, at: this.now }
     ticket.client.onTurn()
   }
 
   /** Refuses the calls that have become impossible, and keeps the timer and the log in step with the queue. */
   private afterChange (service: string): void {
     const { chance } = this.services
-    for (const { key, why, retryAfterMs } of this.queue.refusals(this.now, () => chance.next())) this.refuseImpossible(key, why, retryAfterMs)
+    for (const lane of LANES) {
+      for (const { key, why, retryAfterMs } of this.lanes[lane].refusals(this.now, () => chance.next())) this.refuseImpossible(key, why, retryAfterMs)
+    }
     this.log.recordChange(service)
-    this.schedulePoll(service)
+    for (const lane of LANES) this.schedulePoll(service, lane)
   }
 
   /** Schedules the next poll of a service. A poll that is due earlier remains, so that changes do not postpone it. */
-  private schedulePoll (service: string): void {
+  private schedulePoll (service: string, lane: QueueLane): void {
     const { clock } = this.services
-    const scheduled = this.polls.get(service)
-    const dueAt = this.isWaiting(service) ? Math.max(this.now, Math.min(this.now + POLL_INTERVAL_MS, this.queue.earliestLatestStart(service))) : Number.POSITIVE_INFINITY
+    const polls = this.polls[lane]
+    const queue = this.lanes[lane]
+    const scheduled = polls.get(service)
+    const dueAt = queue.waitingCount(service) > 0 ? Math.max(this.now, Math.min(this.now + POLL_INTERVAL_MS, queue.earliestLatestStart(service))) : Number.POSITIVE_INFINITY
     if (scheduled !== undefined && scheduled.dueAt <= dueAt && dueAt !== Number.POSITIVE_INFINITY) return
     scheduled?.timer.dispose()
-    this.polls.delete(service)
+    polls.delete(service)
     if (dueAt === Number.POSITIVE_INFINITY) return
     const timer = clock.after(dueAt - this.now, () => {
-      this.polls.delete(service)
-      this.dispatch(service)
+      polls.delete(service)
+      this.dispatch(service, lane)
     })
-    this.polls.set(service, { dueAt, timer })
+    polls.set(service, { dueAt, timer })
   }
 
   private refuseImpossible (key: QueuedCallKey, why: QueueRefusal, retryAfterMs: RefusedCall['retryAfterMs']): void {
@@ -263,7 +280,8 @@
   }
 
   private observe (service: string): void {
-    this.queue.observe(service, serviceOutlook(this.services.targets.available(service)))
+    const outlook = serviceOutlook(this.services.targets.available(service))
+    for (const lane of LANES) this.lanes[lane].observe(service, outlook)
   }
 
   private waitingTickets (): QueueTicket[] {
--- a/src/actors/common/calls/queueTicket.ts
+++ b/src/actors/common/calls/queueTicket.ts
@@ -13,18 +13,24 @@
   readonly onRefused: (failed: Failure) => void
 }
 
+/**
+ * The queue in which a call waits: that of the calls for which no target has room, or that of the calls which targets with room
+ * have refused. The latter calls wait apart, as they may never be accepted.
+ */
+export type QueueLane = 'room' | 'not-accepted'
+
 /** Where a call is, relative to the queue. */
 export type TicketState =
   /** It has not been queued, or a target has accepted it. */
   | { readonly type: 'outside' }
-  | { readonly type: 'waiting', readonly service: string, readonly since: number }
+  | { readonly type: 'waiting', readonly service: string, readonly lane: QueueLane, readonly since: number }
   /** It tries targets, and none has accepted it yet. */
-  | { readonly type: 'handed-out', readonly service: string, readonly since: number, readonly at: number }
+  | { readonly type: 'handed-out', readonly service: string, readonly lane: QueueLane, readonly since: number, readonly at: number }
 
 /** The operations of the queue on which tickets depend. */
 export interface TicketQueue {
   tryRun (ticket: QueueTicket, service: string): boolean
-  wait (ticket: QueueTicket, service: string): void
+  wait (ticket: QueueTicket, service: string, lane: QueueLane): void
   accepted (ticket: QueueTicket): void
   leave (ticket: QueueTicket, reason: DropReason): void
 }
@@ -48,9 +54,9 @@
     }
   }
 
-  /** Waits until it is the call's turn. A call that was handed out returns to the head of the queue. */
-  wait (service: string): void {
-    this.queue.wait(this, service)
+  /** Waits until it is the call's turn. A call that was handed out returns to the head of its queue, unless it changes the queue. */
+  wait (service: string, lane: QueueLane): void {
+    this.queue.wait(this, service, lane)
   }
 
   /** A target has not refused the call. */
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -35,6 +35,8 @@
 /** Time without an answer that is taken for a lost request rather than for a slow target. */
 const UNRESPONSIVE_AFTER_MS = 1500
 const HTTP_SERVER_ERROR = 500
+/** Number of rounds after which a call counts as not accepted if targets with an idle slot refused it in each of them. */
+const MAX_ROUNDS_REFUSED_WITH_ROOM = 3
 
 /** One attempt at one target. */
 interface Attempt {
@@ -94,6 +96,9 @@
   private readonly sendsByTarget = new Map<string, number>()
   /** Targets that refused or failed the request in this round. */
   private readonly refused = new Set<string>()
+  /** Targets that refused the request in this round and reported an idle slot with it. */
+  private readonly refusedWithRoom = new Set<string>()
+  private roundsRefusedWithRoom = 0
   private readonly timers = new DisposableStore()
   private readonly beganAt: number
   private readonly content: RequestContent
@@ -158,10 +163,16 @@
     if (known.length === 0 && this.sendsByTarget.size === 0) return this.settle(this.lastFailureOr(failure('noTarget', `no target currently serves route ${request.route.name}`, { retryAfterMs: RETRY_AFTER_MS })))
     // If all remaining targets have had the request, waiting is pointless; if none remains, the request may still have run.
     if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(this.unknownOutcome()))
-    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service)
+    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service, this.isNotAccepted(known) ? 'not-accepted' : 'room')
     this.scheduleNextRound()
   }
 
+  /** Whether the call is refused although targets have room: by all of them, or by some in several rounds. */
+  private isNotAccepted (known: readonly KnownTarget[]): boolean {
+    if (this.refusedWithRoom.size > 0) this.roundsRefusedWithRoom++
+    return known.every(({ definition }) => this.refusedWithRoom.has(definition.id)) || this.roundsRefusedWithRoom >= MAX_ROUNDS_REFUSED_WITH_ROOM
+  }
+
   /** Whether no target can have run the call. Only such a call waits in the queue: for another one, some targets are out of the question, and its refusal could not say that it did not run. */
   private get isUnsent (): boolean {
     return this.sendsByTarget.size === 0
@@ -236,17 +247,22 @@
         : failure('overloaded', `no target of route ${this.request.route.name} has a free slot`, { retryAfterMs: RETRY_AFTER_MS })))
     }
     this.rounds++
-    this.refused.clear()
+    this.forgetRefusals()
     this.timers.add(this.services.clock.after(REFUSAL_RETRY_PAUSE_MS, () => { this.tryNext() }))
   }
 
   /** Asks the targets again, as it is the call's turn in the queue. */
   private startRound (): void {
     this.rounds++
-    this.refused.clear()
+    this.forgetRefusals()
     this.tryNext()
   }
 
+  private forgetRefusals (): void {
+    this.refused.clear()
+    this.refusedWithRoom.clear()
+  }
+
   private startAttempt (target: KnownTarget, fresh: boolean): void {
     const { services, request } = this
     const attempt: Attempt = { target, abort: new AbortController(), beganAt: services.clock.monotonic(), known: describeLoad(target), fresh, run: services.ends.track(target, request.background ? undefined : this.content, request.requestId), holdsSlot: true, refused: false, hedgePostponements: 0 }
@@ -365,6 +381,7 @@
         attempt.refused = true
         this.markNotRun(attempt)
         this.refused.add(target.definition.id)
+        if (head.load !== undefined && head.load.running + head.load.waiting < head.load.slots) this.refusedWithRoom.add(target.definition.id)
         return this.continueAfterFailure('the target refused the request')
       case 'unusable':
         target.recordFailure()
--- a/src/base/common/metricNames.ts
+++ b/src/base/common/metricNames.ts
@@ -59,6 +59,7 @@
   'peers.characters': 'characters sent and received in calls to other hosts',
   'progress.saved': 'saves of the progress of running items',
   'progress.not_saved': 'saves that the store did not accept',
+  'queue.waited_not_accepted': 'calls that targets with room refused, and that waited apart from the others',
   'queue.waited': 'calls that waited in the call queue for a target',
   'requests.broken': 'requests that are not HTTP',
   'requests.crashed': 'request handlers that failed',
--- a/src/core/common/calls/callQueue.ts
+++ b/src/core/common/calls/callQueue.ts
@@ -64,7 +64,7 @@
 }
 
 /** Why a call leaves the queue other than by a start. */
-export type DropReason = QueueRefusal | 'cancelled' | 'limit' | 'unauthenticated' | 'stale' | 'leaving' | 'noTarget' | 'held'
+export type DropReason = QueueRefusal | 'not-accepted' | 'cancelled' | 'limit' | 'unauthenticated' | 'stale' | 'leaving' | 'noTarget' | 'held'
 
 /** What happened at a service's queue since the tally was last taken. */
 export interface QueueTally {
--- a/test/actors/calls/callQueues.test.ts
+++ b/test/actors/calls/callQueues.test.ts
@@ -58,6 +58,33 @@
   expect(harness.client.ran).to.not.include(outcomes[CALLS_WITH_ROOM]?.id)
 }
 
+describe('a call that every target refuses although it has room', () => {
+  it('does not keep other calls from the targets', async () => {
+    // Guards against one caller's requests that no target accepts keeping all others of the service at the head of the queue.
+    const harness = new QueueHarness({ a: { slots: 4, queue: 10, workMs: 50 }, b: { slots: 4, queue: 10, workMs: 50 } }, 1, { queued: true })
+    const host = harness.host()
+    const refusedIds = new Set<string>()
+    for (const id of ['a', 'b']) harness.client.target(id).refusesRequest = (request) => refusedIds.has(request)
+    const sound: CallOutcome[] = []
+    const refused: CallOutcome[] = []
+    let calls = 0
+    for (let at = 0; at < 4000; at += 25) {
+      if (at % 100 === 0) {
+        refusedIds.add(`q${calls++}`)
+        harness.call(host, route).then((outcome) => { refused.push(outcome) }, () => undefined)
+      }
+      calls++
+      harness.call(host, route).then((outcome) => { sound.push(outcome) }, () => undefined)
+      await harness.clock.advance(25)
+    }
+    await harness.clock.advance(2000)
+    expect([sound.length, refused.length]).to.deep.equal([160, 40])
+    expect(sound.filter(({ result, tookMs }) => result.ok && tookMs <= route.objectiveMs).length).to.be.at.least(160 * 0.95)
+    expect(refused.filter(({ result }) => !result.ok && result.code === 'overloaded')).to.have.length(40)
+    expect(harness.client.target('a').refusals + harness.client.target('b').refusals).to.be.below(40 * 2 * 10)
+  })
+})
+
 describe('a waiting call', () => {
   it('runs when a call of this host at the service has ended', async () => {
     const { harness, outcomes } = createFixtureWithWaitingCall()
--- a/test/support/queueingTargets.ts
+++ b/test/support/queueingTargets.ts
@@ -30,6 +30,8 @@
   refusals = 0
   /** Refuses all requests, like a target that is about to leave. */
   refusesAll = false
+  /** Returns whether a request is refused whatever the load, like one that is larger than the target's memory. */
+  refusesRequest: (id: string) => boolean = () => false
   private readonly jobs = new Set<Job>()
 
   constructor (private readonly clock: Clock, private readonly options: QueueingTargetOptions) {}
@@ -41,7 +43,7 @@
 
   receive (job: Job): void {
     const { slots, queue } = this.options
-    if (this.refusesAll || this.running + this.waiting.length >= slots + queue) {
+    if (this.refusesAll || this.refusesRequest(job.id) || this.running + this.waiting.length >= slots + queue) {
       this.refusals++
       job.answer(this.response(job.id, 503, { 'bulrushvalve-not-run': '1' }))
       return
