--- a/src/actors/common/calls/callQueues.ts
+++ b/src/actors/common/calls/callQueues.ts
@@ -37,7 +37,9 @@
   readonly stateLog: StateLog
 }
 
-const LANES: readonly QueueLane[] = ['room', 'not-accepted']
+/** Limits of the calls that targets with room refused, as a share of those of all others. */
+const NOT_ACCEPTED_SHARE = 1 / 8
+const LANES: readonly QueueLane[] = ['ordinary', 'not-accepted']
 
 /** Retry hint while a service has no target, as for calls that find none on arrival. */
 const NO_TARGET_RETRY_AFTER_MS = 300
@@ -48,7 +50,7 @@
   /** Tickets of the calls that wait or were handed out. */
   private readonly tickets = new Map<QueuedCallKey, QueueTicket>()
   /** The next poll of each service for which calls wait, by lane. */
-  private readonly polls: Readonly<Record<QueueLane, Map<string, { readonly dueAt: number, readonly timer: Disposable }>>> = { room: new Map(), 'not-accepted': new Map() }
+  private readonly polls: Readonly<Record<QueueLane, Map<string, { readonly dueAt: number, readonly timer: Disposable }>>> = { ordinary: new Map(), 'not-accepted': new Map() }
   /** Services whose calls are being given their turns. */
   private readonly dispatching = new Set<string>()
   private readonly subscriptions = new DisposableStore()
@@ -56,8 +58,8 @@
   private isLeaving = false
 
   constructor (private readonly services: CallQueuesServices, limits: CallQueueLimits) {
-    this.lanes = { room: new CallQueue(limits), 'not-accepted': new CallQueue(limits) }
-    this.log = new QueueLog(services, this.lanes.room)
+    this.lanes = { ordinary: new CallQueue(limits), 'not-accepted': new CallQueue({ calls: Math.ceil(limits.calls * NOT_ACCEPTED_SHARE), bytes: limits.bytes * NOT_ACCEPTED_SHARE }) }
+    this.log = new QueueLog(services, this.lanes.ordinary)
     this.subscriptions.add(services.targets.onChange(() => { for (const lane of LANES) for (const service of this.lanes[lane].waitingServices()) this.dispatch(service, lane) }))
     this.subscriptions.add(services.operator.onChange(() => { this.dropInvalid() }))
   }
@@ -69,12 +71,12 @@
 
   /** Whether calls wait until a target of a service has room. */
   isWaiting (service: string): boolean {
-    return this.lanes.room.waitingCount(service) > 0
+    return this.lanes.ordinary.waitingCount(service) > 0
   }
 
   /** Whether calls wait until a target of a service has room, or have waited within the last second. */
   isUnderPressure (service: string): boolean {
-    return this.lanes.room.hasWaited(service, this.now)
+    return this.lanes.ordinary.hasWaited(service, this.now)
   }
 
   /** Creates the ticket of a call that has just arrived. */
@@ -84,13 +86,13 @@
 
   /** A call of this host to a target ended. */
   released ({ definition: { service } }: KnownTarget): void {
-    this.lanes.room.released(service)
-    if (this.isWaiting(service)) this.dispatch(service, 'room')
+    this.lanes.ordinary.released(service)
+    if (this.isWaiting(service)) this.dispatch(service, 'ordinary')
   }
 
   /** A target answered a call of this host, and reported its load if it does so. */
   answered ({ definition: { service } }: KnownTarget, load: LoadReport | undefined): void {
-    this.lanes.room.answered(service, load === undefined ? undefined : { ahead: load.running + load.waiting, slots: load.slots })
+    this.lanes.ordinary.answered(service, load === undefined ? undefined : { ahead: load.running + load.waiting, slots: load.slots })
   }
 
   /** Refuses all waiting calls, and from now on all for which no target has room. */
@@ -110,8 +112,8 @@
 
   tryRun (ticket: QueueTicket, service: string): boolean {
     this.observe(service)
-    if (this.isWaiting(service) || !this.lanes.room.windowAllows(service, this.now)) return false
-    return this.lanes.room.offer(ticket.describe(service), this.now, { hasRoom: true, random: 0 }).type === 'run'
+    if (this.isWaiting(service) || !this.lanes.ordinary.windowAllows(service, this.now)) return false
+    return this.lanes.ordinary.offer(ticket.describe(service), this.now, { hasRoom: true, random: 0 }).type === 'run'
   }
 
   wait (ticket: QueueTicket, service: string, lane: QueueLane): void {
@@ -120,7 +122,7 @@
       case 'waiting': return undefined
       case 'handed-out':
         if (this.isLeaving) return this.refuse(ticket, 'leaving', leavingFailure())
-        if (state.lane === 'room' && lane === 'not-accepted') return this.moveToNotAccepted(ticket, state.service)
+        if (state.lane === 'ordinary' && lane === 'not-accepted') return this.moveToNotAccepted(ticket, state.service)
         this.lanes[state.lane].putBack(ticket.key, this.now)
         ticket.state = { type: 'waiting', service: state.service, lane: state.lane, since: state.since }
         return this.afterChange(state.service)
@@ -129,7 +131,7 @@
   }
 
   private moveToNotAccepted (ticket: QueueTicket, service: string): void {
-    this.lanes.room.drop(ticket.key, 'not-accepted', this.now)
+    this.lanes.ordinary.drop(ticket.key, 'not-accepted', this.now)
     this.forget(ticket)
     this.offer(ticket, service, 'not-accepted')
   }
@@ -160,7 +162,7 @@
     this.observe(service)
     const call = ticket.describe(service)
     const offer = this.lanes[lane].offer(call, clock.monotonic(), { hasRoom: false, random: chance.next() })
-    if (lane === 'room') this.log.recordOffer(service)
+    if (lane === 'ordinary') this.log.recordOffer(service)
     switch (offer.type) {
       case 'refuse':
         metrics.count(`queue.refused.${offer.why}`)
@@ -168,7 +170,7 @@
         return ticket.client.onRefused(overloadedFailure(service, offer.why, offer.retryAfterMs))
       case 'run':
       case 'wait':
-        metrics.count(lane === 'room' ? 'queue.waited' : 'queue.waited_not_accepted')
+        metrics.count(lane === 'ordinary' ? 'queue.waited' : 'queue.waited_not_accepted')
         ticket.state = { type: 'waiting', service, lane, since: clock.monotonic() }
         this.tickets.set(ticket.key, ticket)
         return this.afterChange(service)
@@ -193,7 +195,7 @@
 
   private maySend (service: string, lane: QueueLane): boolean {
     this.observe(service)
-    const mayTry = lane === 'room' ? this.lanes.room.windowAllows(service, this.now) : !this.isWaiting(service)
+    const mayTry = lane === 'ordinary' ? this.lanes.ordinary.windowAllows(service, this.now) : !this.isWaiting(service)
     return mayTry && targetsWithRoom(this.services.targets.available(service)).length > 0
   }
 
--- a/src/actors/common/calls/queueTicket.ts
+++ b/src/actors/common/calls/queueTicket.ts
@@ -13,11 +13,8 @@
   readonly onRefused: (failed: Failure) => void
 }
 
-/**
- * The queue in which a call waits: that of the calls for which no target has room, or that of the calls which targets with room
- * have refused. The latter calls wait apart, as they may never be accepted.
- */
-export type QueueLane = 'room' | 'not-accepted'
+/** The queue in which a call waits. Calls that targets refused although they have room wait apart, as they may never be accepted. */
+export type QueueLane = 'ordinary' | 'not-accepted'
 
 /** Where a call is, relative to the queue. */
 export type TicketState =
--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -163,7 +163,7 @@
     if (known.length === 0 && this.sendsByTarget.size === 0) return this.settle(this.lastFailureOr(failure('noTarget', `no target currently serves route ${request.route.name}`, { retryAfterMs: RETRY_AFTER_MS })))
     // If all remaining targets have had the request, waiting is pointless; if none remains, the request may still have run.
     if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(this.unknownOutcome()))
-    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service, this.isNotAccepted(known) ? 'not-accepted' : 'room')
+    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service, this.isNotAccepted(known) ? 'not-accepted' : 'ordinary')
     this.scheduleNextRound()
   }
 
--- a/src/actors/common/routes/targetTable.ts
+++ b/src/actors/common/routes/targetTable.ts
@@ -44,22 +44,22 @@
   private failures = 0
   private hadSilentConnection = false
   /** Whether a target has answered as the one that the entry names. */
-  private isConfirmed = false
-  /** Whether the previous entry under this id stated no incarnation, and its target was confirmed. */
-  readonly replacesUntold: boolean
+  private answered = false
+  /** Whether a target that stated no incarnation had answered under this id before. */
+  readonly hadAnswerWithoutIncarnation: boolean
 
   /** @param former the target's previous incarnation, if any */
   constructor (public definition: TargetDefinition, private readonly services: TargetTableServices, private readonly observed: ObservedServices, former?: KnownTarget) {
-    this.replacesUntold = former?.definition.incarnation === undefined && former?.hasAnswered === true
+    this.hadAnswerWithoutIncarnation = former !== undefined && former.definition.incarnation === undefined && former.hasAnswered
   }
 
   get hasAnswered (): boolean {
-    return this.isConfirmed
+    return this.answered
   }
 
   /** Records that the target answered as the one that the entry names. */
-  confirm (): void {
-    this.isConfirmed = true
+  recordAnswer (): void {
+    this.answered = true
     if (this.definition.incarnation !== undefined) this.observed.withIncarnations.add(this.definition.service)
   }
 
@@ -113,7 +113,7 @@
 
   /** Records the time to an answer. The slowdown that the answer reports is removed from it, so that a temporary slowdown is not taken for the target's pace. */
   recordAnswerTime (tookMs: number, reported?: LoadReport): void {
-    this.confirm()
+    this.recordAnswer()
     this.failures = 0
     this.hadSilentConnection = false
     this.suspectUntil = Number.NEGATIVE_INFINITY
@@ -261,7 +261,7 @@
     const { definition } = target
     if (definition.incarnation === undefined || incarnation === undefined) return 'same'
     const verdict = compareIncarnations(definition.incarnation, incarnation)
-    if (verdict === 'same') target.confirm()
+    if (verdict === 'same') target.recordAnswer()
     if (verdict === 'newer' && this.targets.get(definition.id) === target) this.set({ ...definition, incarnation, models })
     else if (verdict === 'newer') this.supersedeWithoutEntry(target, incarnation)
     return verdict
@@ -313,7 +313,7 @@
   /** Whether only an entry shows that a target restarted, and no answer, while the target had answered without an incarnation before. */
   private isUnprovenRestart (id: string): boolean {
     const known = this.targets.get(id) ?? this.former.get(id)
-    return known !== undefined && known.replacesUntold && !known.hasAnswered
+    return known !== undefined && known.hadAnswerWithoutIncarnation && !known.hasAnswered
   }
 
   private register (definition: TargetDefinition): void {
--- a/src/actors/common/steps/itemPlacement.ts
+++ b/src/actors/common/steps/itemPlacement.ts
@@ -99,6 +99,7 @@
   }
 }
 
+/** Describes an item to the engines' records of refusals. */
 export function refusableItem ({ step }: Pick<StepWork, 'step'>, { item, backoff }: Pick<ItemWork, 'item' | 'backoff'>): RefusableItem {
   return { step: step.submission.id, tokens: item.tokens, isSuspect: backoff.hasLostPrecedence }
 }
