--- a/test/platform/support/fleet.ts
+++ b/test/platform/support/fleet.ts
@@ -43,7 +43,8 @@
 /** The program with the options of the engine with which it is deployed, as they determine its memory. */
 const DEPLOYED_PROGRAM: readonly string[] = [process.execPath, ...deployedOptions(), 'dist/bulrushvalve.cjs']
 
-function deployedOptions (): string[] {
+/** Returns the options of the engine with which the program is deployed. */
+export function deployedOptions (): string[] {
   const { roles } = parse(readFileSync('deploy/system.toml', 'utf8')) as unknown as { roles: { host: { run: string } } }
   const words = roles.host.run.split(' ').slice(1)
   return words.slice(0, words.findIndex((word) => !word.startsWith('--')))
