--- a/src/actors/common/routes/routeCalls.ts
+++ b/src/actors/common/routes/routeCalls.ts
@@ -16,7 +16,7 @@
 import { hasRoom } from '../../../core/common/routes/targetEstimate.ts'
 import type { RequestContent } from '../../../ports/common/fingerprints.ts'
 import type { TargetResponse } from '../../../ports/common/targetClient.ts'
-import type { QueueTicket } from '../calls/queueTicket.ts'
+import type { QueueLane, QueueTicket } from '../calls/queueTicket.ts'
 import { targetsWithRoom } from '../calls/targetsWithRoom.ts'
 import type { Admission, Trial } from './requestQuarantine.ts'
 import { requestHeldFailure } from './requestQuarantine.ts'
@@ -163,14 +163,15 @@
     if (known.length === 0 && this.sendsByTarget.size === 0) return this.settle(this.lastFailureOr(failure('noTarget', `no target currently serves route ${request.route.name}`, { retryAfterMs: RETRY_AFTER_MS })))
     // If all remaining targets have had the request, waiting is pointless; if none remains, the request may still have run.
     if (known.every(({ definition }) => this.sendsByTarget.has(definition.id))) return this.settle(this.lastFailureOr(this.unknownOutcome()))
-    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service, this.isNotAccepted(known) ? 'not-accepted' : 'ordinary')
+    if (this.ticket !== undefined && this.isUnsent && service !== undefined) return this.ticket.wait(service, this.laneAfterRound(known))
     this.scheduleNextRound()
   }
 
-  /** Whether the call is refused although targets have room: by all of them, or by some in several rounds. */
-  private isNotAccepted (known: readonly KnownTarget[]): boolean {
+  /** Counts a round that ended without a start, and returns the queue in which the call waits for the next one. */
+  private laneAfterRound (known: readonly KnownTarget[]): QueueLane {
     if (this.refusedWithRoom.size > 0) this.roundsRefusedWithRoom++
-    return known.every(({ definition }) => this.refusedWithRoom.has(definition.id)) || this.roundsRefusedWithRoom >= MAX_ROUNDS_REFUSED_WITH_ROOM
+    const isRefusedByAll = known.every(({ definition }) => this.refusedWithRoom.has(definition.id))
+    return isRefusedByAll || this.roundsRefusedWithRoom >= MAX_ROUNDS_REFUSED_WITH_ROOM ? 'not-accepted' : 'ordinary'
   }
 
   /** Whether no target can have run the call. Only such a call waits in the queue: for another one, some targets are out of the question, and its refusal could not say that it did not run. */
--- a/src/core/common/steps/refusalBackoff.ts
+++ b/src/core/common/steps/refusalBackoff.ts
@@ -1,8 +1,8 @@
 /**
  * Decides which items an engine is not sent for a while after it has refused one. Load pattern: an engine that is full or loads
  * weights refuses every item, while one that lacks the memory for an item, or cannot read it, refuses this item and accepts the
- * others. The refusal does not tell which. Therefore it applies to items of the same step that are at least as large, and apart
- * from those to items that several engines have refused before: items that no engine accepts must not keep others from it.
+ * others. The refusal does not tell which. Therefore it applies only to items of the same step that are at least as large. Items
+ * that several engines have refused are likely the reason themselves: their refusals apply to each other only.
  */
 
 /** Time for which a refusal applies: about the duration of the shortest run. */
